feat(core): decisions without I/O

Cause: nothing existed. Change: workspace; claim ledger, streams, router, limits, membership, configuration, quarantine and traces as state machines that take the time as an argument. Conclusion: the daemon can be built on it.

--- /dev/null
+++ b/crates/almondcroft-core/src/config.rs
@@ -0,0 +1,17 @@
+//! What operators have agreed: contracts, customers, services and targets, as one revision.
+
+mod contract;
+mod customer;
+mod document;
+mod gate;
+mod objective;
+mod service;
+mod target;
+
+pub use contract::{Contract, Terms};
+pub use customer::Customer;
+pub use document::Config;
+pub use gate::RevisionGate;
+pub use objective::Objective;
+pub use service::{Service, ServiceKind};
+pub use target::{Fencing, Target};
--- /dev/null
+++ b/crates/almondcroft-core/src/config/document.rs
@@ -0,0 +1,58 @@
+//! The whole agreed configuration.
+
+use super::{Contract, Customer, Objective, Service, Target, Terms};
+use crate::{ContractId, CustomerId, Revision, ServiceId, TargetId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Holds one revision of everything that operators state in the sheet.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Number of the revision; zero before the first sheet.
+    pub revision: Revision,
+    /// Measure that routing favours.
+    #[serde(default)]
+    pub objective: Objective,
+    /// Contracts by id.
+    pub contracts: BTreeMap<ContractId, Contract>,
+    /// Customers by id.
+    pub customers: BTreeMap<CustomerId, Customer>,
+    /// Services by id.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Targets by id.
+    pub targets: BTreeMap<TargetId, Target>,
+}
+
+impl Config {
+    /// Finds the customer whose bearer token has this SHA-256 in lower-case hexadecimal digits.
+    #[must_use]
+    pub fn customer_by_token(&self, token_sha256: &str) -> Option<&Customer> {
+        self.customers
+            .values()
+            .find(|customer| customer.token_sha256 == token_sha256)
+    }
+
+    /// Returns the terms on which a customer may call a service.
+    #[must_use]
+    pub fn terms(&self, customer: &Customer, service: &str) -> Option<&Terms> {
+        self.contracts.get(&customer.contract)?.terms.get(service)
+    }
+
+    /// Iterates over the targets that answer a service.
+    pub fn targets_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
+        self.targets
+            .values()
+            .filter(move |target| target.services.iter().any(|id| id == service))
+    }
+
+    /// Returns whether both configurations state the same, whatever their revisions.
+    #[must_use]
+    pub fn same_content(&self, other: &Self) -> bool {
+        self.objective == other.objective
+            && self.contracts == other.contracts
+            && self.customers == other.customers
+            && self.services == other.services
+            && self.targets == other.targets
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/config/gate.rs
@@ -0,0 +1,65 @@
+//! Keeps a VM from going back to an earlier revision.
+
+use super::Config;
+use crate::Revision;
+use std::sync::Arc;
+
+/// Holds the configuration in force and refuses lower revisions.
+///
+/// Stale reads, slow peers and restored stores can all offer an old revision; none replaces a newer
+/// one. Requests in flight keep the `Arc` that they began with.
+///
+/// ```
+/// use almondcroft_core::config::{Config, RevisionGate};
+///
+/// let mut gate = RevisionGate::default();
+/// assert!(gate.offer(Config { revision: 2, ..Config::default() }));
+/// assert!(!gate.offer(Config { revision: 1, ..Config::default() }));
+/// assert_eq!(gate.revision(), 2);
+/// ```
+#[derive(Debug, Default)]
+pub struct RevisionGate {
+    current: Arc<Config>,
+}
+
+impl RevisionGate {
+    /// Puts a configuration in force if its revision is higher; returns whether it was.
+    pub fn offer(&mut self, config: Config) -> bool {
+        let newer = config.revision > self.current.revision;
+        if newer {
+            self.current = Arc::new(config);
+        }
+        newer
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Arc<Config> {
+        Arc::clone(&self.current)
+    }
+
+    /// Returns the revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.current.revision
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn offer_never_lower(revisions in prop::collection::vec(0_u64..50, 0..100)) {
+            let mut gate = RevisionGate::default();
+            let mut highest = 0;
+            for revision in revisions {
+                gate.offer(Config { revision, ..Config::default() });
+                highest = highest.max(revision);
+                prop_assert_eq!(gate.revision(), highest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/id.rs
@@ -0,0 +1,30 @@
+//! Names for identifiers and points in time.
+
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// Identifies a contract.
+pub type ContractId = SmolStr;
+/// Identifies a customer.
+pub type CustomerId = SmolStr;
+/// Identifies a model that engines can load.
+pub type ModelId = SmolStr;
+/// Identifies a region.
+pub type RegionId = SmolStr;
+/// Identifies one request of a caller.
+pub type RequestId = SmolStr;
+/// Identifies a service: a set of targets that answer the same calls.
+pub type ServiceId = SmolStr;
+/// Identifies a back end, either a model engine or a plain service process.
+pub type TargetId = SmolStr;
+/// Identifies an entry VM.
+pub type VmId = SmolStr;
+/// Identifies an availability zone.
+pub type ZoneId = SmolStr;
+
+/// Counts accepted configurations; a higher revision replaces a lower one.
+pub type Revision = u64;
+/// Tells one run of a VM's process from the next; never reused.
+pub type Incarnation = u64;
+/// A point in time, as the duration since the Unix epoch.
+pub type Timestamp = Duration;
--- /dev/null
+++ b/crates/almondcroft-core/src/ledger/shard/options.rs
@@ -0,0 +1,63 @@
+//! Settings of a shard.
+
+use std::time::Duration;
+
+/// Bounds how often and how much a shard writes, and how long it remembers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardOptions {
+    /// Shortest time between the starts of two writes.
+    pub interval: Duration,
+    /// Time for which keys are remembered.
+    pub retention: Duration,
+    /// Time between two reads while the store fails.
+    pub retry_delay: Duration,
+    /// Size at which a segment is sealed, in bytes.
+    pub segment_bytes: usize,
+    /// Most entries appended by one write.
+    pub max_batch: usize,
+    /// Most outcomes and releases that wait for the store.
+    pub max_notes: usize,
+}
+
+impl Default for ShardOptions {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(25),
+            retention: Duration::from_secs(24 * 3600),
+            retry_delay: Duration::from_millis(50),
+            segment_bytes: 32 * 1024,
+            max_batch: 256,
+            max_notes: 10_000,
+        }
+    }
+}
+
+impl ShardOptions {
+    /// Sets the shortest time between the starts of two writes.
+    #[must_use]
+    pub const fn interval(mut self, interval: Duration) -> Self {
+        self.interval = interval;
+        self
+    }
+
+    /// Sets the time for which keys are remembered.
+    #[must_use]
+    pub const fn retention(mut self, retention: Duration) -> Self {
+        self.retention = retention;
+        self
+    }
+
+    /// Sets the size at which a segment is sealed, in bytes.
+    #[must_use]
+    pub const fn segment_bytes(mut self, bytes: usize) -> Self {
+        self.segment_bytes = bytes;
+        self
+    }
+
+    /// Sets the most entries appended by one write.
+    #[must_use]
+    pub const fn max_batch(mut self, entries: usize) -> Self {
+        self.max_batch = entries;
+        self
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/ledger/store.rs
@@ -0,0 +1,56 @@
+//! What the ledger needs of an object store.
+
+use snafu::Snafu;
+use std::{future::Future, pin::Pin};
+
+/// States which version an update replaces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expected {
+    /// The object does not exist.
+    Absent,
+    /// The object has this version.
+    Version(u64),
+}
+
+/// Holds an object as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stored {
+    /// Version of the object; each update gives a higher one.
+    pub version: u64,
+    /// Bytes of the object.
+    pub bytes: Vec<u8>,
+}
+
+/// Tells why a call to the store failed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum StoreError {
+    /// The object has another version; the update had no effect.
+    #[snafu(display("the object has another version"))]
+    Conflict,
+    /// The store refused the call; it had no effect.
+    #[snafu(display("the store refused the call"))]
+    Refused,
+    /// No answer came; an update may have taken effect.
+    #[snafu(display("the store did not answer"))]
+    Unknown,
+}
+
+/// The future of a store call.
+pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>;
+
+/// Gives access to versioned objects.
+///
+/// Implement it for the store at hand; the ledger asks for conditional updates only.
+pub trait ObjectStore: Send + Sync {
+    /// Reads an object.
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Stored>>;
+
+    /// Writes an object if it has the expected version; returns the new version.
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>, expected: Expected) -> StoreFuture<'a, u64>;
+
+    /// Deletes an object whatever its version.
+    fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()>;
+
+    /// Lists the keys that begin with `prefix`, in order.
+    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Vec<String>>;
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/membership/rendezvous.rs
@@ -0,0 +1,51 @@
+//! Rendezvous hashing: every VM ranks the same members in the same order.
+//!
+//! Source: D. Thaler, C. Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+
+use smol_str::SmolStr;
+
+/// Returns the weight of a member for a key; the highest weight owns the key.
+#[must_use]
+pub fn score(member: &str, key: u64) -> u64 {
+    // FNV-1a over the id, mixed with the key by the splitmix64 finalizer: the order must not change
+    // between builds, which the standard hashers do not promise.
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in member.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    let mut mixed = hash ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Returns the members in descending order of their weight for a key.
+#[must_use]
+pub fn ranked(members: &[SmolStr], key: u64) -> Vec<SmolStr> {
+    let mut order = members.to_vec();
+    order.sort_by_key(|member| std::cmp::Reverse(score(member, key)));
+    order
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranked_member_lost() {
+        let members: Vec<SmolStr> = (0..7).map(|i| format!("vm-{i}").into()).collect();
+        for key in 0..100 {
+            let order = ranked(&members, key);
+            let rest: Vec<SmolStr> = order[1..].to_vec();
+            assert_eq!(ranked(&rest, key), rest);
+        }
+    }
+
+    #[test]
+    fn ranked_spread() {
+        let members: Vec<SmolStr> = (0..7).map(|i| format!("vm-{i}").into()).collect();
+        let owned = (0..7_000).filter(|key| ranked(&members, *key)[0] == "vm-3");
+        let count = owned.count();
+        assert!((800..1_200).contains(&count), "{count}");
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -0,0 +1,104 @@
+//! Requests that crash the targets that run them.
+
+use crate::Timestamp;
+use std::{collections::HashMap, time::Duration};
+
+/// Identifies what a request asks for, whoever sends it again.
+pub type Fingerprint = u64;
+
+/// Crashes after which a fingerprint is refused.
+const CRASH_LIMIT: u32 = 2;
+
+/// Time after the last crash during which a fingerprint stays refused.
+const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+
+/// Fingerprints that are remembered at once.
+const MAX_FINGERPRINTS: usize = 10_000;
+
+#[derive(Debug, Clone, Copy)]
+struct Crashes {
+    count: u32,
+    last: Timestamp,
+}
+
+/// Counts crashes per request fingerprint and refuses those that crashed two targets.
+///
+/// Counts from other VMs are merged by [`Quarantine::merge`], so a caller gains nothing from trying
+/// its request at each VM in turn.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    crashes: HashMap<Fingerprint, Crashes>,
+}
+
+impl Quarantine {
+    /// Notes that a target died while it ran the request; returns the new count.
+    pub fn note_crash(&mut self, fingerprint: Fingerprint, now: Timestamp) -> u32 {
+        self.evict(now);
+        let entry = self.crashes.entry(fingerprint).or_insert(Crashes {
+            count: 0,
+            last: now,
+        });
+        entry.count += 1;
+        entry.last = now;
+        entry.count
+    }
+
+    /// Takes over a count that another VM reported.
+    pub fn merge(&mut self, fingerprint: Fingerprint, count: u32, now: Timestamp) {
+        self.evict(now);
+        let entry = self.crashes.entry(fingerprint).or_insert(Crashes {
+            count: 0,
+            last: now,
+        });
+        entry.count = entry.count.max(count);
+        entry.last = now;
+    }
+
+    /// Returns how long the fingerprint is still refused, or `None` when it may run.
+    #[must_use]
+    pub fn remaining(&self, fingerprint: Fingerprint, now: Timestamp) -> Option<Duration> {
+        let entry = self.crashes.get(&fingerprint)?;
+        if entry.count < CRASH_LIMIT {
+            return None;
+        }
+        (entry.last + QUARANTINE_TIME)
+            .checked_sub(now)
+            .filter(|left| !left.is_zero())
+    }
+
+    fn evict(&mut self, now: Timestamp) {
+        if self.crashes.len() < MAX_FINGERPRINTS {
+            return;
+        }
+        self.crashes
+            .retain(|_, crashes| crashes.last + QUARANTINE_TIME > now);
+        if self.crashes.len() >= MAX_FINGERPRINTS {
+            self.crashes.clear();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: Timestamp = Duration::from_secs(1_000);
+
+    #[test]
+    fn remaining_after_two_crashes() {
+        let mut quarantine = Quarantine::default();
+        quarantine.note_crash(7, START);
+        assert_eq!(quarantine.remaining(7, START), None);
+        quarantine.note_crash(7, START);
+        assert_eq!(quarantine.remaining(7, START), Some(QUARANTINE_TIME));
+        assert_eq!(quarantine.remaining(7, START + QUARANTINE_TIME), None);
+    }
+
+    #[test]
+    fn merge_from_other_vm() {
+        let mut quarantine = Quarantine::default();
+        quarantine.note_crash(7, START);
+        quarantine.merge(7, 2, START);
+        assert!(quarantine.remaining(7, START).is_some());
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/trace/player.rs
@@ -0,0 +1,74 @@
+//! Replay of a trace through the router.
+
+use super::{TraceEvent, TraceHeader, TraceLine};
+use crate::Timestamp;
+use crate::router::{Decision, Router};
+
+/// Shows a line whose replay decided something else.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Difference {
+    /// Number of the line, the header being line one.
+    pub line: usize,
+    /// Decisions that were recorded.
+    pub recorded: Vec<Decision>,
+    /// Decisions of the replay.
+    pub replayed: Vec<Decision>,
+}
+
+/// Runs events through a router.
+#[derive(Debug)]
+pub struct Player {
+    router: Router,
+    line: usize,
+}
+
+impl Player {
+    /// Creates a player from the header of a trace.
+    #[must_use]
+    pub fn new(header: &TraceHeader) -> Self {
+        Self {
+            router: Router::new(header.options, header.seed),
+            line: 1,
+        }
+    }
+
+    /// Applies one event to the router and returns its decisions.
+    pub fn apply(router: &mut Router, event: TraceEvent, now: Timestamp) -> Vec<Decision> {
+        match event {
+            TraceEvent::Targets { targets } => {
+                router.set_targets(targets);
+                router.tick(now)
+            }
+            TraceEvent::Vms { vms } => {
+                router.set_vms(vms);
+                Vec::new()
+            }
+            TraceEvent::Submit { request } => router.submit(request, now),
+            TraceEvent::Resubmit { request, failed } => router.resubmit(request, &failed, now),
+            TraceEvent::Report { target, report } => router.report(&target, report, now),
+            TraceEvent::Usable { target, usable } => router.set_usable(&target, usable, now),
+            TraceEvent::Progress { request, produced } => {
+                router.progress(&request, produced, now);
+                Vec::new()
+            }
+            TraceEvent::Finished { request, complete } => {
+                router.finished(&request, complete, now)
+            }
+            TraceEvent::Tick => router.tick(now),
+        }
+    }
+
+    /// Replays one line and returns the difference to what was recorded, if there is one.
+    pub fn play(&mut self, line: TraceLine) -> Option<Difference> {
+        self.line += 1;
+        let replayed = Self::apply(&mut self.router, line.event, line.at);
+        if replayed == line.decisions {
+            return None;
+        }
+        Some(Difference {
+            line: self.line,
+            recorded: line.decisions,
+            replayed,
+        })
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-proto/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wire messages and codecs of almondcroft.
--- /dev/null
+++ b/crates/almondcroft-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around almondcroft, the demo and the experiment tool.
--- /dev/null
+++ b/crates/almondcroft/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving for generations of unknown length on crowded engines.
--- /dev/null
+++ b/crates/almondcroftd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon.
