--- a/crates/almondcroft-core/src/config/document.rs
+++ b/crates/almondcroft-core/src/config/document.rs
@@ -3,7 +3,7 @@
 use super::{Contract, Customer, Objective, Service, Target, Terms};
 use crate::{ContractId, CustomerId, Revision, ServiceId, TargetId};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Holds one revision of everything that operators state in the sheet.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -22,6 +22,9 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// Targets by id.
     pub targets: BTreeMap<TargetId, Target>,
+    /// Targets that operators drain; they get no new work.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub drained: BTreeSet<TargetId>,
 }
 
 impl Config {
@@ -54,5 +57,6 @@
             && self.customers == other.customers
             && self.services == other.services
             && self.targets == other.targets
+            && self.drained == other.drained
     }
 }
--- a/crates/almondcroft-core/src/ledger.rs
+++ b/crates/almondcroft-core/src/ledger.rs
@@ -20,5 +20,5 @@
 pub use outcome::Outcome;
 pub use segment::{Entry, Segment};
 pub use shard::{ClaimShard, ShardAction, ShardEvent, ShardOptions, Ticket, WriteId};
-pub use store::{Expected, ObjectStore, Stored, StoreError, StoreFuture};
+pub use store::{Expected, ObjectStore, StoreError, StoreFuture, Stored};
 pub use table::ClaimTable;
--- a/crates/almondcroft-core/src/ledger/outcome.rs
+++ b/crates/almondcroft-core/src/ledger/outcome.rs
@@ -9,9 +9,9 @@
 /// Records the answer of the one run of a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcome {
-    /// HTTP status of the target's answer.
-    #[serde(rename = "s")]
-    pub status: u16,
+    /// HTTP status of the target's answer; absent where no answer came.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub status: Option<u16>,
     /// Media type of the body.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub media: Option<SmolStr>,
@@ -27,9 +27,19 @@
         let text = std::str::from_utf8(body).ok();
         let kept = text.filter(|text| text.len() <= MAX_BODY_BYTES);
         Self {
-            status,
+            status: Some(status),
             media,
             body: kept.map(str::to_owned),
         }
     }
+
+    /// Creates the outcome of a call that was sent and never answered.
+    #[must_use]
+    pub const fn unknown() -> Self {
+        Self {
+            status: None,
+            media: None,
+            body: None,
+        }
+    }
 }
--- a/crates/almondcroft-core/src/ledger/shard.rs
+++ b/crates/almondcroft-core/src/ledger/shard.rs
@@ -297,7 +297,10 @@
             self.in_sync = false;
             return;
         }
-        let known = self.tail.as_ref().map_or(0, |tail| tail.segment.entries.len());
+        let known = self
+            .tail
+            .as_ref()
+            .map_or(0, |tail| tail.segment.entries.len());
         for entry in &call.next.segment.entries[known..] {
             self.table.apply(entry);
         }
@@ -477,11 +480,7 @@
             expected: next.expected,
             segment: next.segment.clone(),
         });
-        self.flight = Flight::Writing(Box::new(WriteCall {
-            id,
-            notes,
-            next,
-        }));
+        self.flight = Flight::Writing(Box::new(WriteCall { id, notes, next }));
         self.next_write = now + self.options.interval;
     }
 
--- a/crates/almondcroft-core/src/ledger/shard/options.rs
+++ b/crates/almondcroft-core/src/ledger/shard/options.rs
@@ -23,7 +23,7 @@
     fn default() -> Self {
         Self {
             interval: Duration::from_millis(25),
-            retention: Duration::from_secs(24 * 3600),
+            retention: Duration::from_hours(24),
             retry_delay: Duration::from_millis(50),
             segment_bytes: 32 * 1024,
             max_batch: 256,
--- a/crates/almondcroft-core/src/membership/health.rs
+++ b/crates/almondcroft-core/src/membership/health.rs
@@ -119,7 +119,11 @@
         }
         Evidence::Rumour if record.health == Health::Alive => {
             let fresh = record.answered + Duration::from_secs(1) > now;
-            if fresh { Health::Alive } else { Health::Suspect }
+            if fresh {
+                Health::Alive
+            } else {
+                Health::Suspect
+            }
         }
         Evidence::Refused | Evidence::Rumour => record.health,
     }
--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -10,11 +10,14 @@
 const CRASH_LIMIT: u32 = 2;
 
 /// Time after the last crash during which a fingerprint stays refused.
-const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+const QUARANTINE_TIME: Duration = Duration::from_mins(10);
 
 /// Fingerprints that are remembered at once.
 const MAX_FINGERPRINTS: usize = 10_000;
 
+/// Fingerprints that are told to other VMs at once.
+const MAX_SHARED: usize = 16;
+
 #[derive(Debug, Clone, Copy)]
 struct Crashes {
     count: u32,
@@ -50,8 +53,11 @@
             count: 0,
             last: now,
         });
-        entry.count = entry.count.max(count);
-        entry.last = now;
+        // Only a higher count is news: repeating an old one must not prolong the quarantine.
+        if count > entry.count {
+            entry.count = count;
+            entry.last = now;
+        }
     }
 
     /// Returns how long the fingerprint is still refused, or `None` when it may run.
@@ -66,6 +72,21 @@
             .filter(|left| !left.is_zero())
     }
 
+    /// Lists the fingerprints that are refused, with their counts, for other VMs.
+    #[must_use]
+    pub fn counts(&self, now: Timestamp) -> Vec<(Fingerprint, u32)> {
+        let recent = |crashes: &Crashes| crashes.last + QUARANTINE_TIME > now;
+        let mut counts: Vec<(Fingerprint, u32)> = self
+            .crashes
+            .iter()
+            .filter(|(_, crashes)| recent(crashes))
+            .map(|(fingerprint, crashes)| (*fingerprint, crashes.count))
+            .collect();
+        counts.sort_unstable();
+        counts.truncate(MAX_SHARED);
+        counts
+    }
+
     fn evict(&mut self, now: Timestamp) {
         if self.crashes.len() < MAX_FINGERPRINTS {
             return;
--- a/crates/almondcroft-core/src/router/estimator.rs
+++ b/crates/almondcroft-core/src/router/estimator.rs
@@ -33,9 +33,7 @@
     }
 
     fn note(&mut self, length: u32) {
-        self.counts
-            .iter_mut()
-            .for_each(|count| *count *= DECAY);
+        self.counts.iter_mut().for_each(|count| *count *= DECAY);
         self.counts[bucket(length)] += 1.0;
         self.total = self.total * DECAY + 1.0;
     }
@@ -85,11 +83,10 @@
         let Some(lengths) = self.lengths(service, customer) else {
             return DEFAULT_LENGTH.max(floor * 1.5);
         };
-        let (weight, sum) = (bucket(produced)..BUCKETS)
-            .fold((0.0, 0.0), |(weight, sum), index| {
-                let count = lengths.counts[index];
-                (weight + count, sum + count * middle(index).max(floor))
-            });
+        let (weight, sum) = (bucket(produced)..BUCKETS).fold((0.0, 0.0), |(weight, sum), index| {
+            let count = lengths.counts[index];
+            (weight + count, sum + count * middle(index).max(floor))
+        });
         if weight <= f64::EPSILON {
             return floor * 1.5;
         }
--- a/crates/almondcroft-core/src/router/route.rs
+++ b/crates/almondcroft-core/src/router/route.rs
@@ -2,8 +2,8 @@
 
 use super::target::{Flight, as_f64, need};
 use super::{
-    Decision, Estimator, LoadReport, Policy, RefuseReason, RouteRequest, RouterOptions,
-    TargetSpec, TargetState,
+    Decision, Estimator, LoadReport, Policy, RefuseReason, RouteRequest, RouterOptions, TargetSpec,
+    TargetState,
 };
 use crate::{RequestId, TargetId, Timestamp};
 use rand::{Rng, SeedableRng};
--- a/crates/almondcroft-core/src/router/target.rs
+++ b/crates/almondcroft-core/src/router/target.rs
@@ -93,9 +93,7 @@
             .flights
             .values()
             .filter(|flight| flight.sent <= report.at)
-            .map(|flight| {
-                f64::from(flight.request.prompt) + flight.produced_at(report.at, now)
-            })
+            .map(|flight| f64::from(flight.request.prompt) + flight.produced_at(report.at, now))
             .sum();
         (as_f64(report.kv_used) - own).max(0.0)
     }
@@ -138,7 +136,10 @@
     f64::from(request.prompt) + f64::from(produced) + growth * remaining
 }
 
-#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
 pub(super) const fn as_f64(count: u64) -> f64 {
     count as f64
 }
--- a/crates/almondcroft-core/src/stream/handle.rs
+++ b/crates/almondcroft-core/src/stream/handle.rs
@@ -120,10 +120,7 @@
     /// Returns a [`HandleError`] for a malformed, forged or foreign handle.
     pub fn open(text: &str, key: &HandleKey, customer: &str) -> Result<Self, HandleError> {
         snafu::ensure!(text.len() <= MAX_HANDLE_BYTES, MalformedSnafu);
-        let bytes = URL_SAFE_NO_PAD
-            .decode(text)
-            .ok()
-            .context(MalformedSnafu)?;
+        let bytes = URL_SAFE_NO_PAD.decode(text).ok().context(MalformedSnafu)?;
         let split = bytes.len().checked_sub(TAG_BYTES).context(MalformedSnafu)?;
         let (payload, tag) = bytes.split_at(split);
         key.tag(payload)
--- a/crates/almondcroft-core/src/trace/player.rs
+++ b/crates/almondcroft-core/src/trace/player.rs
@@ -51,9 +51,7 @@
                 router.progress(&request, produced, now);
                 Vec::new()
             }
-            TraceEvent::Finished { request, complete } => {
-                router.finished(&request, complete, now)
-            }
+            TraceEvent::Finished { request, complete } => router.finished(&request, complete, now),
             TraceEvent::Tick => router.tick(now),
         }
     }
--- /dev/null
+++ b/crates/almondcroft-proto/src/sse.rs
@@ -0,0 +1,177 @@
+//! Server-sent events.
+//!
+//! Source: the HTML standard, section "Server-sent events".
+
+use snafu::Snafu;
+
+/// Holds one event.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Event {
+    /// The event's id.
+    pub id: Option<String>,
+    /// The event's name, if it is not a plain message.
+    pub event: Option<String>,
+    /// The event's data; several data lines are joined by line feeds.
+    pub data: String,
+}
+
+impl Event {
+    /// Appends the encoded event to a buffer.
+    pub fn encode_into(&self, buffer: &mut Vec<u8>) {
+        if let Some(event) = &self.event {
+            push_line(buffer, "event", event);
+        }
+        if let Some(id) = &self.id {
+            push_line(buffer, "id", id);
+        }
+        for line in self.data.split('\n') {
+            push_line(buffer, "data", line);
+        }
+        buffer.push(b'\n');
+    }
+}
+
+fn push_line(buffer: &mut Vec<u8>, field: &str, value: &str) {
+    buffer.extend_from_slice(field.as_bytes());
+    buffer.extend_from_slice(b": ");
+    buffer.extend_from_slice(value.as_bytes());
+    buffer.push(b'\n');
+}
+
+/// Tells why a stream cannot be decoded further.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub enum SseError {
+    /// A line or an event is too long.
+    #[snafu(display("an event is longer than {limit} bytes"))]
+    TooLong {
+        /// The limit, in bytes.
+        limit: usize,
+    },
+    /// A line is not UTF-8.
+    #[snafu(display("a line is not UTF-8"))]
+    NotText,
+}
+
+/// Decodes a stream of events from pieces of any size.
+#[derive(Debug)]
+pub struct Decoder {
+    limit: usize,
+    line: Vec<u8>,
+    event: Event,
+    has_data: bool,
+}
+
+impl Decoder {
+    /// Creates a decoder for events of at most `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            line: Vec::new(),
+            event: Event::default(),
+            has_data: false,
+        }
+    }
+
+    /// Takes in bytes and returns the events that they complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`SseError`] for an event that is too long or not text.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Event>, SseError> {
+        let mut events = Vec::new();
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            self.push(&rest[..end])?;
+            rest = &rest[end + 1..];
+            events.extend(self.end_line()?);
+        }
+        self.push(rest)?;
+        Ok(events)
+    }
+
+    fn push(&mut self, bytes: &[u8]) -> Result<(), SseError> {
+        let limit = self.limit;
+        let size = self.line.len() + self.event.data.len() + bytes.len();
+        snafu::ensure!(size <= limit, TooLongSnafu { limit });
+        self.line.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn end_line(&mut self) -> Result<Option<Event>, SseError> {
+        let line = std::mem::take(&mut self.line);
+        let line = line.strip_suffix(b"\r").unwrap_or(&line);
+        if line.is_empty() {
+            let complete = std::mem::take(&mut self.has_data);
+            let event = std::mem::take(&mut self.event);
+            return Ok(complete.then_some(event));
+        }
+        let text = std::str::from_utf8(line).map_err(|_| SseError::NotText)?;
+        let (field, value) = text.split_once(':').unwrap_or((text, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => self.event.id = Some(value.to_owned()),
+            "event" => self.event.event = Some(value.to_owned()),
+            "data" => self.add_data(value),
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn add_data(&mut self, value: &str) {
+        if self.has_data {
+            self.event.data.push('\n');
+        }
+        self.event.data.push_str(value);
+        self.has_data = true;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn feed_comment_and_crlf() {
+        let mut decoder = Decoder::new(100);
+        let events = decoder.feed(b": hi\r\ndata: a\r\ndata: b\r\n\r\n").unwrap();
+        assert_eq!(events[0].data, "a\nb");
+    }
+
+    #[test]
+    fn feed_too_long() {
+        let mut decoder = Decoder::new(10);
+        let error = decoder.feed(b"data: 0123456789").unwrap_err();
+        assert_eq!(error, SseError::TooLong { limit: 10 });
+    }
+
+    proptest! {
+        #[test]
+        fn feed_split_anywhere(
+            data in prop::collection::vec("[a-z\n]{0,20}", 1..10),
+            size in 1_usize..30,
+        ) {
+            let sent: Vec<Event> = data
+                .into_iter()
+                .enumerate()
+                .map(|(index, data)| Event { id: Some(index.to_string()), event: None, data })
+                .collect();
+            let mut bytes = Vec::new();
+            for event in &sent {
+                event.encode_into(&mut bytes);
+            }
+            let mut decoder = Decoder::new(10_000);
+            let mut received = Vec::new();
+            for piece in bytes.chunks(size) {
+                received.extend(decoder.feed(piece).unwrap());
+            }
+            prop_assert_eq!(received, sent);
+        }
+
+        #[test]
+        fn feed_arbitrary_bytes(bytes in prop::collection::vec(any::<u8>(), 0..500)) {
+            let _ = Decoder::new(100).feed(&bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-standin/src/demo/world.rs
@@ -0,0 +1,260 @@
+//! Stand-ins and entry VMs on loopback.
+
+use crate::engine::{self, EngineFaults, EngineSettings, EngineSpec};
+use crate::object_api::{self, StoreFaults, StoreSettings, StoreState};
+use crate::service::{self, ServiceFaults, ServiceSettings, ServiceState};
+use crate::vm_list::{self, VmListSettings, VmListState};
+use crate::{Server, ServerError};
+use almondcroft_proto::sheet::parse;
+use almondcroft_proto::vm_list::{VmEntry, VmState};
+use almondcroftd::{Daemon, Settings, SettingsError, StartError, sleep};
+use almondctl::{ApplyError, Operator};
+use sha2::{Digest, Sha256};
+use snafu::{ResultExt, Snafu};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bearer token of the customer.
+pub const TOKEN: &str = "comedor-san-blas";
+
+/// Bearer token of another customer, which may have two requests in flight.
+pub const OTHER_TOKEN: &str = "comedor-cuenca";
+
+const WRITES: &str = "writing to a string succeeds";
+
+/// Time for VMs to put a configuration in force.
+const IN_FORCE_TIME: Duration = Duration::from_secs(5);
+
+/// Tells why the world did not come up.
+#[derive(Debug, Snafu)]
+pub enum WorldError {
+    /// A stand-in cannot listen.
+    #[snafu(display("a stand-in did not start"))]
+    StandIn {
+        /// The cause.
+        source: ServerError,
+    },
+    /// The daemon's settings are at fault.
+    #[snafu(display("the settings are at fault"))]
+    Settings {
+        /// The cause.
+        source: SettingsError,
+    },
+    /// A daemon did not start.
+    #[snafu(display("a daemon did not start"))]
+    Daemon {
+        /// The cause.
+        source: StartError,
+    },
+    /// The sheet has faults.
+    #[snafu(display("the sheet has faults: {faults}"))]
+    Sheet {
+        /// The faults.
+        faults: String,
+    },
+    /// The sheet was not accepted.
+    #[snafu(display("the sheet was not accepted"))]
+    Apply {
+        /// The cause.
+        source: ApplyError,
+    },
+    /// The configuration did not come into force.
+    #[snafu(display("revision {revision} did not come into force"))]
+    NotInForce {
+        /// The revision.
+        revision: u64,
+    },
+}
+
+/// Holds stand-ins and entry VMs.
+pub struct World {
+    /// The object API.
+    pub store: Server,
+    /// Its state.
+    pub store_state: Arc<StoreState>,
+    /// The VM list.
+    pub vm_list: Server,
+    /// Its state.
+    pub vm_list_state: Arc<VmListState>,
+    /// The engines.
+    pub engines: Vec<Arc<Server>>,
+    /// The plain service for orders.
+    pub orders: Server,
+    /// What it executed.
+    pub orders_state: Arc<ServiceState>,
+    /// The entry VMs.
+    pub vms: Vec<Daemon>,
+}
+
+fn token_hash(token: &str) -> String {
+    let mut digits = String::new();
+    for byte in Sha256::digest(token.as_bytes()) {
+        write!(digits, "{byte:02x}").expect(WRITES);
+    }
+    digits
+}
+
+fn free() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl World {
+    /// Starts everything, applies a sheet and waits until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`WorldError`] if any part does not come up.
+    pub async fn start(vms: usize, engines: usize) -> Result<Self, WorldError> {
+        let (store, store_state) = object_api::start(StoreSettings {
+            listen: free(),
+            faults: StoreFaults::default(),
+        })
+        .context(StandInSnafu)?;
+        let (vm_list, vm_list_state) = vm_list::start(VmListSettings {
+            listen: free(),
+            vms: Vec::new(),
+            lag_ms: 0,
+        })
+        .context(StandInSnafu)?;
+        let mut started = Vec::new();
+        for _ in 0..engines {
+            let settings = EngineSettings {
+                listen: free(),
+                spec: EngineSpec::default(),
+                faults: EngineFaults::default(),
+                exit_on_death: false,
+            };
+            started.push(engine::start(settings).context(StandInSnafu)?);
+        }
+        let (orders, orders_state) = service::start(ServiceSettings {
+            listen: free(),
+            faults: ServiceFaults::default(),
+        })
+        .context(StandInSnafu)?;
+        let mut world = Self {
+            store,
+            store_state,
+            vm_list,
+            vm_list_state,
+            engines: started,
+            orders,
+            orders_state,
+            vms: Vec::new(),
+        };
+        for number in 0..vms {
+            world.add_vm(number).await?;
+        }
+        world.list_vms();
+        world.apply(&world.sheet()).await?;
+        Ok(world)
+    }
+
+    /// Starts one more entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`WorldError`] if it does not start.
+    pub async fn add_vm(&mut self, number: usize) -> Result<(), WorldError> {
+        let settings = serde_json::json!({
+            "vm": format!("entry-{number}"),
+            "region": "quito",
+            "zone": "quito-a",
+            "listen": "127.0.0.1:0",
+            "store": self.store.url(),
+            "vm_list": format!("{}/vms", self.vm_list.url()),
+            "handle_secret": "handles of the demo only",
+            "peer_secret": "peers of the demo only",
+            "limits": {"drain_delay_ms": 100, "silence_ms": 500, "resume_grace_ms": 1000},
+        });
+        let settings =
+            Settings::from_json(settings.to_string().as_bytes()).context(SettingsSnafu)?;
+        let daemon = Daemon::start(settings).await.context(DaemonSnafu)?;
+        self.vms.push(daemon);
+        Ok(())
+    }
+
+    /// Puts all entry VMs on the platform's list.
+    pub fn list_vms(&self) {
+        let entries = self
+            .vms
+            .iter()
+            .enumerate()
+            .map(|(number, vm)| VmEntry {
+                id: format!("entry-{number}").into(),
+                address: format!("http://{}", vm.address()),
+                zone: "quito-a".into(),
+                state: VmState::Live,
+            })
+            .collect();
+        self.vm_list_state.set(entries);
+    }
+
+    /// Returns the base URLs of the entry VMs.
+    #[must_use]
+    pub fn vm_urls(&self) -> Vec<String> {
+        self.vms
+            .iter()
+            .map(|vm| format!("http://{}", vm.address()))
+            .collect()
+    }
+
+    /// Returns the sheet that states this world.
+    #[must_use]
+    pub fn sheet(&self) -> String {
+        let mut sheet = String::from(
+            "kind,id,contract,service,type,model,address,region,zone,worth,deadline_ms,priority,\
+             idempotent,max_concurrent,token_sha256\n\
+             service,menus,,,engine,planner-8b,,,,,,,yes,,\n\
+             service,orders,,,plain,,,,,,,,no,,\n\
+             service,lookups,,,plain,,,,,,,,yes,,\n\
+             contract,lunch,,menus,,,,,,2.5,60000,1,,,\n\
+             contract,lunch,,orders,,,,,,5,10000,0,,,\n\
+             contract,lunch,,lookups,,,,,,1,5000,0,,,\n",
+        );
+        let rows = self
+            .engines
+            .iter()
+            .enumerate()
+            .map(|(number, engine)| (format!("engine-{number}"), "menus", engine.url()));
+        let orders = ("orders-0".to_owned(), "orders|lookups", self.orders.url());
+        for (id, service, url) in rows.chain([orders]) {
+            let place = "quito,quito-a,,,,,,";
+            writeln!(sheet, "target,{id},,{service},,,{url},{place}").expect(WRITES);
+        }
+        for (id, token, most) in [("san-blas", TOKEN, 1000), ("cuenca", OTHER_TOKEN, 2)] {
+            let hash = token_hash(token);
+            writeln!(sheet, "customer,{id},lunch,,,,,,,,,,,{most},{hash}").expect(WRITES);
+        }
+        sheet
+    }
+
+    /// Applies a sheet and waits until every VM has it in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`WorldError`] if it is not accepted or does not come into force in time.
+    pub async fn apply(&self, sheet: &str) -> Result<u64, WorldError> {
+        let config = parse(sheet.as_bytes()).map_err(|faults| {
+            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            SheetSnafu {
+                faults: faults.join("; "),
+            }
+            .build()
+        })?;
+        let operator = Operator::new(&self.store.url(), "demo");
+        let applied = operator.apply(config, None).await.context(ApplySnafu)?;
+        let revision = applied.revision;
+        let step = Duration::from_millis(20);
+        let mut waited = Duration::ZERO;
+        while self.vms.iter().any(|vm| vm.revision() < revision) {
+            if waited > IN_FORCE_TIME {
+                return NotInForceSnafu { revision }.fail();
+            }
+            sleep(step).await;
+            waited += step;
+        }
+        Ok(revision)
+    }
+}
--- a/crates/almondcroft-standin/src/lib.rs
+++ b/crates/almondcroft-standin/src/lib.rs
@@ -1,1 +1,27 @@
 //! Stand-ins for the systems around almondcroft, the demo and the experiment tool.
+//!
+//! | module | stands in for |
+//! |---|---|
+//! | [`engine`] | a model engine |
+//! | [`service`] | a plain service |
+//! | [`object_api`] | the platform's object API |
+//! | [`vm_list`] | the platform's VM list |
+//! | [`weight_store`] | the weight store |
+//!
+//! [`demo`] shows the whole path in one process; [`experiment`] measures routing policies in
+//! virtual time.
+
+pub mod demo;
+pub mod engine;
+pub mod experiment;
+pub mod object_api;
+pub mod service;
+pub mod vm_list;
+pub mod weight_store;
+
+mod request;
+mod server;
+mod settings;
+
+pub use server::{Server, ServerError};
+pub use settings::read_settings;
--- /dev/null
+++ b/crates/almondcroft-standin/src/main.rs
@@ -0,0 +1,104 @@
+//! Runs the stand-ins, the demo and the experiments.
+
+use almondcroft_standin::{
+    demo, engine, experiment, object_api, read_settings, service, vm_list, weight_store,
+};
+use almondcroftd::{block_on, init_threads, logging};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde::de::DeserializeOwned;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Threads of the executor.
+const THREADS: usize = 4;
+
+fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Settings in JSON");
+    let process = |name: &'static str, about: &'static str| {
+        Command::new(name).about(about).arg(settings.clone())
+    };
+    Command::new("almondcroft-standin")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Stands in for the systems around almondcroft")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(process("object-api", "Runs an object API"))
+        .subcommand(process("engine", "Runs a model engine"))
+        .subcommand(process("service", "Runs a plain service"))
+        .subcommand(process("vm-list", "Runs a list of VMs"))
+        .subcommand(process("weight-store", "Runs a weight store"))
+        .subcommand(
+            Command::new("demo")
+                .about("Shows the whole path in one process")
+                .arg(
+                    Arg::new("keep")
+                        .long("keep")
+                        .action(ArgAction::SetTrue)
+                        .help("Stay up and print addresses for curl"),
+                ),
+        )
+        .subcommand(experiment::command())
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    if let Some(("experiment", matches)) = matches.subcommand() {
+        return experiment::run(matches);
+    }
+    init_threads(THREADS);
+    match matches.subcommand() {
+        Some(("demo", matches)) => block_on(demo::run(matches.get_flag("keep"))),
+        Some((name, matches)) => {
+            logging::init();
+            serve(name, matches)
+        }
+        None => ExitCode::FAILURE,
+    }
+}
+
+fn serve(name: &str, matches: &ArgMatches) -> ExitCode {
+    let started = match name {
+        "object-api" => settings(matches).and_then(|settings| {
+            let (server, _) = object_api::start(settings).map_err(|error| error.to_string())?;
+            Ok(server.url())
+        }),
+        "engine" => settings(matches).and_then(|settings| {
+            let server = engine::start(settings).map_err(|error| error.to_string())?;
+            Ok(server.url())
+        }),
+        "service" => settings(matches).and_then(|settings| {
+            let (server, _) = service::start(settings).map_err(|error| error.to_string())?;
+            Ok(server.url())
+        }),
+        "vm-list" => settings(matches).and_then(|settings| {
+            let (server, _) = vm_list::start(settings).map_err(|error| error.to_string())?;
+            Ok(server.url())
+        }),
+        _ => settings(matches).and_then(|settings| {
+            let server = weight_store::start(&settings).map_err(|error| error.to_string())?;
+            Ok(server.url())
+        }),
+    };
+    match started {
+        Ok(url) => {
+            println!("listening at {url}");
+            block_on(std::future::pending())
+        }
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn settings<T: DeserializeOwned>(matches: &ArgMatches) -> Result<T, String> {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("the argument is required");
+    read_settings(path)
+}
--- /dev/null
+++ b/crates/almondcroft-standin/src/service.rs
@@ -0,0 +1,151 @@
+//! A stand-in plain service that records every execution.
+
+use crate::request::{body, json, replace};
+use crate::server::{Death, Server, ServerError};
+use almondcroft_proto::engine::{LOAD_PATH, LoadMessage};
+use almondcroftd::http::stream_body;
+use almondcroftd::sleep;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use trillium::{Conn, Method};
+
+/// Faults of a plain service; all are off by default.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a switch of its own")]
+pub struct ServiceFaults {
+    /// Time that each call takes, in milliseconds.
+    pub delay_ms: u64,
+    /// Break the connection before the call is executed.
+    pub break_before: bool,
+    /// Break the connection after the call was executed.
+    pub break_after: bool,
+    /// Execute the call and never answer.
+    pub hang: bool,
+    /// Announce that the service is leaving.
+    pub leaving: bool,
+}
+
+/// States where a plain service listens.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSettings {
+    /// Address to listen at; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Faults from the start.
+    #[serde(default)]
+    pub faults: ServiceFaults,
+}
+
+/// Records one execution of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Method and path.
+    pub call: String,
+    /// The idempotency key, if one was sent.
+    pub key: Option<String>,
+    /// The body, as text.
+    pub body: String,
+}
+
+/// Holds what a service has executed and the faults that it has.
+#[derive(Debug, Default)]
+pub struct ServiceState {
+    executions: Mutex<Vec<Execution>>,
+    faults: Mutex<ServiceFaults>,
+}
+
+impl ServiceState {
+    /// Returns everything that was executed.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.executions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    fn faults(&self) -> ServiceFaults {
+        self.faults
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn execute(&self, execution: Execution) -> usize {
+        let mut executions = self
+            .executions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        executions.push(execution);
+        executions.len()
+    }
+}
+
+/// Starts a plain service.
+///
+/// # Errors
+///
+/// Returns a [`ServerError`] if the address is taken.
+pub fn start(settings: ServiceSettings) -> Result<(Server, Arc<ServiceState>), ServerError> {
+    let state = Arc::new(ServiceState::default());
+    state.set_faults(settings.faults);
+    let handling = Arc::clone(&state);
+    let handler = move |conn: Conn| {
+        let state = Arc::clone(&handling);
+        async move { route(conn, state).await }
+    };
+    let server = Server::start(settings.listen, Death::default(), handler)?;
+    Ok((server, state))
+}
+
+async fn route(conn: Conn, state: Arc<ServiceState>) -> Conn {
+    match (conn.method(), conn.path()) {
+        (Method::Get, LOAD_PATH) => {
+            let report = LoadMessage {
+                leaving: state.faults().leaving,
+                ..LoadMessage::default()
+            };
+            json(conn, &report)
+        }
+        (Method::Get, "/admin/executions") => json(conn, &state.executions()),
+        (Method::Put, "/admin/faults") => replace(conn, |faults| state.set_faults(faults)).await,
+        _ => call(conn, &state).await,
+    }
+}
+
+async fn call(mut conn: Conn, state: &ServiceState) -> Conn {
+    let faults = state.faults();
+    let bytes = body(&mut conn).await;
+    if faults.break_before {
+        return broken(conn);
+    }
+    sleep(Duration::from_millis(faults.delay_ms)).await;
+    let key = conn.request_headers().get_str("idempotency-key");
+    let execution = Execution {
+        call: format!("{} {}", conn.method(), conn.path()),
+        key: key.map(str::to_owned),
+        body: String::from_utf8_lossy(&bytes).into_owned(),
+    };
+    let number = state.execute(execution);
+    if faults.hang {
+        sleep(Duration::from_hours(1)).await;
+    }
+    if faults.break_after {
+        return broken(conn);
+    }
+    json(conn, &serde_json::json!({"execution": number}))
+}
+
+fn broken(conn: Conn) -> Conn {
+    let (sender, body) = stream_body();
+    let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+    conn.with_status(200).with_body(body).halt()
+}
--- /dev/null
+++ b/crates/almondcroft-standin/src/settings.rs
@@ -0,0 +1,15 @@
+//! Settings of the stand-ins.
+
+use almondcroft_proto::from_json;
+use serde::de::DeserializeOwned;
+use std::path::Path;
+
+/// Reads settings in JSON.
+///
+/// # Errors
+///
+/// Returns a message that names the file and the field at fault.
+pub fn read_settings<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
+    let bytes = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    from_json(&bytes).map_err(|error| format!("{}: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/almondcroft-standin/src/vm_list.rs
@@ -0,0 +1,75 @@
+//! A stand-in for the platform's lagging list of VMs.
+
+use crate::request::{json, replace};
+use crate::server::{Death, Server, ServerError};
+use almondcroft_core::Timestamp;
+use almondcroft_proto::vm_list::VmEntry;
+use almondcroftd::Clock;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use trillium::{Conn, Method};
+
+/// States where the list listens and how late it is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmListSettings {
+    /// Address to listen at; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// The VMs from the start.
+    #[serde(default)]
+    pub vms: Vec<VmEntry>,
+    /// Time after which a change shows, in milliseconds.
+    #[serde(default)]
+    pub lag_ms: u64,
+}
+
+/// Holds the list and its earlier states.
+#[derive(Debug)]
+pub struct VmListState {
+    history: Mutex<Vec<(Timestamp, Vec<VmEntry>)>>,
+    lag: Duration,
+    clock: Clock,
+}
+
+impl VmListState {
+    /// Replaces the list; readers see it after the lag.
+    pub fn set(&self, vms: Vec<VmEntry>) {
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.push((self.clock.now(), vms));
+    }
+
+    fn visible(&self) -> Vec<VmEntry> {
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let until = self.clock.now().saturating_sub(self.lag);
+        let seen = history.iter().rev().find(|(at, _)| *at <= until);
+        seen.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+}
+
+/// Starts a VM list.
+///
+/// # Errors
+///
+/// Returns a [`ServerError`] if the address is taken.
+pub fn start(settings: VmListSettings) -> Result<(Server, Arc<VmListState>), ServerError> {
+    let state = Arc::new(VmListState {
+        history: Mutex::new(vec![(Timestamp::ZERO, settings.vms)]),
+        lag: Duration::from_millis(settings.lag_ms),
+        clock: Clock::new(),
+    });
+    let handling = Arc::clone(&state);
+    let handler = move |conn: Conn| {
+        let state = Arc::clone(&handling);
+        async move {
+            match (conn.method(), conn.path()) {
+                (Method::Get, "/vms") => json(conn, &state.visible()),
+                (Method::Put, "/vms") => replace(conn, |vms| state.set(vms)).await,
+                _ => conn.with_status(404).halt(),
+            }
+        }
+    };
+    let server = Server::start(settings.listen, Death::default(), handler)?;
+    Ok((server, state))
+}
--- /dev/null
+++ b/crates/almondcroftd/src/calls.rs
@@ -0,0 +1,352 @@
+//! One call to a plain service: at most once where it may not be repeated.
+
+use crate::app::App;
+use crate::claims;
+use crate::http::{CallError, CallErrorKind, Outbound};
+use crate::runtime::sleep;
+use almondcroft_core::config::{Service, Terms};
+use almondcroft_core::ledger::{Claim, ClaimAnswer, Entry, Outcome, hash_body, hash_key, key_time};
+use almondcroft_core::membership::Evidence;
+use almondcroft_core::router::RouteRequest;
+use almondcroft_core::{CustomerId, RequestId, TargetId, Timestamp, Verdict};
+use almondcroft_proto::Problem;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use std::time::Duration;
+use trillium::Method;
+use trillium_client::Conn;
+
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Shortest time between two looks for the outcome of a call that runs elsewhere.
+const FIRST_LOOK: Duration = Duration::from_millis(20);
+
+/// Longest time between two such looks.
+const LAST_LOOK: Duration = Duration::from_millis(500);
+
+/// Part of the retention by which a key must be younger, so that it is surely still remembered.
+const KEY_MARGIN: u32 = 4;
+
+/// Holds an answer of a plain service.
+#[derive(Debug)]
+pub(crate) struct PlainAnswer {
+    pub(crate) status: u16,
+    pub(crate) media: Option<SmolStr>,
+    pub(crate) body: Vec<u8>,
+}
+
+/// States a call to a plain service.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) request: RequestId,
+    pub(crate) customer: CustomerId,
+    pub(crate) service: Service,
+    pub(crate) terms: Terms,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) media: Option<SmolStr>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) key: Option<String>,
+    pub(crate) deadline: Timestamp,
+}
+
+impl Call {
+    /// Runs the call in a task of its own, which ends even if nobody waits for it.
+    pub(crate) async fn run(self, app: Arc<App>) -> Result<PlainAnswer, Problem> {
+        let active = app.lifecycle.enter();
+        let task = async_global_executor::spawn(async move {
+            let result = self.perform(&app).await;
+            drop(active);
+            result
+        });
+        // Dropping a task cancels it; the detached channel keeps it running.
+        let (sender, receiver) = async_channel::bounded(1);
+        crate::runtime::spawn(async move {
+            let _ = sender.send(task.await).await;
+        });
+        receiver
+            .recv()
+            .await
+            .unwrap_or_else(|_| Err(Problem::new(500, "internal", Verdict::MayHaveRun)))
+    }
+
+    async fn perform(&self, app: &Arc<App>) -> Result<PlainAnswer, Problem> {
+        app.retries().note_request();
+        match &self.key {
+            Some(key) if !self.service.idempotent => self.run_once(app, key).await,
+            _ => self.run_idempotent(app).await,
+        }
+    }
+
+    fn route(&self, app: &App) -> RouteRequest {
+        RouteRequest {
+            id: uuid::Uuid::new_v4().to_string().into(),
+            customer: self.customer.clone(),
+            service: self.service.id.clone(),
+            priority: self.terms.priority,
+            worth: self.terms.worth,
+            deadline: self.deadline,
+            prompt: 0,
+            prefix: None,
+            region: app.settings.region.clone(),
+            max_tokens: None,
+        }
+    }
+
+    /// Tries targets until one answers, within the deadline and the retry budget.
+    async fn run_idempotent(&self, app: &Arc<App>) -> Result<PlainAnswer, Problem> {
+        let mut failed = None;
+        loop {
+            let error = match self.attempt(app, failed.as_ref()).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let in_time = app.clock.now() < self.deadline;
+            let Some(target) = error.target.filter(|_| in_time) else {
+                return Err(error.problem);
+            };
+            if !app.retries().take() {
+                return Err(error.problem);
+            }
+            failed = Some(target);
+        }
+    }
+
+    /// Claims the key, then sends the call to one target.
+    async fn run_once(&self, app: &Arc<App>, key: &str) -> Result<PlainAnswer, Problem> {
+        let now = app.clock.now();
+        let retention = app.settings.ledger.retention;
+        let remembered = retention / KEY_MARGIN * (KEY_MARGIN - 1);
+        if key_time(key).is_some_and(|time| time + remembered < now) {
+            return Err(expired());
+        }
+        let claim = Claim {
+            key: hash_key(&self.customer, &self.service.id, key),
+            body: hash_body(self.method.as_str(), &self.path, &self.body),
+            nonce: rand::random(),
+            vm: app.settings.vm.clone(),
+            incarnation: app.incarnation,
+            at: now,
+            deadline: self.deadline,
+        };
+        if let Some(outcome) = self.wait_for_claim(app, &claim).await? {
+            return repeat(outcome);
+        }
+        // A pause between the claim and here must not outlast the key's retention.
+        if app.clock.now().saturating_sub(now) > retention / KEY_MARGIN {
+            return Err(Problem::new(503, "paused", Verdict::NotRun));
+        }
+        self.run_claimed(app, &claim).await
+    }
+
+    /// Returns `None` when the claim is granted, or the outcome of the run that was granted it.
+    async fn wait_for_claim(
+        &self,
+        app: &Arc<App>,
+        claim: &Claim,
+    ) -> Result<Option<Outcome>, Problem> {
+        let mut look = FIRST_LOOK;
+        loop {
+            let give_up = app.clock.now() + app.settings.limits.claim_time;
+            let answer = claims::claim(app, claim.clone(), give_up).await;
+            match answer {
+                ClaimAnswer::Granted => return Ok(None),
+                ClaimAnswer::Done(outcome) => return Ok(Some(outcome)),
+                ClaimAnswer::Mismatch => return Err(mismatch()),
+                ClaimAnswer::Expired => return Err(expired()),
+                ClaimAnswer::Unavailable => {
+                    release(app, claim);
+                    return Err(Problem::new(503, "store-unavailable", Verdict::NotRun)
+                        .detail("the call could not be registered, so it was not made")
+                        .retry_after(2));
+                }
+                ClaimAnswer::Running {
+                    vm,
+                    incarnation,
+                    deadline,
+                } => {
+                    let now = app.clock.now();
+                    let mine = vm == app.settings.vm;
+                    let gone = if mine {
+                        incarnation != app.incarnation
+                    } else {
+                        app.members.is_gone(&vm, incarnation, now)
+                    };
+                    if gone || now >= deadline || now + look >= self.deadline {
+                        return Err(unknown());
+                    }
+                }
+            }
+            sleep(look).await;
+            look = (look * 2).min(LAST_LOOK);
+        }
+    }
+
+    async fn run_claimed(&self, app: &Arc<App>, claim: &Claim) -> Result<PlainAnswer, Problem> {
+        let mut failed: Option<TargetId> = None;
+        loop {
+            match self.attempt(app, failed.as_ref()).await {
+                Ok(answer) => {
+                    let outcome = Outcome::new(answer.status, answer.media.clone(), &answer.body);
+                    record(app, claim, outcome);
+                    return Ok(answer);
+                }
+                Err(error) if error.problem.verdict == Verdict::NotRun => {
+                    let in_time = app.clock.now() < self.deadline;
+                    if in_time && error.target.is_some() && app.retries().take() {
+                        failed = error.target;
+                        continue;
+                    }
+                    release(app, claim);
+                    return Err(error.problem);
+                }
+                Err(error) => {
+                    record(app, claim, Outcome::unknown());
+                    return Err(error.problem);
+                }
+            }
+        }
+    }
+
+    /// Sends the call to one target.
+    async fn attempt(
+        &self,
+        app: &Arc<App>,
+        failed: Option<&TargetId>,
+    ) -> Result<PlainAnswer, AttemptError> {
+        let route = self.route(app);
+        let now = app.clock.now();
+        let placement = match failed {
+            Some(failed) => app.routing.resubmit(route.clone(), failed, now),
+            None => app.routing.submit(route.clone(), now),
+        };
+        let Ok(Ok(target)) = placement.recv().await else {
+            return Err(AttemptError {
+                target: None,
+                problem: Problem::new(503, "no-target", Verdict::NotRun)
+                    .detail("no target of the service can be used")
+                    .retry_after(1),
+            });
+        };
+        log::info!(
+            event = "dispatch",
+            request = self.request.as_str(),
+            customer = self.customer.as_str(),
+            target = target.as_str();
+            ""
+        );
+        let result = self.send(app, &target).await;
+        let now = app.clock.now();
+        app.routing
+            .finished(&self.service.id, &route.id, false, now);
+        result.map_err(|error| {
+            let evidence = match error.kind {
+                CallErrorKind::Refused => Evidence::Refused,
+                CallErrorKind::TimedOut | CallErrorKind::Broken => Evidence::TimedOut,
+            };
+            app.observe_target(&target, evidence);
+            AttemptError {
+                target: Some(target.clone()),
+                problem: Problem::new(502, "target-failed", error.verdict)
+                    .detail(error.to_string())
+                    .retry_after(1),
+            }
+        })
+    }
+
+    async fn send(&self, app: &Arc<App>, target: &str) -> Result<PlainAnswer, CallError> {
+        let Some(address) = app.routing.address(target) else {
+            return Err(CallError {
+                kind: CallErrorKind::Refused,
+                verdict: Verdict::NotRun,
+            });
+        };
+        let url = format!("{}{}", address.url, self.path);
+        let mut headers = vec![("x-request-id", self.request.as_str())];
+        if let Some(media) = &self.media {
+            headers.push(("content-type", media));
+        }
+        if let Some(key) = &self.key {
+            headers.push(("idempotency-key", key));
+        }
+        let limit = self.deadline.saturating_sub(app.clock.now());
+        let body = self.body.clone();
+        let mut conn = if self.service.idempotent {
+            app.outbound
+                .call(self.method, &url, &headers, body, limit)
+                .await?
+        } else {
+            app.outbound
+                .call_fresh(self.method, &url, &headers, body, limit)
+                .await?
+        };
+        let limit = self.deadline.saturating_sub(app.clock.now());
+        let bytes = Outbound::read_body(&mut conn, MAX_ANSWER_BYTES, limit).await?;
+        let answer = PlainAnswer {
+            status: conn.status().map_or(502, |status| status as u16),
+            media: media(&conn),
+            body: bytes,
+        };
+        if self.service.idempotent {
+            conn.recycle().await;
+        }
+        Ok(answer)
+    }
+}
+
+/// Answers a retry with the outcome of the first run.
+fn repeat(outcome: Outcome) -> Result<PlainAnswer, Problem> {
+    let status = outcome.status.ok_or_else(unknown)?;
+    Ok(PlainAnswer {
+        status,
+        media: outcome.media,
+        body: outcome.body.unwrap_or_default().into_bytes(),
+    })
+}
+
+/// Tells how an attempt failed and at which target.
+struct AttemptError {
+    target: Option<TargetId>,
+    problem: Problem,
+}
+
+fn media(conn: &Conn) -> Option<SmolStr> {
+    conn.response_headers()
+        .get_str("content-type")
+        .map(Into::into)
+}
+
+fn record(app: &Arc<App>, claim: &Claim, outcome: Outcome) {
+    let entry = Entry::Outcome {
+        key: claim.key,
+        nonce: claim.nonce,
+        outcome,
+    };
+    claims::note(app, entry);
+}
+
+fn release(app: &Arc<App>, claim: &Claim) {
+    let entry = Entry::Release {
+        key: claim.key,
+        nonce: claim.nonce,
+    };
+    claims::note(app, entry);
+}
+
+fn unknown() -> Problem {
+    Problem::new(409, "outcome-unknown", Verdict::MayHaveRun)
+        .detail("an earlier attempt with this key may have run; its outcome is not known")
+}
+
+fn mismatch() -> Problem {
+    Problem::new(422, "key-reused", Verdict::NotRun)
+        .detail("this key was used with another request")
+        .field("idempotency-key")
+}
+
+fn expired() -> Problem {
+    Problem::new(422, "key-expired", Verdict::NotRun)
+        .detail("this key is older than keys are remembered")
+        .field("idempotency-key")
+}
--- /dev/null
+++ b/crates/almondcroftd/src/claims.rs
@@ -0,0 +1,156 @@
+//! The claim ledger, connected to the store and to the other VMs.
+
+mod driver;
+
+use crate::app::App;
+use crate::runtime::within;
+use almondcroft_core::Timestamp;
+use almondcroft_core::ledger::{Claim, ClaimAnswer, Entry, shard_of};
+use almondcroft_core::membership::{Evidence, ranked};
+use almondcroft_proto::peer::{CLAIM, ClaimParams, NOTE, NoteParams};
+use async_channel::Sender;
+use driver::{Command, Driver};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for a peer to answer a claim before the next one is asked.
+const PEER_TIME: Duration = Duration::from_millis(120);
+
+/// Attempts to hand over an outcome.
+const NOTE_ATTEMPTS: u32 = 5;
+
+/// Gives access to the claim shards.
+#[derive(Debug)]
+pub(crate) struct Claims {
+    shards: Vec<(Sender<Command>, async_channel::Receiver<Command>)>,
+}
+
+impl Claims {
+    pub(crate) fn new(shards: u32) -> Self {
+        Self {
+            shards: (0..shards).map(|_| async_channel::unbounded()).collect(),
+        }
+    }
+
+    /// Starts one task per shard.
+    pub(crate) fn start(app: &Arc<App>) {
+        for (index, (sender, receiver)) in app.claims.shards.iter().enumerate() {
+            let driver = Driver::new(
+                index,
+                app.settings.ledger,
+                app.store.clone(),
+                app.clock,
+                sender.clone(),
+            );
+            let lifecycle = Arc::clone(&app.lifecycle);
+            let receiver = receiver.clone();
+            crate::runtime::spawn(async move {
+                let crashed = async {
+                    lifecycle.wait_cut().await;
+                };
+                futures_lite::future::or(driver.run(receiver), crashed).await;
+            });
+        }
+    }
+
+    /// Claims a key at this VM, whichever VM should append to the shard.
+    pub(crate) async fn claim_here(
+        &self,
+        shard: u32,
+        claim: Claim,
+        limit: Duration,
+    ) -> ClaimAnswer {
+        let Some((sender, _)) = self.shards.get(shard as usize) else {
+            return ClaimAnswer::Unavailable;
+        };
+        let (reply, answer) = async_channel::bounded(1);
+        let ticket = rand::random();
+        let command = Command::Claim {
+            ticket,
+            claim,
+            reply,
+        };
+        if sender.try_send(command).is_err() {
+            return ClaimAnswer::Unavailable;
+        }
+        if let Some(Ok(answer)) = within(limit, answer.recv()).await {
+            return answer;
+        }
+        let _ = sender.try_send(Command::Forget { ticket });
+        ClaimAnswer::Unavailable
+    }
+
+    /// Appends an entry at this VM.
+    pub(crate) fn note_here(&self, shard: u32, entry: Entry) {
+        if let Some((sender, _)) = self.shards.get(shard as usize) {
+            let _ = sender.try_send(Command::Note(entry));
+        }
+    }
+}
+
+/// Claims a key at the VM that appends to its shard, or at the next one when that does not answer.
+pub(crate) async fn claim(app: &Arc<App>, claim: Claim, give_up: Timestamp) -> ClaimAnswer {
+    let shard = shard_of(claim.key, app.settings.shards);
+    let order = ranked(&app.members.alive(app.clock.now()), u64::from(shard));
+    for vm in order {
+        let left = give_up.saturating_sub(app.clock.now());
+        if left.is_zero() {
+            break;
+        }
+        if vm == app.settings.vm {
+            return app.claims.claim_here(shard, claim, left).await;
+        }
+        let Some(address) = app.members.address(&vm) else {
+            continue;
+        };
+        let params = ClaimParams {
+            shard,
+            claim: claim.clone(),
+        };
+        let limit = left.min(PEER_TIME);
+        match app.peers.call(&address, CLAIM, &params, limit).await {
+            Ok(ClaimAnswer::Unavailable) => return ClaimAnswer::Unavailable,
+            Ok(answer) => return answer,
+            Err(error) => {
+                log::info!(event = "claim-peer-failed", vm = vm.as_str(), error:% = error; "");
+                app.members
+                    .observe(&vm, Evidence::TimedOut, app.clock.now());
+            }
+        }
+    }
+    ClaimAnswer::Unavailable
+}
+
+/// Hands an entry to the VM that appends to its shard, in the background.
+pub(crate) fn note(app: &Arc<App>, entry: Entry) {
+    let app = Arc::clone(app);
+    let guard = app.lifecycle.enter();
+    crate::runtime::spawn(async move {
+        deliver_note(&app, entry).await;
+        drop(guard);
+    });
+}
+
+async fn deliver_note(app: &Arc<App>, entry: Entry) {
+    let shard = shard_of(entry.key(), app.settings.shards);
+    let params = NoteParams { shard, entry };
+    for _ in 0..NOTE_ATTEMPTS {
+        let order = ranked(&app.members.alive(app.clock.now()), u64::from(shard));
+        let Some(vm) = order.first() else {
+            break;
+        };
+        if *vm == app.settings.vm {
+            break;
+        }
+        let Some(address) = app.members.address(vm) else {
+            break;
+        };
+        let limit = Duration::from_secs(1);
+        let delivered = app.peers.call::<bool>(&address, NOTE, &params, limit);
+        if delivered.await.is_ok() {
+            return;
+        }
+        app.members.observe(vm, Evidence::TimedOut, app.clock.now());
+    }
+    app.claims.note_here(shard, params.entry);
+}
--- /dev/null
+++ b/crates/almondcroftd/src/claims/driver.rs
@@ -0,0 +1,193 @@
+//! Runs one claim shard against the store.
+
+use crate::clock::Clock;
+use crate::runtime::{sleep, spawn};
+use crate::store::HttpStore;
+use almondcroft_core::ledger::{
+    Claim, ClaimAnswer, ClaimShard, Entry, ObjectStore, Segment, ShardAction, ShardEvent,
+    ShardOptions, StoreError, Ticket,
+};
+use almondcroft_proto::object::CLAIMS_PREFIX;
+use async_channel::{Receiver, Sender};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Longest time without looking at the clock.
+const MAX_WAIT: Duration = Duration::from_hours(1);
+
+/// Tells a shard's task what to do.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Claim a key.
+    Claim {
+        /// Names the claim.
+        ticket: Ticket,
+        /// The claim.
+        claim: Claim,
+        /// Takes the answer.
+        reply: Sender<ClaimAnswer>,
+    },
+    /// Nobody waits for a claim any longer.
+    Forget {
+        /// Names the claim.
+        ticket: Ticket,
+    },
+    /// Append an entry.
+    Note(Entry),
+    /// A store call ended.
+    Ended(ShardEvent),
+}
+
+/// Connects a [`ClaimShard`] to the store.
+pub(crate) struct Driver {
+    prefix: String,
+    shard: ClaimShard,
+    store: HttpStore,
+    clock: Clock,
+    commands: Sender<Command>,
+    replies: HashMap<Ticket, Sender<ClaimAnswer>>,
+}
+
+impl Driver {
+    pub(crate) fn new(
+        index: usize,
+        options: ShardOptions,
+        store: HttpStore,
+        clock: Clock,
+        commands: Sender<Command>,
+    ) -> Self {
+        Self {
+            prefix: format!("{CLAIMS_PREFIX}{index:04}/"),
+            shard: ClaimShard::new(options),
+            store,
+            clock,
+            commands,
+            replies: HashMap::new(),
+        }
+    }
+
+    pub(crate) async fn run(mut self, commands: Receiver<Command>) {
+        loop {
+            let wait = self.wait();
+            let next = async { commands.recv().await.ok() };
+            let tick = async {
+                sleep(wait).await;
+                Some(Command::Ended(ShardEvent::Tick))
+            };
+            let Some(command) = futures_lite::future::or(next, tick).await else {
+                return;
+            };
+            let event = self.event(command);
+            let actions = self.shard.handle(event, self.clock.now());
+            for action in actions {
+                self.act(action);
+            }
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        let wake = self.shard.next_wake();
+        wake.map_or(MAX_WAIT, |wake| wake.saturating_sub(self.clock.now()))
+    }
+
+    fn event(&mut self, command: Command) -> ShardEvent {
+        match command {
+            Command::Claim {
+                ticket,
+                claim,
+                reply,
+            } => {
+                self.replies.insert(ticket, reply);
+                ShardEvent::Claim { ticket, claim }
+            }
+            Command::Forget { ticket } => {
+                self.replies.remove(&ticket);
+                ShardEvent::Forget { ticket }
+            }
+            Command::Note(entry) => ShardEvent::Note(entry),
+            Command::Ended(event) => event,
+        }
+    }
+
+    fn act(&mut self, action: ShardAction) {
+        match action {
+            ShardAction::Answer { ticket, answer } => {
+                if let Some(reply) = self.replies.remove(&ticket) {
+                    let _ = reply.try_send(answer);
+                }
+            }
+            ShardAction::Load { id, from } => {
+                let (store, prefix) = (self.store.clone(), self.prefix.clone());
+                let commands = self.commands.clone();
+                spawn(async move {
+                    let event = match load(&store, &prefix, from).await {
+                        Ok(segments) => ShardEvent::Loaded { id, segments },
+                        Err(_) => ShardEvent::LoadFailed { id },
+                    };
+                    let _ = commands.try_send(Command::Ended(event));
+                });
+            }
+            ShardAction::Write {
+                id,
+                index,
+                expected,
+                segment,
+            } => {
+                let key = segment_key(&self.prefix, index);
+                let (store, commands) = (self.store.clone(), self.commands.clone());
+                spawn(async move {
+                    let bytes = serde_json::to_vec(&segment).expect("a segment serializes");
+                    let event = match store.put(&key, bytes, expected).await {
+                        Ok(version) => ShardEvent::Written { id, version },
+                        Err(_) => ShardEvent::WriteFailed { id },
+                    };
+                    let _ = commands.try_send(Command::Ended(event));
+                });
+            }
+            ShardAction::Delete { index } => {
+                let key = segment_key(&self.prefix, index);
+                let store = self.store.clone();
+                spawn(async move {
+                    let _ = store.delete(&key).await;
+                });
+            }
+        }
+    }
+}
+
+fn segment_key(prefix: &str, index: u64) -> String {
+    format!("{prefix}{index:012}")
+}
+
+type Segments = Vec<(u64, u64, Segment)>;
+
+/// Reads a shard's segments, all of them or those from an index on.
+async fn load(store: &HttpStore, prefix: &str, from: Option<u64>) -> Result<Segments, StoreError> {
+    let mut segments = Vec::new();
+    let mut index = match from {
+        Some(index) => index,
+        None => match first_index(store, prefix).await? {
+            Some(index) => index,
+            None => return Ok(segments),
+        },
+    };
+    while let Some(stored) = store.get(&segment_key(prefix, index)).await? {
+        let segment: Segment =
+            serde_json::from_slice(&stored.bytes).map_err(|_| StoreError::Refused)?;
+        let sealed = segment.sealed;
+        segments.push((index, stored.version, segment));
+        if !sealed {
+            break;
+        }
+        index += 1;
+    }
+    Ok(segments)
+}
+
+async fn first_index(store: &HttpStore, prefix: &str) -> Result<Option<u64>, StoreError> {
+    let keys = store.list(prefix).await?;
+    let first = keys
+        .iter()
+        .filter_map(|key| key.strip_prefix(prefix)?.parse().ok());
+    Ok(first.min())
+}
--- /dev/null
+++ b/crates/almondcroftd/src/daemon.rs
@@ -0,0 +1,151 @@
+//! One daemon, from start to stop.
+
+use crate::app::App;
+use crate::claims::Claims;
+use crate::http::server_options;
+use crate::routing::Routing;
+use crate::runtime::{sleep, spawn};
+use crate::settings::Settings;
+use crate::{config_sync, members, server};
+use snafu::{ResultExt, Snafu};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+use trillium_server_common::ServerHandle;
+
+/// Time between two looks at the number of requests in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Time for errors to reach the callers when requests are cut.
+const CUT_TIME: Duration = Duration::from_millis(500);
+
+/// Tells why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The address cannot be listened at.
+    #[snafu(display("cannot listen at {address}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The file that records events cannot be created.
+    #[snafu(display("cannot record events"))]
+    Record {
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Runs an entry daemon inside this process.
+pub struct Daemon {
+    app: Arc<App>,
+    address: SocketAddr,
+    server: ServerHandle,
+}
+
+impl Daemon {
+    /// Starts to listen and to follow the store and the other VMs.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if the address is taken or the record file cannot be created.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let listen = settings.listen;
+        let listener = TcpListener::bind(listen).context(ListenSnafu { address: listen })?;
+        listener
+            .set_nonblocking(true)
+            .context(ListenSnafu { address: listen })?;
+        let address = listener
+            .local_addr()
+            .context(ListenSnafu { address: listen })?;
+        let routing =
+            Routing::new(settings.router, settings.record.as_deref()).context(RecordSnafu)?;
+        let app = App::new(
+            Settings {
+                listen: address,
+                ..settings
+            },
+            routing,
+        );
+        let listener = smol::Async::new(listener).context(ListenSnafu { address: listen })?;
+        let server = trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_http_config(server_options())
+            .with_prebound_server(smol::net::TcpListener::from(listener))
+            .spawn(server::handler(&app));
+        Claims::start(&app);
+        members::start(&app);
+        config_sync::start(&app);
+        server::start_polls(&app);
+        log::info!(event = "started", vm = app.settings.vm.as_str(), address:% = address; "");
+        sleep(Duration::ZERO).await;
+        Ok(Self {
+            app,
+            address,
+            server,
+        })
+    }
+
+    /// Returns the address that the daemon listens at.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the revision in force.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.app.revision()
+    }
+
+    /// Returns the number of requests in flight.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.app.lifecycle.active()
+    }
+
+    /// Stops in order: lets the balancer move on, finishes what is in flight, then ends.
+    ///
+    /// Returns whether everything in flight finished within the drain limit.
+    pub async fn stop(&self) -> bool {
+        let limits = &self.app.settings.limits;
+        self.app.lifecycle.start_drain();
+        log::info!(event = "drain", active = self.active(); "");
+        sleep(limits.drain_delay).await;
+        let clock = self.app.clock;
+        let end = clock.now() + limits.drain_limit;
+        while self.active() > 0 && clock.now() < end && !self.app.lifecycle.is_cut() {
+            sleep(DRAIN_POLL).await;
+        }
+        let clean = self.active() == 0;
+        self.end().await;
+        clean
+    }
+
+    /// Ends everything in flight with errors that tell whether it may have run.
+    pub async fn cut(&self) {
+        self.app.lifecycle.cut();
+        sleep(CUT_TIME).await;
+    }
+
+    async fn end(&self) {
+        let handle = self.server.clone();
+        spawn(async move { handle.stop().await });
+        if self.active() > 0 {
+            self.cut().await;
+        }
+        self.app.lifecycle.crash();
+        log::info!(event = "stopped", active = self.active(); "");
+    }
+
+    /// Breaks all connections at once, as the death of the VM does.
+    pub fn crash(&self) {
+        self.app.lifecycle.crash();
+        let handle = self.server.clone();
+        spawn(async move { handle.stop().await });
+    }
+}
--- /dev/null
+++ b/crates/almondcroftd/src/logging.rs
@@ -0,0 +1,16 @@
+//! Logs: one event, one line of `key=value` pairs.
+
+use logforth::append::Stderr;
+use logforth::layout::LogfmtLayout;
+
+/// Sends log records to standard error, once per process.
+pub fn init() {
+    let installed = logforth::core::builder()
+        .dispatch(|dispatch| {
+            dispatch.append(Stderr::default().with_layout(LogfmtLayout::default()))
+        })
+        .build();
+    if log::set_boxed_logger(Box::new(logforth::bridge::log::LogBridge::new(installed))).is_ok() {
+        log::set_max_level(log::LevelFilter::Info);
+    }
+}
--- /dev/null
+++ b/crates/almondcroftd/src/relay.rs
@@ -0,0 +1,626 @@
+//! One generation, from an engine to a caller.
+
+mod source;
+
+use crate::app::App;
+use crate::http::{CallErrorKind, Outbound};
+use crate::runtime::{sleep, spawn};
+use almondcroft_core::membership::Evidence;
+use almondcroft_core::quarantine::Fingerprint;
+use almondcroft_core::router::{RefuseReason, RouteRequest};
+use almondcroft_core::{Accept, RequestId, ResumeHandle, Sequencer, TargetId, Timestamp, Verdict};
+use almondcroft_proto::Problem;
+use almondcroft_proto::caller::CompletionRequest;
+use almondcroft_proto::engine::{Chunk, DONE, GENERATIONS_PATH};
+use almondcroft_proto::sse::Event;
+use serde_json::json;
+use smol_str::SmolStr;
+use source::{Source, SourceError};
+use std::sync::Arc;
+use std::time::Duration;
+use trillium::Method;
+
+/// Time for an engine to accept a request or a resume.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reconnects without a new token after which a generation is given up.
+const MAX_IDLE_RECONNECTS: u32 = 60;
+
+/// Attempts to reach an engine for a resume before it counts as dead.
+const RESUME_ATTEMPTS: u32 = 3;
+
+/// Time between two attempts to reach an engine.
+const RESUME_DELAY: Duration = Duration::from_millis(100);
+
+/// Tokens between two reports of progress to the router.
+const PROGRESS_STEP: u64 = 16;
+
+/// States what a relay is to do.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// The caller's id of the request.
+    pub(crate) request: RequestId,
+    /// What the router is told.
+    pub(crate) route: RouteRequest,
+    /// What the engine is sent.
+    pub(crate) body: CompletionRequest,
+    /// Identifies the request if it crashes engines.
+    pub(crate) fingerprint: Fingerprint,
+    /// Whether the caller asked for a chat completion.
+    pub(crate) chat: bool,
+    /// The position to resume at.
+    pub(crate) resume: Option<ResumeHandle>,
+}
+
+/// Relays one generation; each token is delivered once, in order, from one generation.
+pub(crate) struct Relay {
+    app: Arc<App>,
+    job: Job,
+    target: TargetId,
+    url: SmolStr,
+    region: SmolStr,
+    generation: SmolStr,
+    sequencer: Sequencer,
+    source: Option<Source>,
+    idle_reconnects: u32,
+    started: Timestamp,
+    last_token: Timestamp,
+    longest_stall: Duration,
+    finished: bool,
+    ended: bool,
+}
+
+/// Tells why an engine cannot go on with a generation.
+enum Loss {
+    /// The engine does not know the generation.
+    Unknown,
+    /// The engine cannot be reached.
+    Dead,
+}
+
+impl Relay {
+    pub(crate) fn new(app: Arc<App>, job: Job) -> Self {
+        let now = app.clock.now();
+        Self {
+            app,
+            job,
+            target: SmolStr::default(),
+            url: SmolStr::default(),
+            region: SmolStr::default(),
+            generation: SmolStr::default(),
+            sequencer: Sequencer::new(0),
+            source: None,
+            idle_reconnects: 0,
+            started: now,
+            last_token: now,
+            longest_stall: Duration::ZERO,
+            finished: false,
+            ended: false,
+        }
+    }
+
+    /// Places the request and returns its first event.
+    ///
+    /// An engine that fails before the first event is replaced by another one, within the retry
+    /// budget and the deadline.
+    pub(crate) async fn open(&mut self) -> Result<Event, Problem> {
+        self.app.retries().note_request();
+        let first = match self.job.resume.take() {
+            Some(handle) => self.open_resumed(handle).await,
+            None => self.open_new().await,
+        };
+        first?.ok_or_else(|| self.problem(502, "engine-empty", Verdict::Ran))
+    }
+
+    async fn open_resumed(&mut self, handle: ResumeHandle) -> Result<Option<Event>, Problem> {
+        let Some(address) = self.app.routing.address(&handle.target) else {
+            return Err(self.problem(410, "generation-gone", Verdict::Ran));
+        };
+        self.target = handle.target;
+        self.url = address.url;
+        self.region = address.region;
+        self.generation = handle.generation;
+        self.sequencer = Sequencer::new(handle.offset + 1);
+        self.next().await
+    }
+
+    async fn open_new(&mut self) -> Result<Option<Event>, Problem> {
+        let mut failed: Option<TargetId> = None;
+        loop {
+            self.place(failed.as_ref()).await?;
+            let problem = match self.start().await {
+                Ok(()) => match self.next().await {
+                    Ok(event) => return Ok(event),
+                    Err(problem) => problem,
+                },
+                Err(problem) => problem,
+            };
+            let now = self.app.clock.now();
+            self.app
+                .routing
+                .finished(&self.job.route.service, &self.job.route.id, false, now);
+            let retryable = matches!(problem.kind.as_str(), "engine-lost" | "engine-refused");
+            let blocked = self
+                .app
+                .quarantine()
+                .remaining(self.job.fingerprint, now)
+                .is_some();
+            let in_time = now < self.job.route.deadline;
+            if !retryable || blocked || !in_time || !self.app.retries().take() {
+                self.ended = true;
+                return Err(problem);
+            }
+            log::info!(
+                event = "retry",
+                request = self.job.request.as_str(),
+                target = self.target.as_str(),
+                verdict = problem.verdict.as_str();
+                "engine failed before the first token"
+            );
+            failed = Some(std::mem::take(&mut self.target));
+            self.ended = false;
+        }
+    }
+
+    /// Waits for the router to choose a target.
+    async fn place(&mut self, failed: Option<&TargetId>) -> Result<(), Problem> {
+        let now = self.app.clock.now();
+        let route = self.job.route.clone();
+        let placement = match failed {
+            Some(failed) => self.app.routing.resubmit(route, failed, now),
+            None => self.app.routing.submit(route, now),
+        };
+        let left = self.job.route.deadline.saturating_sub(now);
+        let placed = async { placement.recv().await.ok() };
+        let placed = self.bounded(left, placed).await;
+        let waited = self.app.clock.now().saturating_sub(now);
+        let (customer, class) = (&self.job.route.customer, &self.job.route.service);
+        self.app.metrics.observe_queue_wait(customer, class, waited);
+        let target = match placed {
+            Some(Some(Ok(target))) => target,
+            Some(Some(Err((reason, retry_after)))) => {
+                self.ended = true;
+                return Err(self.refusal(reason, retry_after));
+            }
+            _ => {
+                self.withdraw();
+                return Err(self
+                    .problem(503, "no-capacity", Verdict::NotRun)
+                    .detail("no engine had room before the deadline")
+                    .retry_after(2));
+            }
+        };
+        let address = self.app.routing.address(&target);
+        self.target = target;
+        let address = address.ok_or_else(|| self.problem(503, "no-target", Verdict::NotRun))?;
+        self.url = address.url;
+        self.region = address.region;
+        log::info!(
+            event = "dispatch",
+            request = self.job.request.as_str(),
+            customer = customer.as_str(),
+            target = self.target.as_str();
+            ""
+        );
+        Ok(())
+    }
+
+    /// Runs a future until it ends, the time is up or the daemon cuts its requests.
+    async fn bounded<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+        let lifecycle = Arc::clone(&self.app.lifecycle);
+        let cut = async {
+            let timeout = sleep(limit);
+            futures_lite::future::or(lifecycle.wait_cut(), timeout).await;
+            None
+        };
+        futures_lite::future::or(async { Some(future.await) }, cut).await
+    }
+
+    fn withdraw(&mut self) {
+        let now = self.app.clock.now();
+        self.app
+            .routing
+            .finished(&self.job.route.service, &self.job.route.id, false, now);
+        self.ended = true;
+    }
+
+    fn refusal(&self, reason: RefuseReason, retry_after: Duration) -> Problem {
+        let (kind, detail) = match reason {
+            RefuseReason::Late => ("late", "it cannot complete before its deadline"),
+            RefuseReason::QueueFull => ("queue-full", "too many requests wait"),
+            RefuseReason::NoTarget => ("no-target", "no target of the service can be used"),
+        };
+        self.app.metrics.count_refusal(kind);
+        self.problem(503, kind, Verdict::NotRun)
+            .detail(detail)
+            .retry_after(retry_after.as_secs().max(1))
+    }
+
+    /// Sends the request to the chosen engine.
+    async fn start(&mut self) -> Result<(), Problem> {
+        self.generation = format!("gen-{}", uuid::Uuid::new_v4()).into();
+        self.sequencer = Sequencer::new(0);
+        self.source = None;
+        self.idle_reconnects = 0;
+        let mut body = self.job.body.clone();
+        body.rest
+            .insert("request_id".into(), json!(self.generation));
+        let bytes = serde_json::to_vec(&body).expect("a request serializes");
+        let path = if self.job.chat {
+            "/v1/chat/completions"
+        } else {
+            "/v1/completions"
+        };
+        let url = format!("{}{path}", self.url);
+        let headers = [("content-type", "application/json")];
+        let call = self
+            .app
+            .outbound
+            .call_fresh(Method::Post, &url, &headers, bytes, OPEN_TIMEOUT);
+        match call.await {
+            Ok(conn) => match conn.status().map_or(0, |status| status as u16) {
+                200 => {
+                    self.source = Some(Source::new(conn));
+                    Ok(())
+                }
+                429 | 503 => Err(self.problem(503, "engine-refused", Verdict::NotRun)),
+                status => Err(self
+                    .problem(502, "engine-error", Verdict::NotRun)
+                    .detail(format!("the engine answered with status {status}"))),
+            },
+            Err(error) if error.kind == CallErrorKind::Refused => {
+                self.app.observe_target(&self.target, Evidence::Refused);
+                Err(self.problem(502, "engine-lost", error.verdict))
+            }
+            Err(error) => {
+                // The engine may have begun: the generation is asked for by its id.
+                self.app.observe_target(&self.target, Evidence::TimedOut);
+                log::info!(event = "open-failed", target = self.target.as_str(), error:% = error; "");
+                Ok(())
+            }
+        }
+    }
+
+    /// Returns the next event for the caller, or `None` at the whole end.
+    ///
+    /// The future may be dropped and asked for again: no event is lost.
+    pub(crate) async fn next(&mut self) -> Result<Option<Event>, Problem> {
+        loop {
+            if self.finished {
+                return Ok(None);
+            }
+            let now = self.app.clock.now();
+            let left = self.job.route.deadline.saturating_sub(now);
+            if left.is_zero() {
+                return Err(self.give_up(504, "deadline"));
+            }
+            if self.app.lifecycle.is_cut() {
+                return Err(self.give_up(503, "stopping"));
+            }
+            if self.source.is_none() {
+                self.reconnect().await?;
+                continue;
+            }
+            let silence = self.app.settings.limits.silence.min(left);
+            let lifecycle = Arc::clone(&self.app.lifecycle);
+            let Some(source) = &mut self.source else {
+                continue;
+            };
+            let cut = async {
+                futures_lite::future::or(lifecycle.wait_cut(), sleep(silence)).await;
+                Err(SourceError::Silent)
+            };
+            let read = futures_lite::future::or(source.next(), cut).await;
+            match read {
+                Ok(event) => {
+                    if let Some(event) = self.take(&event) {
+                        return Ok(Some(event));
+                    }
+                }
+                Err(error) => self.drop_source(error),
+            }
+        }
+    }
+
+    fn drop_source(&mut self, error: SourceError) {
+        let kind = match error {
+            SourceError::Silent => "silent",
+            SourceError::Ended => "ended",
+            SourceError::Broken => "broken",
+        };
+        self.fault(kind);
+        self.source = None;
+    }
+
+    fn fault(&self, kind: &str) {
+        self.app.metrics.count_stream_fault(kind);
+        log::info!(
+            event = "stream-fault",
+            request = self.job.request.as_str(),
+            target = self.target.as_str(),
+            kind = kind,
+            offset = self.sequencer.next();
+            ""
+        );
+    }
+
+    /// Judges an event of the engine and returns what the caller gets of it.
+    fn take(&mut self, event: &Event) -> Option<Event> {
+        if event.data == DONE {
+            // An end without the last token is no end.
+            self.source = None;
+            return None;
+        }
+        let chunk = serde_json::from_str::<Chunk>(&event.data);
+        let offset = event.id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        let (Ok(chunk), Some(offset)) = (chunk, offset) else {
+            self.fault("malformed");
+            self.source = None;
+            return None;
+        };
+        if chunk.id != self.generation {
+            self.fault("crossed");
+            return None;
+        }
+        match self.sequencer.accept(offset) {
+            Accept::Duplicate => return None,
+            Accept::Gap { .. } => {
+                self.fault("gap");
+                self.source = None;
+                return None;
+            }
+            Accept::Deliver => {}
+        }
+        self.note_token(offset, event.data.len());
+        if chunk.finish_reason().is_some() {
+            self.complete();
+        }
+        Some(Event {
+            id: Some(self.handle(offset)),
+            event: None,
+            data: event.data.clone(),
+        })
+    }
+
+    fn handle(&self, offset: u64) -> String {
+        let handle = ResumeHandle {
+            customer: self.job.route.customer.clone(),
+            service: self.job.route.service.clone(),
+            target: self.target.clone(),
+            generation: self.generation.clone(),
+            offset,
+            chat: self.job.chat,
+        };
+        handle.seal(&self.app.handle_key)
+    }
+
+    fn note_token(&mut self, offset: u64, bytes: usize) {
+        let now = self.app.clock.now();
+        let gap = now.saturating_sub(self.last_token);
+        let (customer, class) = (&self.job.route.customer, &self.job.route.service);
+        if offset == 0 {
+            self.app.metrics.observe_first_token(customer, class, gap);
+        } else {
+            self.app.metrics.observe_gap(customer, class, gap);
+        }
+        if self.region != self.app.settings.region {
+            self.app.metrics.count_link_bytes(&self.region, bytes);
+        }
+        self.longest_stall = self.longest_stall.max(gap);
+        self.last_token = now;
+        self.idle_reconnects = 0;
+        if offset.is_multiple_of(PROGRESS_STEP) {
+            let produced = u32::try_from(offset + 1).unwrap_or(u32::MAX);
+            self.app
+                .routing
+                .progress(class, &self.job.route.id, produced, now);
+        }
+    }
+
+    fn complete(&mut self) {
+        self.finished = true;
+        self.ended = true;
+        let now = self.app.clock.now();
+        let produced = u32::try_from(self.sequencer.next()).unwrap_or(u32::MAX);
+        let route = &self.job.route;
+        self.app
+            .routing
+            .progress(&route.service, &route.id, produced, now);
+        self.app
+            .routing
+            .finished(&route.service, &route.id, true, now);
+        let total = now.saturating_sub(self.started);
+        let metrics = &self.app.metrics;
+        metrics.observe_completion(&route.customer, &route.service, total);
+        metrics.observe_stall(&route.customer, &route.service, self.longest_stall);
+        log::info!(
+            event = "complete",
+            request = self.job.request.as_str(),
+            customer = route.customer.as_str(),
+            target = self.target.as_str(),
+            tokens = produced,
+            stall_ms = u64::try_from(self.longest_stall.as_millis()).unwrap_or(u64::MAX);
+            ""
+        );
+    }
+
+    /// Opens a new connection to the same generation, at the next token.
+    async fn reconnect(&mut self) -> Result<(), Problem> {
+        self.idle_reconnects += 1;
+        if self.idle_reconnects > MAX_IDLE_RECONNECTS {
+            return Err(self.give_up(502, "engine-silent"));
+        }
+        match self.resume_source().await {
+            Ok(source) => {
+                self.source = Some(source);
+                Ok(())
+            }
+            Err(loss) => Err(self.lose(&loss)),
+        }
+    }
+
+    async fn resume_source(&self) -> Result<Source, Loss> {
+        let offset = self.sequencer.next();
+        let url = format!(
+            "{}{GENERATIONS_PATH}{}?from={offset}",
+            self.url, self.generation
+        );
+        for attempt in 0..RESUME_ATTEMPTS {
+            if attempt > 0 {
+                sleep(RESUME_DELAY).await;
+            }
+            let call =
+                self.app
+                    .outbound
+                    .call_fresh(Method::Get, &url, &[], Vec::new(), OPEN_TIMEOUT);
+            match call.await {
+                Ok(conn) => match conn.status().map_or(0, |status| status as u16) {
+                    200 => return Ok(Source::new(conn)),
+                    404 => return Err(Loss::Unknown),
+                    _ => {}
+                },
+                Err(error) => {
+                    let evidence = match error.kind {
+                        CallErrorKind::Refused => Evidence::Refused,
+                        CallErrorKind::TimedOut | CallErrorKind::Broken => Evidence::TimedOut,
+                    };
+                    self.app.observe_target(&self.target, evidence);
+                }
+            }
+        }
+        Err(Loss::Dead)
+    }
+
+    /// Ends a generation whose engine is lost.
+    fn lose(&mut self, loss: &Loss) -> Problem {
+        let begun = self.sequencer.next() > 0;
+        let verdict = if begun {
+            Verdict::Ran
+        } else {
+            Verdict::MayHaveRun
+        };
+        if matches!(loss, Loss::Dead) && self.job.fingerprint != 0 {
+            let now = self.app.clock.now();
+            let count = self.app.quarantine().note_crash(self.job.fingerprint, now);
+            log::warn!(event = "target-died", target = self.target.as_str(), crashes = count; "");
+        }
+        self.end();
+        let detail = match loss {
+            Loss::Unknown => "the engine does not know the generation any longer",
+            Loss::Dead => "the engine died",
+        };
+        self.problem(502, "engine-lost", verdict).detail(detail)
+    }
+
+    /// Ends a generation that goes on at the engine.
+    fn give_up(&mut self, status: u16, kind: &str) -> Problem {
+        let verdict = if self.sequencer.next() > 0 {
+            Verdict::Ran
+        } else {
+            Verdict::MayHaveRun
+        };
+        // A resume at another VM may go on with a generation that a stop of this VM cut.
+        if kind != "stopping" {
+            self.cancel(false);
+        }
+        self.end();
+        self.problem(status, kind, verdict)
+            .detail("the generation did not end here")
+            .retry_after(1)
+    }
+
+    fn end(&mut self) {
+        if !self.ended {
+            self.withdraw();
+        }
+    }
+
+    /// Lets go of a generation whose caller went away.
+    ///
+    /// The engine is told to stop after a while, unless the caller has resumed elsewhere.
+    pub(crate) fn abandon(&mut self) {
+        if self.finished {
+            return;
+        }
+        log::info!(event = "caller-gone", request = self.job.request.as_str(); "");
+        self.source = None;
+        self.cancel(true);
+        self.end();
+    }
+
+    fn cancel(&self, wait: bool) {
+        if self.generation.is_empty() || self.app.lifecycle.is_crashed() {
+            return;
+        }
+        let app = Arc::clone(&self.app);
+        let url = format!(
+            "{}{GENERATIONS_PATH}{}?detached={wait}",
+            self.url, self.generation
+        );
+        spawn(async move {
+            if wait {
+                sleep(app.settings.limits.resume_grace).await;
+            }
+            let call = app
+                .outbound
+                .call(Method::Delete, &url, &[], Vec::new(), OPEN_TIMEOUT);
+            if let Ok(mut conn) = call.await {
+                let _ = Outbound::read_body(&mut conn, 1024, OPEN_TIMEOUT).await;
+            }
+        });
+    }
+
+    /// Gathers the whole generation into one answer.
+    pub(crate) async fn collect(&mut self, first: Event) -> Result<String, Problem> {
+        let mut text = String::new();
+        let mut reason = SmolStr::default();
+        let mut event = Some(first);
+        while let Some(current) = event {
+            if let Ok(chunk) = serde_json::from_str::<Chunk>(&current.data) {
+                text.push_str(chunk.text());
+                if let Some(found) = chunk.finish_reason() {
+                    reason = found.clone();
+                }
+            }
+            event = self.next().await?;
+        }
+        Ok(self.whole(&text, &reason))
+    }
+
+    fn whole(&self, text: &str, reason: &str) -> String {
+        let choice = if self.job.chat {
+            json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": reason,
+            })
+        } else {
+            json!({"index": 0, "text": text, "finish_reason": reason})
+        };
+        let object = if self.job.chat {
+            "chat.completion"
+        } else {
+            "text_completion"
+        };
+        // The last event carries the reason, not a token.
+        let tokens = self.sequencer.next().saturating_sub(1);
+        json!({
+            "id": self.generation,
+            "object": object,
+            "model": self.job.route.service,
+            "choices": [choice],
+            "usage": {"completion_tokens": tokens},
+        })
+        .to_string()
+    }
+
+    fn problem(&self, status: u16, kind: &str, verdict: Verdict) -> Problem {
+        Problem::new(status, kind, verdict).request_id(&self.job.request)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- /dev/null
+++ b/crates/almondcroftd/src/server/auth.rs
@@ -0,0 +1,63 @@
+//! Who calls.
+
+use crate::app::App;
+use almondcroft_core::config::{Config, Customer};
+use almondcroft_core::{CustomerId, Verdict};
+use almondcroft_proto::Problem;
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
+use std::sync::Arc;
+use trillium::Conn;
+
+/// Finds the customer that a request's bearer token belongs to.
+pub(crate) fn customer<'a>(conn: &Conn, config: &'a Config) -> Result<&'a Customer, Problem> {
+    let header = conn.request_headers().get_str("authorization");
+    let token = header.and_then(|header| header.strip_prefix("Bearer "));
+    let found = token.and_then(|token| config.customer_by_token(&token_hash(token)));
+    found.ok_or_else(|| {
+        Problem::new(401, "unknown-customer", Verdict::NotRun)
+            .detail("send the customer's token as a bearer token")
+            .field("authorization")
+    })
+}
+
+fn token_hash(token: &str) -> String {
+    let mut text = String::with_capacity(64);
+    for byte in Sha256::digest(token.as_bytes()) {
+        write!(text, "{byte:02x}").expect("writing to a string succeeds");
+    }
+    text
+}
+
+/// Counts a customer's request until it is dropped.
+pub(crate) struct CustomerGuard {
+    app: Arc<App>,
+    customer: CustomerId,
+}
+
+impl CustomerGuard {
+    /// Counts one more request, or tells that the customer has too many.
+    pub(crate) fn enter(app: &Arc<App>, customer: &Customer) -> Result<Self, Problem> {
+        let counted = app
+            .customer_counts(&customer.id)
+            .acquire(&customer.id, customer.max_concurrent);
+        if counted {
+            return Ok(Self {
+                app: Arc::clone(app),
+                customer: customer.id.clone(),
+            });
+        }
+        app.metrics.count_refusal("customer-limit");
+        Err(Problem::new(429, "customer-limit", Verdict::NotRun)
+            .detail("the customer has as many requests in flight as its contract allows")
+            .retry_after(1))
+    }
+}
+
+impl Drop for CustomerGuard {
+    fn drop(&mut self) {
+        self.app
+            .customer_counts(&self.customer)
+            .release(&self.customer);
+    }
+}
--- /dev/null
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -0,0 +1,285 @@
+//! Chat and plain completions.
+
+use super::intake::Intake;
+use super::reply;
+use crate::app::App;
+use crate::http::{BodySender, stream_body};
+use crate::relay::{Job, Relay};
+use crate::runtime::{spawn, within};
+use almondcroft_core::config::ServiceKind;
+use almondcroft_core::router::RouteRequest;
+use almondcroft_core::{HandleError, ResumeHandle, Verdict};
+use almondcroft_proto::Problem;
+use almondcroft_proto::caller::{CompletionRequest, REQUEST_ID_HEADER, RESUME_HEADER};
+use almondcroft_proto::engine::DONE;
+use almondcroft_proto::sse::Event;
+use serde_json::json;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+use trillium::{Conn, Method};
+
+/// Bytes of the comment that opens a stream; it fills the spare room of the response head's
+/// buffer, which would otherwise hold the first event back.
+const OPENING_BYTES: usize = 2048;
+
+/// Time without a token after which a comment is sent, which finds out whether the caller is there.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Bytes of a prompt for one token, roughly.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Bytes of a prompt's beginning that count as its shared prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// Answers a completion request.
+pub(crate) async fn handle(conn: Conn, app: &Arc<App>, chat: bool) -> Conn {
+    let resume = conn.request_headers().get_str(RESUME_HEADER).is_some();
+    let method = conn.method();
+    if method != Method::Post && !(resume && method == Method::Get) {
+        let problem = Problem::new(405, "method", Verdict::NotRun).field("method");
+        return reply::problem(conn, &problem);
+    }
+    let intake = match Intake::admit(&conn, app) {
+        Ok(intake) => intake,
+        Err(problem) => return refuse(conn, app, &problem),
+    };
+    let mut conn = conn;
+    let started = if resume {
+        resume_job(&conn, app, &intake, chat)
+    } else {
+        new_job(&mut conn, app, &intake, chat).await
+    };
+    let (job, stream) = match started {
+        Ok(started) => started,
+        Err(problem) => return refuse(conn, app, &problem),
+    };
+    run(conn, app, intake, job, stream).await
+}
+
+fn refuse(conn: Conn, app: &App, problem: &Problem) -> Conn {
+    app.metrics.count_verdict(problem.verdict);
+    reply::problem(conn, problem)
+}
+
+async fn new_job(
+    conn: &mut Conn,
+    app: &Arc<App>,
+    intake: &Intake,
+    chat: bool,
+) -> Result<(Job, bool), Problem> {
+    let body = intake.body(conn, app).await?;
+    let request = CompletionRequest::decode(&body, chat).map_err(|error| {
+        intake
+            .problem(400, "bad-request", Verdict::NotRun)
+            .detail(error.message)
+            .field(&error.path)
+    })?;
+    let (service, terms) = intake.service(&request.model, ServiceKind::Engine, "model")?;
+    let deadline = intake.deadline(conn, &terms)?;
+    let fingerprint = fingerprint(&request);
+    if let Some(left) = app.quarantine().remaining(fingerprint, intake.arrived) {
+        return Err(intake
+            .problem(422, "quarantined", Verdict::NotRun)
+            .detail("this request crashed the targets that ran it")
+            .retry_after(left.as_secs() + 1));
+    }
+    let text = request.text();
+    let stream = request.stream;
+    let route = RouteRequest {
+        // The caller chooses its request id and may send it twice; placement needs its own.
+        id: uuid::Uuid::new_v4().to_string().into(),
+        customer: intake.customer.id.clone(),
+        service: service.id.clone(),
+        priority: terms.priority,
+        worth: terms.worth,
+        deadline,
+        prompt: u32::try_from(text.len() / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX),
+        prefix: text.get(..PREFIX_BYTES).map(hash_of),
+        region: app.settings.region.clone(),
+        max_tokens: request.max_tokens,
+    };
+    let job = Job {
+        request: intake.id.clone(),
+        route,
+        body: engine_body(request, &service.model.unwrap_or_default(), terms.priority),
+        fingerprint,
+        chat,
+        resume: None,
+    };
+    Ok((job, stream))
+}
+
+fn engine_body(mut request: CompletionRequest, model: &str, priority: u8) -> CompletionRequest {
+    request.model = model.into();
+    request.stream = true;
+    request.rest.insert("priority".into(), json!(priority));
+    request
+}
+
+fn fingerprint(request: &CompletionRequest) -> u64 {
+    hash_of(&serde_json::to_string(request).unwrap_or_default())
+}
+
+fn hash_of(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn resume_job(
+    conn: &Conn,
+    app: &Arc<App>,
+    intake: &Intake,
+    chat: bool,
+) -> Result<(Job, bool), Problem> {
+    let text = conn.request_headers().get_str(RESUME_HEADER);
+    let opened = ResumeHandle::open(
+        text.unwrap_or_default(),
+        &app.handle_key,
+        &intake.customer.id,
+    );
+    let handle = opened.map_err(|error| {
+        let status = if error == HandleError::Foreign {
+            403
+        } else {
+            400
+        };
+        intake
+            .problem(status, "bad-resume-handle", Verdict::NotRun)
+            .detail(error.to_string())
+            .field(RESUME_HEADER)
+    })?;
+    if handle.chat != chat {
+        return Err(intake
+            .problem(400, "bad-resume-handle", Verdict::NotRun)
+            .detail("the handle belongs to the other completion endpoint")
+            .field(RESUME_HEADER));
+    }
+    let (_, terms) = intake.service(&handle.service, ServiceKind::Engine, RESUME_HEADER)?;
+    let route = RouteRequest {
+        id: uuid::Uuid::new_v4().to_string().into(),
+        customer: intake.customer.id.clone(),
+        service: handle.service.clone(),
+        priority: terms.priority,
+        worth: terms.worth,
+        deadline: intake.deadline(conn, &terms)?,
+        prompt: 0,
+        prefix: None,
+        region: app.settings.region.clone(),
+        max_tokens: None,
+    };
+    let job = Job {
+        request: intake.id.clone(),
+        route,
+        body: CompletionRequest::default(),
+        fingerprint: 0,
+        chat,
+        resume: Some(handle),
+    };
+    Ok((job, true))
+}
+
+async fn run(mut conn: Conn, app: &Arc<App>, intake: Intake, job: Job, stream: bool) -> Conn {
+    let mut relay = Relay::new(Arc::clone(app), job);
+    // Nothing has been sent yet, so that a refusal can still be a plain answer.
+    let opened = conn.inner_mut().cancel_on_disconnect(relay.open()).await;
+    let first = match opened {
+        None => {
+            relay.abandon();
+            return conn.halt();
+        }
+        Some(Err(problem)) => return refuse(conn, app, &problem),
+        Some(Ok(first)) => first,
+    };
+    conn.response_headers_mut()
+        .insert(REQUEST_ID_HEADER, intake.id.to_string());
+    if stream {
+        return start_stream(conn, app, intake, relay, first);
+    }
+    let collected = conn
+        .inner_mut()
+        .cancel_on_disconnect(relay.collect(first))
+        .await;
+    match collected {
+        None => {
+            relay.abandon();
+            conn.halt()
+        }
+        Some(Ok(body)) => reply::json(conn, 200, body),
+        Some(Err(problem)) => refuse(conn, app, &problem),
+    }
+}
+
+fn start_stream(
+    mut conn: Conn,
+    app: &Arc<App>,
+    intake: Intake,
+    relay: Relay,
+    first: Event,
+) -> Conn {
+    let (sender, body) = stream_body();
+    let headers = conn.response_headers_mut();
+    headers.insert("content-type", "text/event-stream");
+    headers.insert("cache-control", "no-cache");
+    let app = Arc::clone(app);
+    spawn(async move {
+        pump(&app, relay, first, &sender).await;
+        drop(intake);
+    });
+    conn.with_status(200).with_body(body).halt()
+}
+
+/// Hands events to the caller until the generation ends or the caller is gone.
+async fn pump(app: &Arc<App>, mut relay: Relay, first: Event, sender: &BodySender) {
+    let mut opening = vec![b':'; OPENING_BYTES];
+    opening.extend_from_slice(b"\n\n");
+    let mut next = Some(Ok(Some(first)));
+    let mut bytes = opening;
+    loop {
+        let item = match next.take() {
+            Some(item) => Some(item),
+            None => within(KEEP_ALIVE, relay.next()).await,
+        };
+        let ended = match item {
+            None => {
+                bytes.extend_from_slice(b": waiting\n\n");
+                false
+            }
+            Some(Ok(Some(event))) => {
+                event.encode_into(&mut bytes);
+                false
+            }
+            Some(Ok(None)) => {
+                bytes.extend_from_slice(format!("data: {DONE}\n\n").as_bytes());
+                true
+            }
+            Some(Err(problem)) => {
+                app.metrics.count_verdict(problem.verdict);
+                error_event(&problem).encode_into(&mut bytes);
+                true
+            }
+        };
+        if app.lifecycle.is_crashed() {
+            let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+            return;
+        }
+        let piece = std::mem::take(&mut bytes);
+        let sent = within(app.settings.limits.write_time, sender.send(Ok(piece))).await;
+        if !matches!(sent, Some(Ok(()))) {
+            relay.abandon();
+            return;
+        }
+        if ended {
+            return;
+        }
+    }
+}
+
+fn error_event(problem: &Problem) -> Event {
+    Event {
+        id: None,
+        event: Some("error".into()),
+        data: problem.to_json(),
+    }
+}
--- /dev/null
+++ b/crates/almondcroftd/src/server/peer_api.rs
@@ -0,0 +1,75 @@
+//! Methods that other VMs call, by JSON-RPC.
+
+use super::{MAX_PEER_BYTES, reply};
+use crate::app::App;
+use crate::members;
+use almondcroft_core::Revision;
+use almondcroft_proto::peer::{
+    AUTH_HEADER, CLAIM, CONFIG, ClaimParams, ConfigAnswer, HELLO, Hello, NOTE, NoteParams,
+    is_sealed,
+};
+use futures_lite::AsyncReadExt;
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use std::sync::Arc;
+use trillium::Conn;
+
+/// Creates the table of methods.
+pub(crate) fn module(app: &Arc<App>) -> RpcModule<Arc<App>> {
+    let mut module = RpcModule::new(Arc::clone(app));
+    let once = "each method is registered once";
+    module
+        .register_async_method(CLAIM, |params, app, _| async move {
+            let params: ClaimParams = params.one()?;
+            let limit = app.settings.limits.claim_time;
+            let answer = app.claims.claim_here(params.shard, params.claim, limit);
+            Ok::<_, ErrorObjectOwned>(answer.await)
+        })
+        .expect(once);
+    module
+        .register_method(NOTE, |params, app, _| {
+            let params: NoteParams = params.one()?;
+            app.claims.note_here(params.shard, params.entry);
+            Ok::<_, ErrorObjectOwned>(true)
+        })
+        .expect(once);
+    module
+        .register_async_method(HELLO, |params, app, _| async move {
+            let hello: Hello = params.one()?;
+            members::take_hello(&app, &hello).await;
+            Ok::<_, ErrorObjectOwned>(members::hello(&app))
+        })
+        .expect(once);
+    module
+        .register_method(CONFIG, |params, app, _| {
+            let _known: Revision = params.one()?;
+            let config = app.config().as_ref().clone();
+            Ok::<_, ErrorObjectOwned>(ConfigAnswer { config })
+        })
+        .expect(once);
+    module
+}
+
+/// Answers a call of another VM after it has proved that it holds the peers' secret.
+pub(crate) async fn handle(mut conn: Conn, app: &Arc<App>, rpc: &Arc<RpcModule<Arc<App>>>) -> Conn {
+    let mut body = Vec::new();
+    let reader = conn.request_body().await;
+    let read = reader
+        .take(MAX_PEER_BYTES as u64)
+        .read_to_end(&mut body)
+        .await;
+    let auth = conn
+        .request_headers()
+        .get_str(AUTH_HEADER)
+        .unwrap_or_default();
+    if read.is_err() || !is_sealed(&app.settings.peer_secret, &body, auth) {
+        return conn.with_status(403).halt();
+    }
+    let Ok(text) = std::str::from_utf8(&body) else {
+        return conn.with_status(400).halt();
+    };
+    match rpc.raw_json_request(text, 1).await {
+        Ok((answer, _)) => reply::json(conn, 200, answer.get().to_owned()),
+        Err(_) => conn.with_status(400).halt(),
+    }
+}
--- /dev/null
+++ b/crates/almondcroftd/src/server/polls.rs
@@ -0,0 +1,115 @@
+//! Regular looks at the targets.
+
+use crate::app::App;
+use crate::http::{CallErrorKind, Outbound};
+use crate::runtime::{sleep, spawn};
+use almondcroft_core::TargetId;
+use almondcroft_core::config::{Config, ServiceKind, Target};
+use almondcroft_core::membership::Evidence;
+use almondcroft_core::router::LoadReport;
+use almondcroft_proto::engine::{LOAD_PATH, LoadMessage};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use trillium::Method;
+
+/// Time between two reports of a target.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time for a target to report.
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two looks at the queue.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Largest report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Starts the polls.
+pub(crate) fn start(app: &Arc<App>) {
+    let polling = Arc::clone(app);
+    spawn(async move {
+        let mut preemptions = HashMap::new();
+        while !polling.lifecycle.is_crashed() {
+            poll_all(&polling, &mut preemptions).await;
+            sleep(POLL_INTERVAL).await;
+        }
+    });
+    let ticking = Arc::clone(app);
+    spawn(async move {
+        while !ticking.lifecycle.is_crashed() {
+            ticking.routing.tick(ticking.clock.now());
+            sleep(TICK_INTERVAL).await;
+        }
+    });
+}
+
+async fn poll_all(app: &Arc<App>, preemptions: &mut HashMap<TargetId, u64>) {
+    let config = app.config();
+    let polls: Vec<_> = config
+        .targets
+        .values()
+        .cloned()
+        .map(|target| {
+            let (app, config) = (Arc::clone(app), Arc::clone(&config));
+            async_global_executor::spawn(async move { poll(&app, &config, &target).await })
+        })
+        .collect();
+    for poll in polls {
+        if let Some((target, count)) = poll.await {
+            preemptions.insert(target, count);
+        }
+    }
+    let total: u64 = preemptions.values().sum();
+    app.metrics
+        .preemptions
+        .set(i64::try_from(total).unwrap_or(i64::MAX));
+}
+
+async fn poll(app: &Arc<App>, config: &Config, target: &Target) -> Option<(TargetId, u64)> {
+    let message = match read(app, target).await {
+        Ok(message) => message,
+        Err(kind) => {
+            let evidence = match kind {
+                CallErrorKind::Refused => Evidence::Refused,
+                CallErrorKind::TimedOut | CallErrorKind::Broken => Evidence::TimedOut,
+            };
+            app.observe_target(&target.id, evidence);
+            return None;
+        }
+    };
+    let evidence = if message.leaving {
+        Evidence::Leaving
+    } else {
+        Evidence::Answered
+    };
+    app.observe_target(&target.id, evidence);
+    let service = config.services.get(target.services.first()?)?;
+    if service.kind == ServiceKind::Plain {
+        return None;
+    }
+    let now = app.clock.now();
+    let report = LoadReport {
+        at: now.saturating_sub(Duration::from_millis(message.age_ms)),
+        running: message.running,
+        waiting: message.waiting,
+        kv_used: message.kv_used,
+        kv_total: message.kv_total,
+        preemptions: message.preemptions,
+    };
+    app.routing.report(&target.id, report, now);
+    Some((target.id.clone(), message.preemptions))
+}
+
+async fn read(app: &Arc<App>, target: &Target) -> Result<LoadMessage, CallErrorKind> {
+    let url = format!("{}{LOAD_PATH}", target.address);
+    let call = app
+        .outbound
+        .call(Method::Get, &url, &[], Vec::new(), POLL_TIMEOUT);
+    let mut conn = call.await.map_err(|error| error.kind)?;
+    let bytes = Outbound::read_body(&mut conn, MAX_REPORT_BYTES, POLL_TIMEOUT)
+        .await
+        .map_err(|error| error.kind)?;
+    conn.recycle().await;
+    serde_json::from_slice(&bytes).map_err(|_| CallErrorKind::Broken)
+}
--- /dev/null
+++ b/crates/almondcroftd/src/server/services.rs
@@ -0,0 +1,88 @@
+//! Calls to plain services.
+
+use super::intake::Intake;
+use super::reply;
+use crate::app::App;
+use crate::calls::{Call, PlainAnswer};
+use almondcroft_core::Verdict;
+use almondcroft_core::config::ServiceKind;
+use almondcroft_proto::Problem;
+use almondcroft_proto::caller::{KEY_HEADER, REQUEST_ID_HEADER, is_key};
+use almondcroft_proto::problem::VERDICT_HEADER;
+use std::sync::Arc;
+use trillium::Conn;
+
+/// Answers a call to `{service}/{path}`.
+pub(crate) async fn handle(mut conn: Conn, app: &Arc<App>, rest: &str) -> Conn {
+    let intake = match Intake::admit(&conn, app) {
+        Ok(intake) => intake,
+        Err(problem) => return refuse(conn, app, &problem),
+    };
+    let call = match prepare(&mut conn, app, &intake, rest).await {
+        Ok(call) => call,
+        Err(problem) => return refuse(conn, app, &problem),
+    };
+    // The call goes on when the caller leaves, so that its outcome is recorded for the retry.
+    match call.run(Arc::clone(app)).await {
+        Ok(answer) => respond(conn, &intake, answer),
+        Err(problem) => refuse(conn, app, &problem.request_id(&intake.id)),
+    }
+}
+
+fn refuse(conn: Conn, app: &App, problem: &Problem) -> Conn {
+    app.metrics.count_verdict(problem.verdict);
+    reply::problem(conn, problem)
+}
+
+fn respond(mut conn: Conn, intake: &Intake, answer: PlainAnswer) -> Conn {
+    let headers = conn.response_headers_mut();
+    headers.insert(REQUEST_ID_HEADER, intake.id.to_string());
+    headers.insert(VERDICT_HEADER, Verdict::Ran.as_str());
+    if let Some(media) = answer.media {
+        headers.insert("content-type", media.to_string());
+    }
+    conn.with_status(answer.status)
+        .with_body(answer.body)
+        .halt()
+}
+
+async fn prepare(
+    conn: &mut Conn,
+    app: &Arc<App>,
+    intake: &Intake,
+    rest: &str,
+) -> Result<Call, Problem> {
+    let (id, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let (service, terms) = intake.service(id, ServiceKind::Plain, "service")?;
+    let deadline = intake.deadline(conn, &terms)?;
+    let key = conn.request_headers().get_str(KEY_HEADER);
+    let key = key.map(str::to_owned);
+    if !service.idempotent && key.as_deref().is_none_or(|key| !is_key(key)) {
+        return Err(intake
+            .problem(400, "key-missing", Verdict::NotRun)
+            .detail("this service may not be repeated: send an Idempotency-Key of 1 to 128 bytes")
+            .field(KEY_HEADER));
+    }
+    let query = conn.querystring();
+    let path = if query.is_empty() {
+        format!("/{path}")
+    } else {
+        format!("/{path}?{query}")
+    };
+    let media = conn.request_headers().get_str("content-type");
+    let media = media.map(Into::into);
+    let method = conn.method();
+    let body = intake.body(conn, app).await?;
+    Ok(Call {
+        request: intake.id.clone(),
+        customer: intake.customer.id.clone(),
+        service,
+        terms,
+        method,
+        path,
+        media,
+        body,
+        key,
+        deadline,
+    })
+}
--- /dev/null
+++ b/crates/almondcroftd/src/store.rs
@@ -0,0 +1,177 @@
+//! The platform's object API, over HTTP.
+
+use crate::http::{CallError, Outbound};
+use almondcroft_core::Verdict;
+use almondcroft_core::ledger::{Expected, ObjectStore, StoreError, StoreFuture, Stored};
+use almondcroft_proto::object::{KeyList, OBJECTS_PATH, WATCH_PATH};
+use std::time::Duration;
+use trillium::Method;
+use trillium_client::Conn;
+
+/// Time for the store to answer.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest object, in bytes.
+const MAX_OBJECT_BYTES: usize = 1024 * 1024;
+
+/// Largest listing, in bytes.
+const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
+
+/// Reaches the object API at an address.
+#[derive(Debug, Clone)]
+pub struct HttpStore {
+    base: String,
+    outbound: Outbound,
+}
+
+impl HttpStore {
+    /// Creates a store client for a base URL such as `http://10.0.0.1:9000`.
+    #[must_use]
+    pub fn new(base: &str, outbound: Outbound) -> Self {
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            outbound,
+        }
+    }
+
+    /// Writes an object whatever its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the store did not confirm the write.
+    pub async fn put_any(&self, key: &str, bytes: Vec<u8>) -> Result<u64, StoreError> {
+        let url = format!("{}{OBJECTS_PATH}{key}", self.base);
+        let call = self
+            .outbound
+            .call(Method::Put, &url, &[], bytes, STORE_TIMEOUT);
+        put_answer(call.await)
+    }
+
+    /// Waits until an object has a version above `after`; `None` when `hold` passed without one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the store does not answer.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        hold: Duration,
+    ) -> Result<Option<Stored>, StoreError> {
+        let hold_ms = hold.as_millis();
+        let url = format!(
+            "{}{WATCH_PATH}{key}?after={after}&hold_ms={hold_ms}",
+            self.base
+        );
+        let limit = hold + STORE_TIMEOUT;
+        let call = self
+            .outbound
+            .call(Method::Get, &url, &[], Vec::new(), limit);
+        read_answer(call.await).await
+    }
+}
+
+impl ObjectStore for HttpStore {
+    fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Stored>> {
+        Box::pin(async move {
+            let url = format!("{}{OBJECTS_PATH}{key}", self.base);
+            let call = self
+                .outbound
+                .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
+            read_answer(call.await).await
+        })
+    }
+
+    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>, expected: Expected) -> StoreFuture<'a, u64> {
+        Box::pin(async move {
+            let url = format!("{}{OBJECTS_PATH}{key}", self.base);
+            let version;
+            let header = match expected {
+                Expected::Absent => ("if-none-match", "*"),
+                Expected::Version(number) => {
+                    version = number.to_string();
+                    ("if-match", version.as_str())
+                }
+            };
+            let headers = [header];
+            let call = self
+                .outbound
+                .call(Method::Put, &url, &headers, bytes, STORE_TIMEOUT);
+            put_answer(call.await)
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()> {
+        Box::pin(async move {
+            let url = format!("{}{OBJECTS_PATH}{key}", self.base);
+            let call = self
+                .outbound
+                .call(Method::Delete, &url, &[], Vec::new(), STORE_TIMEOUT);
+            call.await.map(|_| ()).map_err(store_error)
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Vec<String>> {
+        Box::pin(async move {
+            let url = format!("{}{OBJECTS_PATH}?prefix={prefix}", self.base);
+            let call = self
+                .outbound
+                .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
+            let mut conn = call.await.map_err(store_error)?;
+            if status(&conn) != 200 {
+                return Err(StoreError::Refused);
+            }
+            let bytes = Outbound::read_body(&mut conn, MAX_LIST_BYTES, STORE_TIMEOUT)
+                .await
+                .map_err(store_error)?;
+            conn.recycle().await;
+            let list: KeyList = serde_json::from_slice(&bytes).map_err(|_| StoreError::Refused)?;
+            Ok(list.keys)
+        })
+    }
+}
+
+fn status(conn: &Conn) -> u16 {
+    conn.status().map_or(0, |status| status as u16)
+}
+
+fn version(conn: &Conn) -> Option<u64> {
+    conn.response_headers().get_str("etag")?.parse().ok()
+}
+
+const fn store_error(error: CallError) -> StoreError {
+    match error.verdict {
+        Verdict::NotRun => StoreError::Refused,
+        Verdict::MayHaveRun | Verdict::Ran => StoreError::Unknown,
+    }
+}
+
+fn put_answer(answer: Result<Conn, CallError>) -> Result<u64, StoreError> {
+    let conn = answer.map_err(store_error)?;
+    let result = match status(&conn) {
+        200 | 201 => version(&conn).ok_or(StoreError::Unknown),
+        409 | 412 => Err(StoreError::Conflict),
+        429 | 503 => Err(StoreError::Refused),
+        _ => Err(StoreError::Unknown),
+    };
+    crate::runtime::spawn(async move { conn.recycle().await });
+    result
+}
+
+async fn read_answer(answer: Result<Conn, CallError>) -> Result<Option<Stored>, StoreError> {
+    let mut conn = answer.map_err(store_error)?;
+    match status(&conn) {
+        200 => {}
+        204 | 404 => {
+            conn.recycle().await;
+            return Ok(None);
+        }
+        _ => return Err(StoreError::Refused),
+    }
+    let version = version(&conn).ok_or(StoreError::Unknown)?;
+    let bytes = Outbound::read_body(&mut conn, MAX_OBJECT_BYTES, STORE_TIMEOUT)
+        .await
+        .map_err(store_error)?;
+    conn.recycle().await;
+    Ok(Some(Stored { version, bytes }))
+}
--- /dev/null
+++ b/crates/almondctl/src/commands.rs
@@ -0,0 +1,162 @@
+//! What each command does.
+
+mod output;
+mod sheet;
+
+use crate::cli::{EXIT_DIFFERS, EXIT_FAILED, command};
+use almondctl::{Operator, replay, status};
+use clap::ArgMatches;
+use clap_complete::{Shell, generate};
+use output::Output;
+use sha2::{Digest, Sha256};
+use std::fs::File;
+use std::io::{BufReader, Read};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Runs the command that the arguments name.
+pub(crate) async fn run(matches: &ArgMatches) -> ExitCode {
+    let output = Output::from(matches);
+    match matches.subcommand() {
+        Some(("sheet", matches)) => sheet::run(matches, output).await,
+        Some(("get", matches)) => get(matches).await,
+        Some(("status", matches)) => show_status(matches, output).await,
+        Some(("drain", matches)) => drain(matches, output).await,
+        Some(("replay", matches)) => run_replay(matches, output),
+        Some(("token-hash", _)) => token_hash(),
+        Some(("completions", matches)) => completions(matches),
+        _ => {
+            println!("almondctl {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn operator(matches: &ArgMatches, who: &str) -> Operator {
+    let store = matches
+        .get_one::<String>("store")
+        .expect("the argument has a default");
+    Operator::new(store, who)
+}
+
+fn path(matches: &ArgMatches) -> &PathBuf {
+    matches
+        .get_one::<PathBuf>("file")
+        .expect("the argument is required")
+}
+
+fn fail(error: &impl std::fmt::Display) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_FAILED)
+}
+
+async fn get(matches: &ArgMatches) -> ExitCode {
+    match operator(matches, "").current().await {
+        Ok(config) => {
+            let text = serde_json::to_string_pretty(&config);
+            println!("{}", text.expect("a configuration serializes"));
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error),
+    }
+}
+
+async fn show_status(matches: &ArgMatches, output: Output) -> ExitCode {
+    let status = status(operator(matches, "").store()).await;
+    output.print(
+        &status,
+        &["vm", "revision", "age_s", "in_flight", "current"],
+        |status| {
+            status
+                .vms
+                .iter()
+                .map(|row| {
+                    vec![
+                        row.vm.clone(),
+                        row.revision.to_string(),
+                        row.age_s.to_string(),
+                        row.in_flight
+                            .map_or_else(|| "no answer".into(), |count| count.to_string()),
+                        row.current.to_string(),
+                    ]
+                })
+                .collect()
+        },
+    );
+    if !status.store {
+        eprintln!("the store does not answer");
+    }
+    if status.is_settled() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_DIFFERS)
+    }
+}
+
+async fn drain(matches: &ArgMatches, output: Output) -> ExitCode {
+    let target = matches
+        .get_one::<String>("target")
+        .expect("the argument is required");
+    let drained = !matches.get_flag("undo");
+    match operator(matches, "operator").drain(target, drained).await {
+        Ok(applied) => {
+            output.changes(applied.revision, &applied.changes);
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error),
+    }
+}
+
+fn run_replay(matches: &ArgMatches, output: Output) -> ExitCode {
+    let path = path(matches);
+    let file = match File::open(path) {
+        Ok(file) => file,
+        Err(error) => return fail(&format!("{}: {error}", path.display())),
+    };
+    let report = match replay(BufReader::new(file)) {
+        Ok(report) => report,
+        Err(error) => return fail(&error),
+    };
+    let summary = serde_json::json!({
+        "events": report.events,
+        "decisions": report.decisions,
+        "differences": report.differences.len(),
+    });
+    output.print(&summary, &["events", "decisions", "differences"], |_| {
+        vec![vec![
+            report.events.to_string(),
+            report.decisions.to_string(),
+            report.differences.len().to_string(),
+        ]]
+    });
+    for difference in &report.differences {
+        eprintln!(
+            "line {}: recorded {:?}, replayed {:?}",
+            difference.line, difference.recorded, difference.replayed
+        );
+    }
+    if report.differences.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_DIFFERS)
+    }
+}
+
+fn token_hash() -> ExitCode {
+    let mut text = String::new();
+    if let Err(error) = std::io::stdin().read_to_string(&mut text) {
+        return fail(&error);
+    }
+    let digest = Sha256::digest(text.trim_end_matches(['\r', '\n']).as_bytes());
+    let digits: Vec<String> = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    println!("{}", digits.concat());
+    ExitCode::SUCCESS
+}
+
+fn completions(matches: &ArgMatches) -> ExitCode {
+    let shell = matches
+        .get_one::<Shell>("shell")
+        .expect("the argument is required");
+    generate(*shell, &mut command(), "almondctl", &mut std::io::stdout());
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/almondctl/src/status.rs
@@ -0,0 +1,103 @@
+//! What the VMs of a deployment are at.
+
+use almondcroft_core::Revision;
+use almondcroft_core::ledger::ObjectStore;
+use almondcroft_proto::object::{CONFIG_KEY, ConfigObject, STATUS_PREFIX, VmStatus};
+use almondcroftd::http::Outbound;
+use almondcroftd::{Clock, HttpStore};
+use serde::Serialize;
+use std::time::Duration;
+use trillium::Method;
+
+/// Time for a VM to answer.
+const VM_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest answer of a VM, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Describes one VM.
+#[derive(Debug, Clone, Serialize)]
+pub struct VmRow {
+    /// The VM.
+    pub vm: String,
+    /// The revision that it has in force.
+    pub revision: Revision,
+    /// Seconds since it came into force.
+    pub age_s: u64,
+    /// Requests in flight; absent where the VM does not answer.
+    pub in_flight: Option<u64>,
+    /// Whether it runs the accepted revision.
+    pub current: bool,
+}
+
+/// Describes a deployment.
+#[derive(Debug, Clone, Serialize)]
+pub struct Status {
+    /// Whether the store answers.
+    pub store: bool,
+    /// The accepted revision.
+    pub revision: Revision,
+    /// The VMs.
+    pub vms: Vec<VmRow>,
+}
+
+impl Status {
+    /// Returns whether the store answers and every VM that answers runs the accepted revision.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.store
+            && self
+                .vms
+                .iter()
+                .all(|row| row.current || row.in_flight.is_none())
+    }
+}
+
+/// Asks the store and the VMs.
+pub async fn status(store: &HttpStore) -> Status {
+    let outbound = Outbound::new();
+    let clock = Clock::new();
+    let head = store.get(CONFIG_KEY).await;
+    let revision = head
+        .as_ref()
+        .ok()
+        .and_then(Option::as_ref)
+        .map_or(0, |stored| {
+            serde_json::from_slice::<ConfigObject>(&stored.bytes)
+                .map_or(0, |object| object.config.revision)
+        });
+    let mut vms = Vec::new();
+    for key in store.list(STATUS_PREFIX).await.unwrap_or_default() {
+        let Ok(Some(stored)) = store.get(&key).await else {
+            continue;
+        };
+        let Ok(confirmed) = serde_json::from_slice::<VmStatus>(&stored.bytes) else {
+            continue;
+        };
+        let live = ask(&outbound, &confirmed.address).await;
+        let in_force = live.as_ref().and_then(|live| live["revision"].as_u64());
+        let in_force = in_force.unwrap_or(confirmed.revision);
+        vms.push(VmRow {
+            vm: confirmed.vm,
+            revision: in_force,
+            age_s: clock.now_ms().saturating_sub(confirmed.at_ms) / 1000,
+            in_flight: live.and_then(|live| live["in_flight"].as_u64()),
+            current: in_force == revision,
+        });
+    }
+    Status {
+        store: head.is_ok(),
+        revision,
+        vms,
+    }
+}
+
+async fn ask(outbound: &Outbound, address: &str) -> Option<serde_json::Value> {
+    let url = format!("{address}/status");
+    let call = outbound.call(Method::Get, &url, &[], Vec::new(), VM_TIMEOUT);
+    let mut conn = call.await.ok()?;
+    let bytes = Outbound::read_body(&mut conn, MAX_ANSWER_BYTES, VM_TIMEOUT)
+        .await
+        .ok()?;
+    serde_json::from_slice(&bytes).ok()
+}
