--- a/crates/almondcroftd/src/lib.rs
+++ b/crates/almondcroftd/src/lib.rs
@@ -13,13 +13,14 @@
 //! ```no_run
 //! use almondcroftd::{Daemon, Settings};
 //!
-//! let settings = Settings::from_json(&std::fs::read("entry.json")?)?;
-//! almondcroftd::block_on(async {
-//!     let daemon = Daemon::start(settings).await?;
-//!     daemon.stop().await;
-//!     Ok(())
-//! })
-//! # as Result<(), Box<dyn std::error::Error>>
+//! fn main() -> Result<(), Box<dyn std::error::Error>> {
+//!     let settings = Settings::from_json(&std::fs::read("entry.json")?)?;
+//!     almondcroftd::block_on(async {
+//!         let daemon = Daemon::start(settings).await?;
+//!         daemon.stop().await;
+//!         Ok(())
+//!     })
+//! }
 //! ```
 
 pub mod http;
--- a/crates/almondctl/src/lib.rs
+++ b/crates/almondctl/src/lib.rs
@@ -5,15 +5,16 @@
 //! ```no_run
 //! use almondctl::{Applied, Operator};
 //!
-//! almondcroftd::block_on(async {
+//! fn main() -> Result<(), Box<dyn std::error::Error>> {
 //!     let operator = Operator::new("http://10.0.0.9:9000", "ana");
 //!     let sheet = std::fs::read("villacres.csv")?;
 //!     let config = almondcroft_proto::sheet::parse(&sheet).map_err(|_| "faults in the sheet")?;
-//!     let Applied { revision, .. } = operator.apply(config, None).await?;
-//!     println!("revision {revision} is accepted");
-//!     Ok(())
-//! })
-//! # as Result<(), Box<dyn std::error::Error>>
+//!     almondcroftd::block_on(async {
+//!         let Applied { revision, .. } = operator.apply(config, None).await?;
+//!         println!("revision {revision} is accepted");
+//!         Ok(())
+//!     })
+//! }
 //! ```
 
 mod apply;
