--- a/crates/almondcroft-core/src/ledger/answer.rs
+++ b/crates/almondcroft-core/src/ledger/answer.rs
@@ -26,5 +26,8 @@
     /// The key is older than the time for which keys are remembered.
     Expired,
     /// The store cannot be reached; the claim is not granted.
-    Unavailable,
+    Unavailable {
+        /// Whether the shard's log is known, so that an earlier claim would be known too.
+        loaded: bool,
+    },
 }
--- a/crates/almondcroft-core/src/ledger/shard.rs
+++ b/crates/almondcroft-core/src/ledger/shard.rs
@@ -9,7 +9,7 @@
 pub use options::ShardOptions;
 
 /// Doublings of the delay between reads while the store fails.
-const MAX_BACKOFF_DOUBLINGS: u32 = 5;
+const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
 /// Tells one waiting claim from another; chosen by the driver.
 pub type Ticket = u64;
@@ -28,8 +28,8 @@
     },
     /// An outcome or a release is to be recorded; nobody waits for it.
     Note(Entry),
-    /// Nobody waits for the answer to this claim any longer.
-    Forget {
+    /// The time for this claim is up: it is answered from what is known.
+    GiveUp {
         /// The claim's ticket.
         ticket: Ticket,
     },
@@ -152,6 +152,8 @@
     notes: VecDeque<Entry>,
     flight: Flight,
     in_sync: bool,
+    /// Whether an append has succeeded since the log was read; a read alone can be outdated.
+    proven: bool,
     synced_at: Timestamp,
     next_write: Timestamp,
     next_load: Timestamp,
@@ -172,6 +174,7 @@
             notes: VecDeque::new(),
             flight: Flight::Idle,
             in_sync: false,
+            proven: false,
             synced_at: Timestamp::ZERO,
             next_write: Timestamp::ZERO,
             next_load: Timestamp::ZERO,
@@ -209,12 +212,12 @@
     /// Takes in an event and returns what to do now.
     pub fn handle(&mut self, event: ShardEvent, now: Timestamp) -> Vec<ShardAction> {
         let mut actions = Vec::new();
-        self.take_in(event, now);
+        self.take_in(event, now, &mut actions);
         self.advance(now, &mut actions);
         actions
     }
 
-    fn take_in(&mut self, event: ShardEvent, now: Timestamp) {
+    fn take_in(&mut self, event: ShardEvent, now: Timestamp, actions: &mut Vec<ShardAction>) {
         match event {
             ShardEvent::Claim { ticket, claim } => {
                 self.pending.push_back(Pending {
@@ -224,7 +227,7 @@
                 });
             }
             ShardEvent::Note(entry) => self.take_note(entry),
-            ShardEvent::Forget { ticket } => self.forget(ticket),
+            ShardEvent::GiveUp { ticket } => self.give_up(ticket, actions),
             ShardEvent::Loaded { id, segments } => {
                 if matches!(self.flight, Flight::Loading(current) if current == id) {
                     self.flight = Flight::Idle;
@@ -248,8 +251,8 @@
         }
     }
 
-    /// Drops a claim that nobody waits for; one that may be in the log already is released.
-    fn forget(&mut self, ticket: Ticket) {
+    /// Answers a claim whose time is up; one that may be in the log already is released.
+    fn give_up(&mut self, ticket: Ticket, actions: &mut Vec<ShardAction>) {
         let found = self
             .pending
             .iter()
@@ -257,7 +260,12 @@
         let Some(pending) = found.and_then(|index| self.pending.remove(index)) else {
             return;
         };
-        if pending.sent {
+        let loaded = self.proven && self.tail.is_some();
+        let known = self.table.judge(&pending.claim);
+        let answer = known.unwrap_or(ClaimAnswer::Unavailable { loaded });
+        let unused = matches!(answer, ClaimAnswer::Unavailable { .. });
+        actions.push(ShardAction::Answer { ticket, answer });
+        if unused && pending.sent {
             self.take_note(Entry::Release {
                 key: pending.claim.key,
                 nonce: pending.claim.nonce,
@@ -272,6 +280,10 @@
     }
 
     fn take_note(&mut self, entry: Entry) {
+        if matches!(entry, Entry::Outcome { .. }) {
+            // An outcome is true whether or not the store holds it yet.
+            self.table.apply(&entry);
+        }
         if let Entry::Release { key, nonce } = &entry {
             // A claim that was given up must not be appended after its release.
             self.pending
@@ -309,6 +321,7 @@
         tail.expected = Expected::Version(version);
         self.set_tail(tail);
         self.synced_at = now;
+        self.proven = true;
     }
 
     /// Returns whether this VM was paused for a large part of the retention.
@@ -341,6 +354,7 @@
             return;
         }
         if self.tail.is_none() {
+            self.proven = false;
             self.table = ClaimTable::default();
             self.sealed.clear();
             self.set_tail(Tail {
@@ -400,8 +414,8 @@
     }
 
     fn advance(&mut self, now: Timestamp, actions: &mut Vec<ShardAction>) {
+        self.answer_settled(actions);
         if self.in_sync {
-            self.answer_settled(actions);
             self.forget_old(now, actions);
         }
         if !matches!(self.flight, Flight::Idle) {
@@ -418,13 +432,18 @@
     }
 
     fn answer_settled(&mut self, actions: &mut Vec<ShardAction>) {
-        let table = &self.table;
+        let (table, in_sync) = (&self.table, self.in_sync);
         let mut refresh = false;
         self.pending.retain(|pending| {
             let Some(answer) = table.judge(&pending.claim) else {
                 return true;
             };
-            refresh |= matches!(answer, ClaimAnswer::Running { .. });
+            // Of all answers only this one can be outdated.
+            let running = matches!(answer, ClaimAnswer::Running { .. });
+            if running && !in_sync {
+                return true;
+            }
+            refresh |= running;
             actions.push(ShardAction::Answer {
                 ticket: pending.ticket,
                 answer,
--- a/crates/almondcroft-standin/src/engine/http.rs
+++ b/crates/almondcroft-standin/src/engine/http.rs
@@ -1,7 +1,7 @@
 //! The engine's HTTP interface.
 
 use super::{Engine, EngineFaults, EngineSpec, Generation, draw_length, token};
-use crate::request::{body, json, query, replace};
+use crate::request::{body, broken, json, query, replace};
 use crate::server::{Death, Server, ServerError};
 use almondcroft_core::Timestamp;
 use almondcroft_proto::caller::CompletionRequest;
@@ -263,8 +263,9 @@
         Acceptance::Refuse => conn.with_status(503).halt(),
         Acceptance::Die => {
             state.die();
-            sleep(Duration::from_secs(1)).await;
-            conn.with_status(500).halt()
+            // The listener closes before the connection breaks, as when a process dies.
+            sleep(Duration::from_millis(100)).await;
+            broken(conn)
         }
     }
 }
--- a/crates/almondcroft-standin/src/object_api.rs
+++ b/crates/almondcroft-standin/src/object_api.rs
@@ -1,9 +1,8 @@
 //! A stand-in for the platform's object API.
 
-use crate::request::{body, json, query, replace};
+use crate::request::{body, broken, json, query, replace};
 use crate::server::{Death, Server, ServerError};
 use almondcroft_proto::object::{KeyList, OBJECTS_PATH, WATCH_PATH};
-use almondcroftd::http::stream_body;
 use almondcroftd::{Clock, sleep};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -223,19 +222,12 @@
     if inner.faults.lose_answers > 0 {
         inner.faults.lose_answers -= 1;
         drop(inner);
-        return lost(conn);
+        return broken(conn);
     }
     drop(inner);
     answer(conn, version, Vec::new())
 }
 
-/// Breaks the connection instead of answering.
-fn lost(conn: Conn) -> Conn {
-    let (sender, body) = stream_body();
-    let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
-    conn.with_status(500).with_body(body).halt()
-}
-
 fn delete(conn: Conn, state: &StoreState, key: &str) -> Conn {
     let mut inner = state.lock();
     inner.counts.writes += 1;
--- a/crates/almondcroft-standin/src/request.rs
+++ b/crates/almondcroft-standin/src/request.rs
@@ -1,5 +1,6 @@
 //! Reading requests.
 
+use almondcroftd::http::stream_body;
 use futures_lite::AsyncReadExt;
 use serde::de::DeserializeOwned;
 use trillium::Conn;
@@ -31,6 +32,13 @@
         .and_then(|(_, value)| value.parse().ok())
 }
 
+/// Ends a connection without a whole answer, as a process that dies does.
+pub(crate) fn broken(conn: Conn) -> Conn {
+    let (sender, body) = stream_body();
+    let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+    conn.with_status(500).with_body(body).halt()
+}
+
 /// Answers with JSON.
 pub(crate) fn json(mut conn: Conn, value: &impl serde::Serialize) -> Conn {
     let text = serde_json::to_string(value).unwrap_or_default();
--- a/crates/almondcroft-standin/src/server.rs
+++ b/crates/almondcroft-standin/src/server.rs
@@ -1,5 +1,6 @@
 //! Listening, and dying on demand.
 
+use crate::request::broken;
 use almondcroftd::http::server_options;
 use snafu::{ResultExt, Snafu};
 use std::io;
@@ -49,13 +50,7 @@
         let guard = death.clone();
         let alive = move |conn: Conn| {
             let dead = guard.is_dead();
-            async move {
-                if dead {
-                    conn.with_status(503).halt()
-                } else {
-                    conn
-                }
-            }
+            async move { if dead { broken(conn) } else { conn } }
         };
         let handle = trillium_smol::config()
             .without_signals()
--- a/crates/almondcroft-standin/src/service.rs
+++ b/crates/almondcroft-standin/src/service.rs
@@ -1,9 +1,8 @@
 //! A stand-in plain service that records every execution.
 
-use crate::request::{body, json, replace};
+use crate::request::{body, broken, json, replace};
 use crate::server::{Death, Server, ServerError};
 use almondcroft_proto::engine::{LOAD_PATH, LoadMessage};
-use almondcroftd::http::stream_body;
 use almondcroftd::sleep;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -143,9 +142,3 @@
     }
     json(conn, &serde_json::json!({"execution": number}))
 }
-
-fn broken(conn: Conn) -> Conn {
-    let (sender, body) = stream_body();
-    let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
-    conn.with_status(200).with_body(body).halt()
-}
--- /dev/null
+++ b/crates/almondcroft-standin/tests/streams.rs
@@ -0,0 +1,249 @@
+//! Streams through an entry VM while engines, connections and callers fail.
+
+use almondcroft_core::Verdict;
+use almondcroft_proto::Problem;
+use almondcroft_standin::demo::{Caller, OTHER_TOKEN, StreamEnd, Streamed, World};
+use almondcroft_standin::engine::EngineFaults;
+use almondcroftd::http::Outbound;
+use almondcroftd::{block_on, sleep};
+use std::time::Duration;
+use trillium::Method;
+
+const TOKENS: u64 = 60;
+const PROMPT: &str = "a week of lunches";
+
+async fn set_faults(world: &World, engine: usize, faults: &EngineFaults) {
+    let url = format!("{}/admin/faults", world.engines[engine].url());
+    let body = serde_json::to_vec(faults).unwrap();
+    let limit = Duration::from_secs(10);
+    let call = Outbound::new()
+        .call(Method::Put, &url, &[], body, limit)
+        .await;
+    assert!(call.is_ok());
+}
+
+async fn generations(world: &World, engine: usize) -> u64 {
+    let url = format!("{}/admin/state", world.engines[engine].url());
+    let limit = Duration::from_secs(10);
+    let outbound = Outbound::new();
+    let call = outbound.call(Method::Get, &url, &[], Vec::new(), limit);
+    let mut conn = call.await.unwrap();
+    let bytes = Outbound::read_body(&mut conn, 4096, limit).await.unwrap();
+    let state: serde_json::Value = serde_json::from_slice(&bytes).unwrap();
+    state["generations"].as_u64().unwrap()
+}
+
+fn assert_whole(streamed: &Streamed, tokens: u64) {
+    assert_eq!(streamed.end, StreamEnd::Done);
+    assert_eq!(streamed.tokens as u64, tokens);
+    let numbers: Vec<String> = streamed
+        .text
+        .split_whitespace()
+        .map(|word| word.chars().filter(char::is_ascii_digit).collect())
+        .collect();
+    let expected: Vec<String> = (0..tokens).map(|number| number.to_string()).collect();
+    assert_eq!(numbers, expected);
+}
+
+fn problem(streamed: &Streamed) -> &Problem {
+    match &streamed.end {
+        StreamEnd::Problem(problem) => problem,
+        other => panic!("expected a problem, got {other:?}"),
+    }
+}
+
+#[test]
+fn stream_each_event_at_once() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let streamed = Caller::default()
+            .stream(&world.vm_urls()[0], PROMPT, TOKENS)
+            .await;
+        assert_whole(&streamed, TOKENS);
+        // A buffered answer would bring all events in one piece.
+        let first = streamed.times[0];
+        let later = streamed.times.iter().filter(|time| **time > first).count();
+        assert!(later > 50, "{:?}", streamed.times);
+    });
+}
+
+#[test]
+fn stream_duplicated_missing_crossed_events() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let faults = EngineFaults {
+            duplicate_every: Some(3),
+            skip_every: Some(29),
+            cross_every: Some(5),
+            ..EngineFaults::default()
+        };
+        set_faults(&world, 0, &faults).await;
+        let caller = Caller::default();
+        let url = world.vm_urls()[0].clone();
+        let streaming = caller.stream(&url, PROMPT, TOKENS);
+        // A resume meets the same gap until the engine is well again.
+        let healing = async {
+            sleep(Duration::from_millis(1_200)).await;
+            set_faults(&world, 0, &EngineFaults::default()).await;
+        };
+        let (streamed, ()) = futures_lite::future::zip(streaming, healing).await;
+        assert_whole(&streamed, TOKENS);
+    });
+}
+
+#[test]
+fn stream_half_open_connection() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let caller = Caller::default();
+        let url = world.vm_urls()[0].clone();
+        let streaming = caller.stream(&url, PROMPT, TOKENS);
+        let freezing = async {
+            sleep(Duration::from_millis(200)).await;
+            let faults = EngineFaults {
+                freeze_streams: true,
+                ..EngineFaults::default()
+            };
+            set_faults(&world, 0, &faults).await;
+        };
+        let (streamed, ()) = futures_lite::future::zip(streaming, freezing).await;
+        assert_whole(&streamed, TOKENS);
+    });
+}
+
+#[test]
+fn stream_engine_dies_after_tokens() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let faults = EngineFaults {
+            die_at_token: Some(20),
+            ..EngineFaults::default()
+        };
+        set_faults(&world, 0, &faults).await;
+        let streamed = Caller::default()
+            .stream(&world.vm_urls()[0], PROMPT, TOKENS)
+            .await;
+        assert!(streamed.tokens <= 20);
+        let problem = problem(&streamed);
+        assert_eq!(problem.kind, "engine-lost");
+        let verdict = if streamed.tokens > 0 {
+            Verdict::Ran
+        } else {
+            Verdict::MayHaveRun
+        };
+        assert_eq!(problem.verdict, verdict);
+    });
+}
+
+#[test]
+fn stream_caller_gone_cancels() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let streamed = Caller::default()
+            .stream_until(&world.vm_urls()[0], PROMPT, 10_000, 5)
+            .await;
+        assert_eq!(streamed.end, StreamEnd::Left);
+        let mut looks = 0;
+        while generations(&world, 0).await > 0 {
+            looks += 1;
+            assert!(looks < 1_000, "the engine goes on");
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+#[test]
+fn resume_elsewhere_after_leaving() {
+    block_on(async {
+        let world = World::start(2, 1).await.unwrap();
+        let caller = Caller::default();
+        let urls = world.vm_urls();
+        let part = caller.stream_until(&urls[0], PROMPT, TOKENS, 10).await;
+        let rest = caller
+            .resume(&urls[1], part.last_id.as_ref().unwrap())
+            .await;
+        assert_eq!(rest.end, StreamEnd::Done);
+        let whole = Streamed {
+            text: format!("{}{}", part.text, rest.text),
+            tokens: part.tokens + rest.tokens,
+            ..rest
+        };
+        assert_whole(&whole, TOKENS);
+    });
+}
+
+#[test]
+fn resume_forged_and_foreign_handle() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let url = &world.vm_urls()[0];
+        let caller = Caller::default();
+        let part = caller.stream_until(url, PROMPT, TOKENS, 5).await;
+        let handle = part.last_id.unwrap();
+        let foreign = Caller::new(OTHER_TOKEN).resume(url, &handle).await;
+        assert_eq!(problem(&foreign).status, 403);
+        let forged = caller.resume(url, "bm9uc2Vuc2Ugb2YgYSBoYW5kbGU").await;
+        assert_eq!(problem(&forged).status, 400);
+        assert_eq!(problem(&forged).field.as_deref(), Some("last-event-id"));
+    });
+}
+
+#[test]
+fn stream_request_that_crashes_engines() {
+    block_on(async {
+        let world = World::start(2, 3).await.unwrap();
+        let faults = EngineFaults {
+            crash_marker: Some("poison".into()),
+            ..EngineFaults::default()
+        };
+        for engine in 0..3 {
+            set_faults(&world, engine, &faults).await;
+        }
+        let caller = Caller::default();
+        let urls = world.vm_urls();
+        let prompt = "poison soup";
+        let first = caller.stream(&urls[0], prompt, TOKENS).await;
+        assert_eq!(problem(&first).verdict, Verdict::MayHaveRun);
+        // The other VM hears of the crashes from its neighbour.
+        sleep(Duration::from_secs(3)).await;
+        let again = caller.stream(&urls[1], prompt, TOKENS).await;
+        assert_eq!(problem(&again).kind, "quarantined");
+        assert_eq!(problem(&again).verdict, Verdict::NotRun);
+        let other = caller.stream(&urls[1], "plain soup", 10).await;
+        assert_eq!(other.end, StreamEnd::Done, "one engine is left");
+    });
+}
+
+#[test]
+fn stop_finishes_streams() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let caller = Caller::default();
+        let url = world.vm_urls()[0].clone();
+        let streaming = caller.stream(&url, PROMPT, TOKENS);
+        let stopping = async {
+            sleep(Duration::from_millis(200)).await;
+            world.vms[0].stop().await
+        };
+        let (streamed, clean) = futures_lite::future::zip(streaming, stopping).await;
+        assert_whole(&streamed, TOKENS);
+        assert!(clean);
+    });
+}
+
+#[test]
+fn cut_ends_streams_with_verdict() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let caller = Caller::default();
+        let url = world.vm_urls()[0].clone();
+        let streaming = caller.stream(&url, PROMPT, 10_000);
+        let cutting = async {
+            sleep(Duration::from_millis(300)).await;
+            world.vms[0].cut().await;
+        };
+        let (streamed, ()) = futures_lite::future::zip(streaming, cutting).await;
+        assert_eq!(problem(&streamed).kind, "stopping");
+        assert_eq!(problem(&streamed).verdict, Verdict::Ran);
+    });
+}
--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -155,11 +155,9 @@
                 ClaimAnswer::Done(outcome) => return Ok(Some(outcome)),
                 ClaimAnswer::Mismatch => return Err(mismatch()),
                 ClaimAnswer::Expired => return Err(expired()),
-                ClaimAnswer::Unavailable => {
+                ClaimAnswer::Unavailable { loaded } => {
                     release(app, claim);
-                    return Err(Problem::new(503, "store-unavailable", Verdict::NotRun)
-                        .detail("the call could not be registered, so it was not made")
-                        .retry_after(2));
+                    return Err(unavailable(loaded));
                 }
                 ClaimAnswer::Running {
                     vm,
@@ -334,6 +332,21 @@
     claims::note(app, entry);
 }
 
+/// Answers a call that could not be claimed, and so was not made.
+fn unavailable(loaded: bool) -> Problem {
+    let (verdict, detail) = if loaded {
+        let detail = "the call could not be registered, so it was not made";
+        (Verdict::NotRun, detail)
+    } else {
+        // An earlier attempt with the key may be in the log, which cannot be read.
+        let detail = "this attempt was not made, but it is not known whether an earlier one was";
+        (Verdict::MayHaveRun, detail)
+    };
+    Problem::new(503, "store-unavailable", verdict)
+        .detail(detail)
+        .retry_after(2)
+}
+
 fn unknown() -> Problem {
     Problem::new(409, "outcome-unknown", Verdict::MayHaveRun)
         .detail("an earlier attempt with this key may have run; its outcome is not known")
--- a/crates/almondcroftd/src/claims.rs
+++ b/crates/almondcroftd/src/claims.rs
@@ -13,8 +13,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time for a peer to answer a claim before the next one is asked.
-const PEER_TIME: Duration = Duration::from_millis(120);
+/// Part of the time for a claim after which the next VM is asked.
+const PEER_PART: f64 = 0.7;
+
+/// Part of the time for a claim that a VM spends on one for another VM.
+const HOLDER_PART: f64 = 0.6;
+
+/// The answer where nothing is known.
+const UNAVAILABLE: ClaimAnswer = ClaimAnswer::Unavailable { loaded: false };
 
 /// Attempts to hand over an outcome.
 const NOTE_ATTEMPTS: u32 = 5;
@@ -61,7 +67,7 @@
         limit: Duration,
     ) -> ClaimAnswer {
         let Some((sender, _)) = self.shards.get(shard as usize) else {
-            return ClaimAnswer::Unavailable;
+            return UNAVAILABLE;
         };
         let (reply, answer) = async_channel::bounded(1);
         let ticket = rand::random();
@@ -71,13 +77,13 @@
             reply,
         };
         if sender.try_send(command).is_err() {
-            return ClaimAnswer::Unavailable;
+            return UNAVAILABLE;
         }
         if let Some(Ok(answer)) = within(limit, answer.recv()).await {
             return answer;
         }
-        let _ = sender.try_send(Command::Forget { ticket });
-        ClaimAnswer::Unavailable
+        let _ = sender.try_send(Command::GiveUp { ticket });
+        answer.recv().await.unwrap_or(UNAVAILABLE)
     }
 
     /// Appends an entry at this VM.
@@ -107,9 +113,8 @@
             shard,
             claim: claim.clone(),
         };
-        let limit = left.min(PEER_TIME);
+        let limit = left.min(app.settings.limits.claim_time.mul_f64(PEER_PART));
         match app.peers.call(&address, CLAIM, &params, limit).await {
-            Ok(ClaimAnswer::Unavailable) => return ClaimAnswer::Unavailable,
             Ok(answer) => return answer,
             Err(error) => {
                 log::info!(event = "claim-peer-failed", vm = vm.as_str(), error:% = error; "");
@@ -118,7 +123,13 @@
             }
         }
     }
-    ClaimAnswer::Unavailable
+    UNAVAILABLE
+}
+
+/// Returns the time that a VM spends on a claim for another VM, which must hear the answer before
+/// it asks the next one.
+pub(crate) fn holder_time(app: &App) -> Duration {
+    app.settings.limits.claim_time.mul_f64(HOLDER_PART)
 }
 
 /// Hands an entry to the VM that appends to its shard, in the background.
--- a/crates/almondcroftd/src/claims/driver.rs
+++ b/crates/almondcroftd/src/claims/driver.rs
@@ -27,8 +27,8 @@
         /// Takes the answer.
         reply: Sender<ClaimAnswer>,
     },
-    /// Nobody waits for a claim any longer.
-    Forget {
+    /// The time for a claim is up.
+    GiveUp {
         /// Names the claim.
         ticket: Ticket,
     },
@@ -100,10 +100,7 @@
                 self.replies.insert(ticket, reply);
                 ShardEvent::Claim { ticket, claim }
             }
-            Command::Forget { ticket } => {
-                self.replies.remove(&ticket);
-                ShardEvent::Forget { ticket }
-            }
+            Command::GiveUp { ticket } => ShardEvent::GiveUp { ticket },
             Command::Note(entry) => ShardEvent::Note(entry),
             Command::Ended(event) => event,
         }
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -184,7 +184,8 @@
     }
 }
 
-async fn probe_neighbours(app: &Arc<App>) {
+/// Tells the neighbours at once what is new.
+pub(crate) async fn probe_neighbours(app: &Arc<App>) {
     let listed = app.members.listed();
     let chosen = neighbours(&app.settings.vm, &listed, NEIGHBOURS);
     let mut message = hello(app);
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -35,6 +35,15 @@
 /// Tokens between two reports of progress to the router.
 const PROGRESS_STEP: u64 = 16;
 
+/// Kinds of problems after which another engine may be tried, as long as no token was delivered.
+const RETRYABLE: [&str; 3] = ["engine-lost", "engine-refused", "engine-error"];
+
+/// Shortest time between two reconnects that bring no token.
+const FIRST_RECONNECT: Duration = Duration::from_millis(20);
+
+/// Longest time between two such reconnects.
+const LAST_RECONNECT: Duration = Duration::from_secs(1);
+
 /// States what a relay is to do.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -139,7 +148,7 @@
             self.app
                 .routing
                 .finished(&self.job.route.service, &self.job.route.id, false, now);
-            let retryable = matches!(problem.kind.as_str(), "engine-lost" | "engine-refused");
+            let retryable = RETRYABLE.contains(&problem.kind.as_str());
             let blocked = self
                 .app
                 .quarantine()
@@ -264,9 +273,7 @@
                     Ok(())
                 }
                 429 | 503 => Err(self.problem(503, "engine-refused", Verdict::NotRun)),
-                status => Err(self
-                    .problem(502, "engine-error", Verdict::NotRun)
-                    .detail(format!("the engine answered with status {status}"))),
+                status => Err(self.engine_error(status)),
             },
             Err(error) if error.kind == CallErrorKind::Refused => {
                 self.app.observe_target(&self.target, Evidence::Refused);
@@ -281,9 +288,19 @@
         }
     }
 
+    /// Tells what an answer without a stream means; only a refusal is sure not to have run.
+    fn engine_error(&self, status: u16) -> Problem {
+        let refused = (400..500).contains(&status);
+        let (kind, verdict) = if refused {
+            ("engine-rejected", Verdict::NotRun)
+        } else {
+            ("engine-error", Verdict::MayHaveRun)
+        };
+        self.problem(502, kind, verdict)
+            .detail(format!("the engine answered with status {status}"))
+    }
+
     /// Returns the next event for the caller, or `None` at the whole end.
-    ///
-    /// The future may be dropped and asked for again: no event is lost.
     pub(crate) async fn next(&mut self) -> Result<Option<Event>, Problem> {
         loop {
             if self.finished {
@@ -450,6 +467,10 @@
         if self.idle_reconnects > MAX_IDLE_RECONNECTS {
             return Err(self.give_up(502, "engine-silent"));
         }
+        if self.idle_reconnects > 1 {
+            let factor = 1 << (self.idle_reconnects - 2).min(6);
+            sleep((FIRST_RECONNECT * factor).min(LAST_RECONNECT)).await;
+        }
         match self.resume_source().await {
             Ok(source) => {
                 self.source = Some(source);
@@ -503,6 +524,8 @@
             let now = self.app.clock.now();
             let count = self.app.quarantine().note_crash(self.job.fingerprint, now);
             log::warn!(event = "target-died", target = self.target.as_str(), crashes = count; "");
+            let app = Arc::clone(&self.app);
+            spawn(async move { crate::members::probe_neighbours(&app).await });
         }
         self.end();
         let detail = match loss {
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -234,48 +234,69 @@
 async fn pump(app: &Arc<App>, mut relay: Relay, first: Event, sender: &BodySender) {
     let mut opening = vec![b':'; OPENING_BYTES];
     opening.extend_from_slice(b"\n\n");
-    let mut next = Some(Ok(Some(first)));
-    let mut bytes = opening;
-    loop {
-        let item = match next.take() {
-            Some(item) => Some(item),
-            None => within(KEEP_ALIVE, relay.next()).await,
-        };
-        let ended = match item {
-            None => {
-                bytes.extend_from_slice(b": waiting\n\n");
-                false
-            }
-            Some(Ok(Some(event))) => {
-                event.encode_into(&mut bytes);
-                false
-            }
-            Some(Ok(None)) => {
-                bytes.extend_from_slice(format!("data: {DONE}\n\n").as_bytes());
-                true
-            }
-            Some(Err(problem)) => {
-                app.metrics.count_verdict(problem.verdict);
-                error_event(&problem).encode_into(&mut bytes);
-                true
-            }
+    first.encode_into(&mut opening);
+    let mut there = send(app, sender, opening).await;
+    while there {
+        let Some(item) = next(app, &mut relay, sender).await else {
+            break;
         };
-        if app.lifecycle.is_crashed() {
-            let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+        let (bytes, ended) = encode(app, item);
+        there = send(app, sender, bytes).await;
+        if ended {
             return;
         }
-        let piece = std::mem::take(&mut bytes);
-        let sent = within(app.settings.limits.write_time, sender.send(Ok(piece))).await;
-        if !matches!(sent, Some(Ok(()))) {
-            relay.abandon();
-            return;
+    }
+    relay.abandon();
+}
+
+/// Returns the next item, or `None` when the caller is gone.
+///
+/// Comments are sent meanwhile. The relay is not interrupted by them: what it has begun goes on.
+async fn next(app: &Arc<App>, relay: &mut Relay, sender: &BodySender) -> Option<Item> {
+    let mut item = std::pin::pin!(relay.next());
+    loop {
+        if let Some(item) = within(KEEP_ALIVE, &mut item).await {
+            return Some(item);
         }
-        if ended {
-            return;
+        if !send(app, sender, b": waiting\n\n".to_vec()).await {
+            return None;
         }
     }
 }
 
+/// What a relay yields.
+type Item = Result<Option<Event>, Problem>;
+
+/// Encodes an item; returns whether it is the last one.
+fn encode(app: &App, item: Item) -> (Vec<u8>, bool) {
+    let mut bytes = Vec::new();
+    match item {
+        Ok(Some(event)) => {
+            event.encode_into(&mut bytes);
+            (bytes, false)
+        }
+        Ok(None) => {
+            bytes.extend_from_slice(format!("data: {DONE}\n\n").as_bytes());
+            (bytes, true)
+        }
+        Err(problem) => {
+            app.metrics.count_verdict(problem.verdict);
+            error_event(&problem).encode_into(&mut bytes);
+            (bytes, true)
+        }
+    }
+}
+
+/// Sends a piece to the caller; returns whether the caller is there and fast enough.
+async fn send(app: &App, sender: &BodySender, piece: Vec<u8>) -> bool {
+    if app.lifecycle.is_crashed() {
+        let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+        return false;
+    }
+    let sent = within(app.settings.limits.write_time, sender.send(Ok(piece))).await;
+    matches!(sent, Some(Ok(())))
+}
+
 fn error_event(problem: &Problem) -> Event {
     Event {
         id: None,
--- a/crates/almondcroftd/src/server/peer_api.rs
+++ b/crates/almondcroftd/src/server/peer_api.rs
@@ -21,7 +21,7 @@
     module
         .register_async_method(CLAIM, |params, app, _| async move {
             let params: ClaimParams = params.one()?;
-            let limit = app.settings.limits.claim_time;
+            let limit = crate::claims::holder_time(&app);
             let answer = app.claims.claim_here(params.shard, params.claim, limit);
             Ok::<_, ErrorObjectOwned>(answer.await)
         })
