feat(experiment): measure routing policies in virtual time

Cause: policies could not be compared. Change: workloads, engine fakes and one router per VM in virtual time; the router keeps sums per target up to date event by event.

--- a/crates/almondcroft-core/src/router.rs
+++ b/crates/almondcroft-core/src/router.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod estimator;
 mod options;
+mod queue;
 mod report;
 mod request;
 mod route;
@@ -18,4 +19,4 @@
 pub use report::LoadReport;
 pub use request::RouteRequest;
 pub use route::Router;
-pub use target::{TargetSpec, TargetState};
+pub use target::TargetSpec;
--- a/crates/almondcroft-core/src/router/options.rs
+++ b/crates/almondcroft-core/src/router/options.rs
@@ -34,14 +34,14 @@
     pub max_queue: usize,
     /// Number of VMs that send to the same targets.
     pub vms: u32,
+    /// Largest part of an engine's memory that other VMs are taken to have filled since its report.
+    pub herd: f64,
     /// Tokens of load that a cached prefix outweighs.
     pub prefix_bonus: f64,
     /// Refuse at once what cannot complete in time.
     pub refuse_late: bool,
     /// Time between two tokens that is assumed before any was measured.
     pub initial_gap: Duration,
-    /// Age at which a load report is no longer believed.
-    pub report_age: Duration,
 }
 
 impl Default for RouterOptions {
@@ -53,10 +53,10 @@
             max_batch: 64,
             max_queue: 2_000,
             vms: 1,
+            herd: 0.3,
             prefix_bonus: 200.0,
             refuse_late: true,
             initial_gap: Duration::from_millis(20),
-            report_age: Duration::from_secs(10),
         }
     }
 }
--- /dev/null
+++ b/crates/almondcroft-core/src/router/queue.rs
@@ -0,0 +1,79 @@
+//! Requests that wait for room.
+
+use super::RouteRequest;
+use crate::{RequestId, Timestamp};
+use std::collections::BTreeMap;
+
+/// Place of a request in the queue: priority, deadline, then arrival.
+type Place = (u8, Timestamp, u64);
+
+/// Keeps waiting requests in the order in which they are placed.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    waiting: BTreeMap<Place, RouteRequest>,
+    arrivals: u64,
+}
+
+impl Queue {
+    pub(super) fn push(&mut self, request: RouteRequest) {
+        self.arrivals += 1;
+        let place = (request.priority, request.deadline, self.arrivals);
+        self.waiting.insert(place, request);
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn first(&self) -> Option<&RouteRequest> {
+        self.waiting.values().next()
+    }
+
+    pub(super) fn pop(&mut self) -> Option<RouteRequest> {
+        self.waiting.pop_first().map(|(_, request)| request)
+    }
+
+    pub(super) fn remove(&mut self, id: &RequestId) {
+        self.waiting.retain(|_, request| request.id != *id);
+    }
+
+    /// Takes out the requests for which `leaves` holds.
+    pub(super) fn take_if(&mut self, leaves: impl Fn(&RouteRequest) -> bool) -> Vec<RouteRequest> {
+        self.waiting
+            .extract_if(.., |_, request| leaves(request))
+            .map(|(_, request)| request)
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    fn request(id: &str, priority: u8, deadline: u64) -> RouteRequest {
+        RouteRequest {
+            id: id.into(),
+            customer: "quito".into(),
+            service: "menus".into(),
+            priority,
+            worth: 1.0,
+            deadline: Duration::from_secs(deadline),
+            prompt: 1,
+            prefix: None,
+            region: "quito".into(),
+            max_tokens: None,
+            known_length: None,
+        }
+    }
+
+    #[test]
+    fn pop_by_priority_then_deadline() {
+        let mut queue = Queue::default();
+        queue.push(request("late", 1, 9));
+        queue.push(request("soon", 1, 5));
+        queue.push(request("urgent", 0, 20));
+        let order: Vec<_> = std::iter::from_fn(|| queue.pop()).map(|r| r.id).collect();
+        assert_eq!(order, ["urgent", "soon", "late"]);
+    }
+}
--- a/crates/almondcroft-core/src/router/request.rs
+++ b/crates/almondcroft-core/src/router/request.rs
@@ -26,4 +26,7 @@
     pub region: RegionId,
     /// Most tokens that the caller allows, if stated.
     pub max_tokens: Option<u32>,
+    /// Length of the output, where it is known beforehand.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known_length: Option<u32>,
 }
--- a/crates/almondcroft-core/src/router/route.rs
+++ b/crates/almondcroft-core/src/router/route.rs
@@ -1,20 +1,21 @@
 //! The router itself.
 
-use super::target::{Flight, as_f64, need};
+use super::queue::Queue;
+use super::target::{TargetState, need};
 use super::{
     Decision, Estimator, LoadReport, Policy, RefuseReason, RouteRequest, RouterOptions, TargetSpec,
-    TargetState,
 };
-use crate::{RequestId, TargetId, Timestamp};
+use crate::{RequestId, ServiceId, TargetId, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::HashMap;
+use std::time::Duration;
 
 /// Weight of the newest gap between tokens in the moving average.
 const GAP_WEIGHT: f64 = 0.05;
 
-/// KV memory assumed of an engine that has not reported, in tokens.
-const DEFAULT_KV_TOKENS: f64 = 40_000.0;
+/// Quantile of the output length that must fit before the deadline for a request to be tried.
+const LATE_QUANTILE: f64 = 0.25;
 
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -52,6 +53,7 @@
 ///         prefix: None,
 ///         region: "quito".into(),
 ///         max_tokens: None,
+///         known_length: None,
 ///     },
 ///     now,
 /// );
@@ -60,9 +62,11 @@
 #[derive(Debug)]
 pub struct Router {
     options: RouterOptions,
-    targets: BTreeMap<TargetId, TargetState>,
-    queue: Vec<RouteRequest>,
-    placed: BTreeMap<RequestId, TargetId>,
+    targets: Vec<TargetState>,
+    by_id: HashMap<TargetId, usize>,
+    by_service: HashMap<ServiceId, Vec<usize>>,
+    queue: Queue,
+    placed: HashMap<RequestId, usize>,
     estimator: Estimator,
     gap: f64,
     turn: usize,
@@ -75,9 +79,11 @@
     pub fn new(options: RouterOptions, seed: u64) -> Self {
         Self {
             options,
-            targets: BTreeMap::new(),
-            queue: Vec::new(),
-            placed: BTreeMap::new(),
+            targets: Vec::new(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            queue: Queue::default(),
+            placed: HashMap::new(),
             estimator: Estimator::default(),
             gap: options.initial_gap.as_secs_f64(),
             turn: 0,
@@ -87,19 +93,27 @@
 
     /// Replaces the targets; those that stay keep their state, those that go finish their work.
     pub fn set_targets(&mut self, specs: Vec<TargetSpec>) {
-        let mut old = std::mem::take(&mut self.targets);
+        for state in &mut self.targets {
+            state.removed = true;
+        }
         for spec in specs {
-            let id = spec.id.clone();
-            let mut state = old
-                .remove(&id)
-                .unwrap_or_else(|| TargetState::new(spec.clone()));
-            state.spec = spec;
-            self.targets.insert(id, state);
+            if let Some(index) = self.by_id.get(&spec.id) {
+                let state = &mut self.targets[*index];
+                state.removed = false;
+                state.spec = spec;
+            } else {
+                self.by_id.insert(spec.id.clone(), self.targets.len());
+                self.targets.push(TargetState::new(spec));
+            }
         }
-        for (id, mut state) in old {
-            if !state.flights.is_empty() {
-                state.spec.services.clear();
-                self.targets.insert(id, state);
+        self.by_service.clear();
+        for (index, state) in self.targets.iter().enumerate() {
+            if state.removed {
+                continue;
+            }
+            for service in &state.spec.services {
+                let able = self.by_service.entry(service.clone()).or_default();
+                able.push(index);
             }
         }
     }
@@ -111,16 +125,16 @@
 
     /// Returns the number of requests that wait.
     #[must_use]
-    pub const fn queued(&self) -> usize {
+    pub fn queued(&self) -> usize {
         self.queue.len()
     }
 
     /// Returns the number of requests at a target.
     #[must_use]
     pub fn in_flight(&self, target: &str) -> usize {
-        self.targets
+        self.by_id
             .get(target)
-            .map_or(0, |state| state.flights.len())
+            .map_or(0, |index| self.targets[*index].in_flight())
     }
 
     /// Takes a new request.
@@ -128,6 +142,9 @@
         if self.queue.len() >= self.options.max_queue {
             return vec![refuse(&request, RefuseReason::QueueFull)];
         }
+        if let Some(reason) = self.hopeless(&request, now) {
+            return vec![refuse(&request, reason)];
+        }
         self.queue.push(request);
         self.drain(now)
     }
@@ -139,49 +156,41 @@
         failed: &str,
         now: Timestamp,
     ) -> Vec<Decision> {
-        let Some(state) = self.targets.get_mut(failed) else {
+        let Some(index) = self.by_id.get(failed).copied() else {
             return self.submit(request, now);
         };
-        let usable = std::mem::replace(&mut state.usable, false);
+        let usable = std::mem::replace(&mut self.targets[index].usable, false);
         let decisions = self.submit(request, now);
-        if let Some(state) = self.targets.get_mut(failed) {
-            state.usable = usable;
-        }
+        self.targets[index].usable = usable;
         decisions
     }
 
     /// Takes a load report.
     pub fn report(&mut self, target: &str, report: LoadReport, now: Timestamp) -> Vec<Decision> {
-        let Some(state) = self.targets.get_mut(target) else {
+        let Some(index) = self.by_id.get(target) else {
             return Vec::new();
         };
-        let newer = state.report.is_none_or(|known| known.at <= report.at);
-        if newer {
-            state.report = Some(report);
-        }
+        self.targets[*index].take_report(report, now);
         self.drain(now)
     }
 
     /// Notes whether a target may get new work.
     pub fn set_usable(&mut self, target: &str, usable: bool, now: Timestamp) -> Vec<Decision> {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.usable = usable;
+        if let Some(index) = self.by_id.get(target) {
+            self.targets[*index].usable = usable;
         }
         self.drain(now)
     }
 
     /// Notes that a request has produced this many tokens.
     pub fn progress(&mut self, request: &RequestId, produced: u32, now: Timestamp) {
-        let Some(flight) = self.flight_mut(request) else {
+        let Some(index) = self.placed.get(request) else {
             return;
         };
-        let first = flight.produced == 0;
-        let tokens = produced.saturating_sub(flight.produced);
-        let elapsed = now.saturating_sub(flight.last).as_secs_f64();
-        flight.produced = flight.produced.max(produced);
-        flight.last = now;
-        if !first && tokens > 0 {
-            let gap = elapsed / f64::from(tokens);
+        let growth = self.options.growth;
+        let state = &mut self.targets[*index];
+        let gap = state.progress(request, produced, now, &self.estimator, growth);
+        if let Some(gap) = gap {
             self.gap += GAP_WEIGHT * (gap - self.gap);
         }
     }
@@ -193,12 +202,11 @@
         complete: bool,
         now: Timestamp,
     ) -> Vec<Decision> {
-        let Some(target) = self.placed.remove(request) else {
-            self.queue.retain(|waiting| waiting.id != *request);
+        let Some(index) = self.placed.remove(request) else {
+            self.queue.remove(request);
             return Vec::new();
         };
-        let state = self.targets.get_mut(&target);
-        if let Some(flight) = state.and_then(|state| state.flights.remove(request))
+        if let Some(flight) = self.targets[index].finish(request)
             && complete
         {
             let request = &flight.request;
@@ -210,153 +218,145 @@
 
     /// Notes that time passed: places what has room and refuses what is late.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Decision> {
-        self.drain(now)
+        let mut queue = std::mem::take(&mut self.queue);
+        let hopeless = queue.take_if(|request| self.hopeless(request, now).is_some());
+        self.queue = queue;
+        let mut decisions: Vec<Decision> = hopeless
+            .iter()
+            .map(|request| {
+                let reason = self.hopeless(request, now).unwrap_or(RefuseReason::Late);
+                refuse(request, reason)
+            })
+            .collect();
+        decisions.extend(self.drain(now));
+        decisions
     }
 
-    fn flight_mut(&mut self, request: &RequestId) -> Option<&mut Flight> {
-        let target = self.placed.get(request)?;
-        self.targets.get_mut(target)?.flights.get_mut(request)
+    /// Returns why a request need not wait any longer, if it need not.
+    fn hopeless(&self, request: &RouteRequest, now: Timestamp) -> Option<RefuseReason> {
+        let able = self.by_service.get(&request.service);
+        let any =
+            able.is_some_and(|able| able.iter().any(|index| self.targets[*index].takes_work()));
+        if !any {
+            return Some(RefuseReason::NoTarget);
+        }
+        let late = self.options.policy == Policy::Almondcroft
+            && self.options.refuse_late
+            && self.is_late(request, now);
+        late.then_some(RefuseReason::Late)
     }
 
+    /// Places waiting requests in order, until the first one that has no room.
     fn drain(&mut self, now: Timestamp) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        if self.queue.is_empty() {
-            return decisions;
-        }
-        let mut queue = std::mem::take(&mut self.queue);
-        if self.options.policy == Policy::Almondcroft {
-            queue.sort_by_key(|request| (request.priority, request.deadline));
-        }
-        for request in queue {
-            match self.place(&request, now) {
-                Placement::Target(target) => {
-                    decisions.push(self.dispatch(request, target, now));
-                }
-                Placement::Wait => self.queue.push(request),
-                Placement::Refuse(reason) => decisions.push(refuse(&request, reason)),
+        while let Some(first) = self.queue.first() {
+            let Some(index) = choose(
+                &self.options,
+                &self.targets,
+                self.by_service
+                    .get(&first.service)
+                    .map_or(&[], Vec::as_slice),
+                &self.estimator,
+                first,
+                &mut self.turn,
+                &mut self.rng,
+            ) else {
+                break;
+            };
+            if let Some(request) = self.queue.pop() {
+                decisions.push(self.dispatch(request, index, now));
             }
         }
         decisions
     }
 
-    fn dispatch(&mut self, request: RouteRequest, target: TargetId, now: Timestamp) -> Decision {
+    fn dispatch(&mut self, request: RouteRequest, index: usize, now: Timestamp) -> Decision {
         let id = request.id.clone();
-        if let Some(state) = self.targets.get_mut(&target) {
-            if let Some(prefix) = request.prefix {
-                state.note_prefix(prefix);
-            }
-            let flight = Flight {
-                request,
-                sent: now,
-                produced: 0,
-                last: now,
-            };
-            state.flights.insert(id.clone(), flight);
-        }
-        self.placed.insert(id.clone(), target.clone());
+        let need = need(&self.estimator, &request, 0, self.options.growth);
+        let state = &mut self.targets[index];
+        state.begin(request, need, now);
+        self.placed.insert(id.clone(), index);
         Decision::Dispatch {
             request: id,
-            target,
+            target: state.spec.id.clone(),
         }
     }
 
-    fn place(&mut self, request: &RouteRequest, now: Timestamp) -> Placement {
-        let able: Vec<&TargetState> = self
-            .targets
-            .values()
-            .filter(|state| state.serves(&request.service))
-            .collect();
-        if able.is_empty() {
-            return Placement::Refuse(RefuseReason::NoTarget);
-        }
-        match self.options.policy {
-            Policy::Almondcroft => self.place_by_headroom(request, &able, now),
-            Policy::RoundRobin => {
-                self.turn += 1;
-                Placement::Target(able[self.turn % able.len()].spec.id.clone())
-            }
-            Policy::LeastInFlight => {
-                let least = able.iter().min_by_key(|state| state.flights.len());
-                least.map_or(Placement::Wait, |state| {
-                    Placement::Target(state.spec.id.clone())
-                })
-            }
-            Policy::TwoChoices => {
-                let first = able[self.rng.random_range(0..able.len())];
-                let second = able[self.rng.random_range(0..able.len())];
-                let better = if reported_load(second) < reported_load(first) {
-                    second
-                } else {
-                    first
-                };
-                Placement::Target(better.spec.id.clone())
-            }
-        }
-    }
-
-    fn place_by_headroom(
-        &self,
-        request: &RouteRequest,
-        able: &[&TargetState],
-        now: Timestamp,
-    ) -> Placement {
-        if self.options.refuse_late && self.is_late(request, now) {
-            return Placement::Refuse(RefuseReason::Late);
-        }
-        let best = able
-            .iter()
-            .filter_map(|state| Some((self.cost(request, state, now)?, &state.spec.id)))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other));
-        best.map_or(Placement::Wait, |(_, id)| Placement::Target(id.clone()))
-    }
-
     fn is_late(&self, request: &RouteRequest, now: Timestamp) -> bool {
-        let length = self
-            .estimator
-            .quantile(&request.service, &request.customer, 0, 0.25);
+        let estimate = || {
+            self.estimator
+                .quantile(&request.service, &request.customer, 0, LATE_QUANTILE)
+        };
+        let length = request.known_length.map_or_else(estimate, f64::from);
         let needed = Duration::from_secs_f64(length * self.gap);
         now + needed > request.deadline
     }
+}
 
-    /// Returns the load of a target in tokens, or `None` when it has no room for the request.
-    fn cost(&self, request: &RouteRequest, state: &TargetState, now: Timestamp) -> Option<f64> {
-        let options = &self.options;
-        let total = state
-            .report
-            .map_or(DEFAULT_KV_TOKENS, |report| as_f64(report.kv_total));
-        let own = state.own_need(&self.estimator, options.growth);
-        let others = state.others_used(now);
-        let mine = need(&self.estimator, request, 0, options.growth);
-        let peers = f64::from(options.vms.max(1) - 1);
-        let since = as_f64(state.sent_since_report() as u64);
-        let unseen = since * peers * mine;
-        let load = own + others + unseen.min(total / 2.0);
-        let empty = state.flights.is_empty() && others < 1.0;
-        if load + mine > options.headroom * total && !empty {
-            return None;
+/// Chooses a target for a request, or `None` where it has to wait.
+fn choose(
+    options: &RouterOptions,
+    targets: &[TargetState],
+    able: &[usize],
+    estimator: &Estimator,
+    request: &RouteRequest,
+    turn: &mut usize,
+    rng: &mut ChaCha8Rng,
+) -> Option<usize> {
+    let takes_work = |index: &usize| targets[*index].takes_work();
+    if options.policy == Policy::Almondcroft {
+        let mine = need(estimator, request, 0, options.growth);
+        return able
+            .iter()
+            .copied()
+            .filter(takes_work)
+            .filter_map(|index| Some((cost(options, &targets[index], request, mine)?, index)))
+            .min_by(|(one, _), (other, _)| one.total_cmp(other))
+            .map(|(_, index)| index);
+    }
+    let able: Vec<usize> = able.iter().copied().filter(takes_work).collect();
+    if able.is_empty() {
+        return None;
+    }
+    match options.policy {
+        Policy::RoundRobin => {
+            *turn += 1;
+            Some(able[*turn % able.len()])
         }
-        let running = as_f64(state.flights.len() as u64) + state.others_running();
-        if running >= f64::from(options.max_batch) {
-            return None;
+        Policy::TwoChoices => {
+            let first = able[rng.random_range(0..able.len())];
+            let second = able[rng.random_range(0..able.len())];
+            let less = targets[second].reported_load() < targets[first].reported_load();
+            Some(if less { second } else { first })
         }
-        let prefix = if state.has_prefix(request.prefix) {
-            options.prefix_bonus
-        } else {
-            0.0
-        };
-        let link = if state.spec.region == request.region {
-            0.0
-        } else {
-            LINK_PENALTY_TOKENS
-        };
-        Some(load - prefix + link)
+        Policy::Almondcroft | Policy::LeastInFlight => able
+            .into_iter()
+            .min_by_key(|index| targets[*index].in_flight()),
     }
 }
 
-fn reported_load(state: &TargetState) -> u64 {
-    state.report.map_or(0, |report| {
-        u64::from(report.running + report.waiting) * 1_000_000 + report.kv_used
-    })
+/// Returns the load of a target in tokens, or `None` when it has no room for the request.
+fn cost(
+    options: &RouterOptions,
+    state: &TargetState,
+    request: &RouteRequest,
+    mine: f64,
+) -> Option<f64> {
+    let fill = state.fill(mine, options);
+    if !fill.room {
+        return None;
+    }
+    let prefix = if state.has_prefix(request.prefix) {
+        options.prefix_bonus
+    } else {
+        0.0
+    };
+    let link = if state.spec.region == request.region {
+        0.0
+    } else {
+        LINK_PENALTY_TOKENS
+    };
+    Some(fill.load - prefix + link)
 }
 
 fn refuse(request: &RouteRequest, reason: RefuseReason) -> Decision {
@@ -366,9 +366,3 @@
         retry_after: RETRY_AFTER,
     }
 }
-
-enum Placement {
-    Target(TargetId),
-    Wait,
-    Refuse(RefuseReason),
-}
--- a/crates/almondcroft-core/src/router/target.rs
+++ b/crates/almondcroft-core/src/router/target.rs
@@ -1,6 +1,6 @@
 //! What the router knows of one target.
 
-use super::{Estimator, LoadReport, RouteRequest};
+use super::{Estimator, LoadReport, RouteRequest, RouterOptions};
 use crate::{RegionId, RequestId, ServiceId, TargetId, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -8,6 +8,9 @@
 /// Prefixes remembered per target.
 const MAX_PREFIXES: usize = 64;
 
+/// KV memory assumed of an engine that has not reported, in tokens.
+const DEFAULT_KV_TOKENS: f64 = 40_000.0;
+
 /// Describes a target to the router.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetSpec {
@@ -25,50 +28,75 @@
     pub(super) sent: Timestamp,
     pub(super) produced: u32,
     pub(super) last: Timestamp,
+    need: f64,
 }
 
 impl Flight {
-    /// Estimates the tokens that existed at an earlier time.
-    fn produced_at(&self, at: Timestamp, now: Timestamp) -> f64 {
+    /// Estimates the tokens that it held at an earlier time.
+    fn held_at(&self, at: Timestamp, now: Timestamp) -> f64 {
         let age = now.saturating_sub(self.sent).as_secs_f64();
         let then = at.saturating_sub(self.sent).as_secs_f64();
-        if age <= 0.0 {
-            return 0.0;
-        }
-        f64::from(self.produced) * (then / age).min(1.0)
+        let part = if age > 0.0 {
+            (then / age).min(1.0)
+        } else {
+            0.0
+        };
+        f64::from(self.request.prompt) + f64::from(self.produced) * part
     }
 }
 
 /// Tracks the load of one target: the last report and what this VM has sent.
+///
+/// Sums are kept up to date event by event, so that a decision reads a few numbers per target.
 #[derive(Debug, Clone)]
-pub struct TargetState {
+pub(super) struct TargetState {
     pub(super) spec: TargetSpec,
     pub(super) usable: bool,
-    pub(super) report: Option<LoadReport>,
-    pub(super) flights: BTreeMap<RequestId, Flight>,
+    pub(super) removed: bool,
+    flights: BTreeMap<RequestId, Flight>,
     prefixes: VecDeque<u64>,
+    total: f64,
+    own_need: f64,
+    own_held: f64,
+    others_held: f64,
+    others_running: f64,
+    reported: Option<LoadReport>,
+    sent_since: u32,
+    need_since: f64,
 }
 
 impl TargetState {
-    pub(super) fn new(spec: TargetSpec) -> Self {
+    pub(super) const fn new(spec: TargetSpec) -> Self {
         Self {
             spec,
             usable: true,
-            report: None,
+            removed: false,
             flights: BTreeMap::new(),
             prefixes: VecDeque::new(),
+            total: DEFAULT_KV_TOKENS,
+            own_need: 0.0,
+            own_held: 0.0,
+            others_held: 0.0,
+            others_running: 0.0,
+            reported: None,
+            sent_since: 0,
+            need_since: 0.0,
         }
     }
 
-    pub(super) fn serves(&self, service: &str) -> bool {
-        self.usable && self.spec.services.iter().any(|id| id == service)
+    pub(super) const fn takes_work(&self) -> bool {
+        self.usable && !self.removed
+    }
+
+    pub(super) fn in_flight(&self) -> usize {
+        self.flights.len()
     }
 
     pub(super) fn has_prefix(&self, prefix: Option<u64>) -> bool {
         prefix.is_some_and(|prefix| self.prefixes.contains(&prefix))
     }
 
-    pub(super) fn note_prefix(&mut self, prefix: u64) {
+    fn note_prefix(&mut self, prefix: u64) {
         self.prefixes.retain(|known| *known != prefix);
         self.prefixes.push_back(prefix);
         if self.prefixes.len() > MAX_PREFIXES {
@@ -76,51 +104,125 @@
         }
     }
 
-    /// Returns the tokens that this VM's own requests are expected to need at once.
-    pub(super) fn own_need(&self, estimator: &Estimator, growth: f64) -> f64 {
-        self.flights
+    /// Takes in a report unless it is older than the last one.
+    pub(super) fn take_report(&mut self, report: LoadReport, now: Timestamp) {
+        if self.reported.is_some_and(|known| known.at > report.at) {
+            return;
+        }
+        self.total = as_f64(report.kv_total);
+        let before = |flight: &&Flight| flight.sent <= report.at;
+        let seen = self.flights.values().filter(before);
+        let (count, held) = seen.fold((0.0, 0.0), |(count, held), flight| {
+            (count + 1.0, held + flight.held_at(report.at, now))
+        });
+        self.others_held = (as_f64(report.kv_used) - held).max(0.0);
+        self.others_running = (f64::from(report.running + report.waiting) - count).max(0.0);
+        let since = self
+            .flights
             .values()
-            .map(|flight| need(estimator, &flight.request, flight.produced, growth))
-            .sum()
+            .filter(|flight| flight.sent > report.at);
+        (self.sent_since, self.need_since) = since.fold((0, 0.0), |(count, need), flight| {
+            (count + 1, need + flight.need)
+        });
+        self.reported = Some(report);
     }
 
-    /// Returns the tokens that other VMs' requests hold, as far as the report shows.
-    pub(super) fn others_used(&self, now: Timestamp) -> f64 {
-        let Some(report) = self.report else {
-            return 0.0;
+    pub(super) fn begin(&mut self, request: RouteRequest, need: f64, now: Timestamp) {
+        if let Some(prefix) = request.prefix {
+            self.note_prefix(prefix);
+        }
+        self.own_need += need;
+        self.own_held += f64::from(request.prompt);
+        self.sent_since += 1;
+        self.need_since += need;
+        let flight = Flight {
+            sent: now,
+            produced: 0,
+            last: now,
+            need,
+            request,
         };
-        let own: f64 = self
-            .flights
-            .values()
-            .filter(|flight| flight.sent <= report.at)
-            .map(|flight| f64::from(flight.request.prompt) + flight.produced_at(report.at, now))
-            .sum();
-        (as_f64(report.kv_used) - own).max(0.0)
+        self.flights.insert(flight.request.id.clone(), flight);
     }
 
-    /// Returns the number of other VMs' requests, as far as the report shows.
-    pub(super) fn others_running(&self) -> f64 {
-        let Some(report) = self.report else {
-            return 0.0;
-        };
-        let own = self
-            .flights
-            .values()
-            .filter(|flight| flight.sent <= report.at)
-            .count();
-        (f64::from(report.running + report.waiting) - as_f64(own as u64)).max(0.0)
+    /// Notes tokens of a flight; returns the time between them, if any came before.
+    pub(super) fn progress(
+        &mut self,
+        request: &RequestId,
+        produced: u32,
+        now: Timestamp,
+        estimator: &Estimator,
+        growth: f64,
+    ) -> Option<f64> {
+        let flight = self.flights.get_mut(request)?;
+        let tokens = produced
+            .checked_sub(flight.produced)
+            .filter(|new| *new > 0)?;
+        let elapsed = now.saturating_sub(flight.last).as_secs_f64();
+        let first = flight.produced == 0;
+        flight.produced = produced;
+        flight.last = now;
+        let need = need(estimator, &flight.request, produced, growth);
+        self.own_need += need - flight.need;
+        self.own_held += f64::from(tokens);
+        flight.need = need;
+        (!first).then(|| elapsed / f64::from(tokens))
     }
 
-    /// Returns the own requests that were sent after the last report.
-    pub(super) fn sent_since_report(&self) -> usize {
-        let at = self.report.map_or(Timestamp::ZERO, |report| report.at);
-        self.flights
-            .values()
-            .filter(|flight| flight.sent > at)
-            .count()
+    pub(super) fn finish(&mut self, request: &RequestId) -> Option<Flight> {
+        let flight = self.flights.remove(request)?;
+        self.own_need -= flight.need;
+        self.own_held -= f64::from(flight.request.prompt) + f64::from(flight.produced);
+        if self.flights.is_empty() {
+            // Sums of floating-point numbers drift; an empty target is the place to start anew.
+            self.own_need = 0.0;
+            self.own_held = 0.0;
+        }
+        Some(flight)
+    }
+
+    /// Returns the reported load for comparisons between targets.
+    pub(super) fn reported_load(&self) -> (u32, u64) {
+        self.reported.map_or((0, 0), |report| {
+            (report.running + report.waiting, report.kv_used)
+        })
+    }
+
+    /// Returns the tokens that are expected to be needed at once, as a part of the memory, and
+    /// whether a request that needs `mine` has room beside them.
+    pub(super) fn fill(&self, mine: f64, options: &RouterOptions) -> Fill {
+        let peers = f64::from(options.vms.max(1) - 1);
+        // Other VMs see the same reports and are taken to have sent as much since.
+        let unseen = (self.need_since * peers).min(self.total * options.herd);
+        let grown = if self.own_held > 0.0 {
+            (self.own_need / self.own_held).clamp(1.0, MAX_GROWTH)
+        } else {
+            1.0
+        };
+        let load = self.own_need + self.others_held * grown + unseen;
+        let running = as_f64(self.flights.len() as u64) + self.others_running;
+        let empty = self.flights.is_empty() && self.others_held < 1.0;
+        let memory = load + mine <= options.headroom * self.total;
+        let batch = running < f64::from(options.max_batch);
+        Fill {
+            load,
+            room: empty || (memory && batch),
+        }
     }
 }
 
+/// Most by which other VMs' requests are taken to grow.
+const MAX_GROWTH: f64 = 2.0;
+
+/// Tells how full a target is.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Fill {
+    /// Tokens that are expected to be needed at once.
+    pub(super) load: f64,
+    /// Whether one more request fits.
+    pub(super) room: bool,
+}
+
 /// Returns the tokens of KV memory that a request is expected to need beside others.
 pub(super) fn need(
     estimator: &Estimator,
@@ -128,10 +230,13 @@
     produced: u32,
     growth: f64,
 ) -> f64 {
-    let mean = estimator.mean(&request.service, &request.customer, produced);
+    let expected = match request.known_length {
+        Some(length) => f64::from(length),
+        None => estimator.mean(&request.service, &request.customer, produced),
+    };
     let capped = request
         .max_tokens
-        .map_or(mean, |most| mean.min(f64::from(most.max(produced))));
+        .map_or(expected, |most| expected.min(f64::from(most)));
     let remaining = (capped - f64::from(produced)).max(0.0);
     f64::from(request.prompt) + f64::from(produced) + growth * remaining
 }
@@ -140,6 +245,6 @@
     clippy::cast_precision_loss,
     reason = "token counts are far below 2^52"
 )]
-pub(super) const fn as_f64(count: u64) -> f64 {
+const fn as_f64(count: u64) -> f64 {
     count as f64
 }
--- a/crates/almondcroft-standin/src/experiment.rs
+++ b/crates/almondcroft-standin/src/experiment.rs
@@ -1,16 +1,99 @@
 //! Measures routing policies in virtual time.
+//!
+//! The real decision code runs, one router per VM with its own stale view, against the engine fake.
+//! Networks, processes, the store and deaths of VMs are not modelled here.
 
-use clap::{ArgMatches, Command};
+mod capacity;
+mod figures;
+mod setup;
+mod workload;
+mod world;
+
+pub use figures::Figures;
+pub use setup::{PolicyName, Setup};
+pub use workload::{Arrival, Workload};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Runs one experiment and returns its figures.
+#[must_use]
+pub fn measure(setup: &Setup) -> Figures {
+    world::World::new(setup).run()
+}
+
 /// Returns the arguments.
 #[must_use]
 pub fn command() -> Command {
-    Command::new("experiment").about("Measures a routing policy in virtual time")
+    Command::new("experiment")
+        .about("Measures a routing policy in virtual time; the same arguments give the same output")
+        .arg(
+            Arg::new("workload")
+                .required(true)
+                .value_parser(["lunch-hour", "month-end"]),
+        )
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .default_value("almondcroft")
+                .value_parser([
+                    "almondcroft",
+                    "round-robin",
+                    "least-in-flight",
+                    "two-choices",
+                    "oracle",
+                ]),
+        )
+        .arg(
+            number("load", "1.0")
+                .value_parser(value_parser!(f64))
+                .help("Offered load, relative to the engines' capacity"),
+        )
+        .arg(number("vms", "7").value_parser(value_parser!(u32).range(1..=64)))
+        .arg(number("report-lag-ms", "500").value_parser(value_parser!(u64).range(0..=60_000)))
+        .arg(number("seed", "1").value_parser(value_parser!(u64)))
+        .arg(number("seconds", "300").value_parser(value_parser!(u64).range(60..=3_600)))
+        .arg(
+            Arg::new("options")
+                .long("options")
+                .value_name("JSON")
+                .help("Settings of the router that differ from the defaults"),
+        )
+        .arg(
+            Arg::new("record")
+                .long("record")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Record the routing events of the first VM"),
+        )
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_parser(["json", "table"])
+                .default_value("table"),
+        )
+}
+
+fn number(name: &'static str, default: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default)
 }
 
-/// Runs an experiment.
+/// Runs the experiment that the arguments describe.
 #[must_use]
-pub fn run(_matches: &ArgMatches) -> ExitCode {
-    ExitCode::FAILURE
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let setup = match Setup::from_matches(matches) {
+        Ok(setup) => setup,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let figures = measure(&setup);
+    if matches.get_one::<String>("output").map(String::as_str) == Some("json") {
+        println!("{}", figures.to_json());
+    } else {
+        println!("{figures}");
+    }
+    ExitCode::SUCCESS
 }
--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -91,6 +91,7 @@
             prefix: None,
             region: app.settings.region.clone(),
             max_tokens: None,
+            known_length: None,
         }
     }
 
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -98,6 +98,7 @@
         prefix: text.get(..PREFIX_BYTES).map(hash_of),
         region: app.settings.region.clone(),
         max_tokens: request.max_tokens,
+        known_length: None,
     };
     let job = Job {
         request: intake.id.clone(),
@@ -168,6 +169,7 @@
         prefix: None,
         region: app.settings.region.clone(),
         max_tokens: None,
+        known_length: None,
     };
     let job = Job {
         request: intake.id.clone(),
