--- a/crates/almondcroft-core/src/router.rs
+++ b/crates/almondcroft-core/src/router.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod estimator;
 mod options;
+mod pace;
 mod queue;
 mod report;
 mod request;
--- a/crates/almondcroft-core/src/router/decision.rs
+++ b/crates/almondcroft-core/src/router/decision.rs
@@ -12,6 +12,8 @@
     Late,
     /// Too many requests wait at this VM.
     QueueFull,
+    /// It would have to wait too long for room.
+    Overload,
     /// No target of the service can be used.
     NoTarget,
 }
--- a/crates/almondcroft-core/src/router/options.rs
+++ b/crates/almondcroft-core/src/router/options.rs
@@ -1,5 +1,6 @@
 //! Settings of the router.
 
+use crate::config::Objective;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -40,22 +41,49 @@
     pub prefix_bonus: f64,
     /// Refuse at once what cannot complete in time.
     pub refuse_late: bool,
+    /// Part of the time to its deadline that a request may have to wait; else it is refused.
+    pub max_wait: f64,
+    /// Judge the memory only over the time that the request is expected to run.
+    pub horizon: bool,
     /// Time between two tokens that is assumed before any was measured.
     pub initial_gap: Duration,
 }
 
+impl RouterOptions {
+    /// Returns these settings with what an objective asks for.
+    ///
+    /// [`Objective::Stall`] fills engines further and refuses sooner than it lets callers wait;
+    /// [`Objective::Preemption`] leaves more room for outputs to grow and lets requests wait.
+    #[must_use]
+    pub const fn with_objective(mut self, objective: Objective) -> Self {
+        match objective {
+            Objective::Stall => {
+                self.growth = 0.25;
+                self.max_wait = 0.15;
+            }
+            Objective::Preemption => {
+                self.growth = 0.35;
+                self.max_wait = 0.3;
+            }
+        }
+        self
+    }
+}
+
 impl Default for RouterOptions {
     fn default() -> Self {
         Self {
             policy: Policy::Almondcroft,
-            headroom: 0.9,
-            growth: 0.6,
+            headroom: 1.0,
+            growth: 0.25,
             max_batch: 64,
             max_queue: 2_000,
             vms: 1,
             herd: 0.3,
             prefix_bonus: 200.0,
             refuse_late: true,
+            max_wait: 0.15,
+            horizon: true,
             initial_gap: Duration::from_millis(20),
         }
     }
--- a/crates/almondcroft-core/src/router/queue.rs
+++ b/crates/almondcroft-core/src/router/queue.rs
@@ -33,6 +33,12 @@
         self.waiting.pop_first().map(|(_, request)| request)
     }
 
+    /// Returns how many requests go before this one.
+    pub(super) fn ahead_of(&self, request: &RouteRequest) -> usize {
+        let place = (request.priority, request.deadline, u64::MAX);
+        self.waiting.range(..place).count()
+    }
+
     pub(super) fn remove(&mut self, id: &RequestId) {
         self.waiting.retain(|_, request| request.id != *id);
     }
--- a/crates/almondcroft-core/src/router/route.rs
+++ b/crates/almondcroft-core/src/router/route.rs
@@ -1,10 +1,12 @@
 //! The router itself.
 
+use super::pace::Pace;
 use super::queue::Queue;
-use super::target::{TargetState, need};
+use super::target::{Need, TargetState, need};
 use super::{
     Decision, Estimator, LoadReport, Policy, RefuseReason, RouteRequest, RouterOptions, TargetSpec,
 };
+use crate::config::Objective;
 use crate::{RequestId, ServiceId, TargetId, Timestamp};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -69,6 +71,7 @@
     placed: HashMap<RequestId, usize>,
     estimator: Estimator,
     gap: f64,
+    pace: Pace,
     turn: usize,
     rng: ChaCha8Rng,
 }
@@ -86,6 +89,7 @@
             placed: HashMap::new(),
             estimator: Estimator::default(),
             gap: options.initial_gap.as_secs_f64(),
+            pace: Pace::default(),
             turn: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -118,6 +122,11 @@
         }
     }
 
+    /// Sets what the deployment weighs most.
+    pub const fn set_objective(&mut self, objective: Objective) {
+        self.options = self.options.with_objective(objective);
+    }
+
     /// Sets the number of VMs that send to the same targets.
     pub const fn set_vms(&mut self, vms: u32) {
         self.options.vms = vms;
@@ -145,6 +154,9 @@
         if let Some(reason) = self.hopeless(&request, now) {
             return vec![refuse(&request, reason)];
         }
+        if self.waits_too_long(&request, now) {
+            return vec![refuse(&request, RefuseReason::Overload)];
+        }
         self.queue.push(request);
         self.drain(now)
     }
@@ -246,6 +258,16 @@
         late.then_some(RefuseReason::Late)
     }
 
+    fn waits_too_long(&self, request: &RouteRequest, now: Timestamp) -> bool {
+        if self.options.policy != Policy::Almondcroft {
+            return false;
+        }
+        let ahead = self.queue.ahead_of(request);
+        let wait = self.pace.time_for(ahead, now);
+        let time = request.deadline.saturating_sub(now);
+        wait > time.mul_f64(self.options.max_wait)
+    }
+
     /// Places waiting requests in order, until the first one that has no room.
     fn drain(&mut self, now: Timestamp) -> Vec<Decision> {
         let mut decisions = Vec::new();
@@ -272,7 +294,8 @@
 
     fn dispatch(&mut self, request: RouteRequest, index: usize, now: Timestamp) -> Decision {
         let id = request.id.clone();
-        let need = need(&self.estimator, &request, 0, self.options.growth);
+        let need = need(&self.estimator, &request, 0, self.options.growth).tokens;
+        self.pace.note(now);
         let state = &mut self.targets[index];
         state.begin(request, need, now);
         self.placed.insert(id.clone(), index);
@@ -340,7 +363,7 @@
     options: &RouterOptions,
     state: &TargetState,
     request: &RouteRequest,
-    mine: f64,
+    mine: Need,
 ) -> Option<f64> {
     let fill = state.fill(mine, options);
     if !fill.room {
--- a/crates/almondcroft-core/src/router/target.rs
+++ b/crates/almondcroft-core/src/router/target.rs
@@ -162,7 +162,7 @@
         let first = flight.produced == 0;
         flight.produced = produced;
         flight.last = now;
-        let need = need(estimator, &flight.request, produced, growth);
+        let need = need(estimator, &flight.request, produced, growth).tokens;
         self.own_need += need - flight.need;
         self.own_held += f64::from(tokens);
         flight.need = need;
@@ -190,7 +190,7 @@
 
     /// Returns the tokens that are expected to be needed at once, as a part of the memory, and
     /// whether a request that needs `mine` has room beside them.
-    pub(super) fn fill(&self, mine: f64, options: &RouterOptions) -> Fill {
+    pub(super) fn fill(&self, mine: Need, options: &RouterOptions) -> Fill {
         let peers = f64::from(options.vms.max(1) - 1);
         // Other VMs see the same reports and are taken to have sent as much since.
         let unseen = (self.need_since * peers).min(self.total * options.herd);
@@ -199,10 +199,18 @@
         } else {
             1.0
         };
-        let load = self.own_need + self.others_held * grown + unseen;
-        let running = as_f64(self.flights.len() as u64) + self.others_running;
+        let own = as_f64(self.flights.len() as u64);
+        let running = own + self.others_running;
+        let mut own_growth = self.own_need - self.own_held;
+        let mut others_growth = self.others_held * (grown - 1.0);
+        if options.horizon {
+            // While the request runs, no other one grows by more than its own output.
+            own_growth = own_growth.min(own * mine.output);
+            others_growth = others_growth.min(self.others_running * mine.output);
+        }
+        let load = self.own_held + own_growth + self.others_held + others_growth + unseen;
         let empty = self.flights.is_empty() && self.others_held < 1.0;
-        let memory = load + mine <= options.headroom * self.total;
+        let memory = load + mine.tokens <= options.headroom * self.total;
         let batch = running < f64::from(options.max_batch);
         Fill {
             load,
@@ -214,6 +222,15 @@
 /// Most by which other VMs' requests are taken to grow.
 const MAX_GROWTH: f64 = 2.0;
 
+/// States what a request is expected to take.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Need {
+    /// Tokens of KV memory beside others.
+    pub(super) tokens: f64,
+    /// Tokens of output.
+    pub(super) output: f64,
+}
+
 /// Tells how full a target is.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Fill {
@@ -223,13 +240,13 @@
     pub(super) room: bool,
 }
 
-/// Returns the tokens of KV memory that a request is expected to need beside others.
+/// Returns what a request is expected to take.
 pub(super) fn need(
     estimator: &Estimator,
     request: &RouteRequest,
     produced: u32,
     growth: f64,
-) -> f64 {
+) -> Need {
     let expected = match request.known_length {
         Some(length) => f64::from(length),
         None => estimator.mean(&request.service, &request.customer, produced),
@@ -238,7 +255,10 @@
         .max_tokens
         .map_or(expected, |most| expected.min(f64::from(most)));
     let remaining = (capped - f64::from(produced)).max(0.0);
-    f64::from(request.prompt) + f64::from(produced) + growth * remaining
+    Need {
+        tokens: f64::from(request.prompt) + f64::from(produced) + growth * remaining,
+        output: remaining,
+    }
 }
 
 #[expect(
--- a/crates/almondcroft-core/src/trace/event.rs
+++ b/crates/almondcroft-core/src/trace/event.rs
@@ -1,6 +1,7 @@
 //! What a trace holds.
 
 use crate::Timestamp;
+use crate::config::Objective;
 use crate::router::{Decision, LoadReport, RouteRequest, RouterOptions, TargetSpec};
 use crate::{RequestId, TargetId};
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,11 @@
         /// All targets.
         targets: Vec<TargetSpec>,
     },
+    /// What the deployment weighs most changed.
+    Objective {
+        /// The new objective.
+        objective: Objective,
+    },
     /// The number of VMs changed.
     Vms {
         /// VMs that send to the same targets.
--- a/crates/almondcroft-core/src/trace/player.rs
+++ b/crates/almondcroft-core/src/trace/player.rs
@@ -39,6 +39,10 @@
                 router.set_targets(targets);
                 router.tick(now)
             }
+            TraceEvent::Objective { objective } => {
+                router.set_objective(objective);
+                Vec::new()
+            }
             TraceEvent::Vms { vms } => {
                 router.set_vms(vms);
                 Vec::new()
--- a/crates/almondcroft-standin/src/experiment/capacity.rs
+++ b/crates/almondcroft-standin/src/experiment/capacity.rs
@@ -1,39 +1,51 @@
 //! How many requests the engines can serve, whatever the policy.
 
 use super::Workload;
+use super::workload::prefix_tokens;
+use crate::engine::{Engine, Generation};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use smol_str::format_smolstr;
 use std::time::Duration;
 
-/// Requests drawn to find the means of a workload.
-const SAMPLES: u32 = 20_000;
-
-/// Seed of those requests; the capacity does not depend on the experiment's seed.
+/// Seed of the requests; the capacity does not depend on the experiment's seed.
 const SAMPLE_SEED: u64 = 42;
 
-/// Returns the requests a second at which all engines are full without preempting.
-///
-/// An engine holds as many generations as its memory takes on average; each one holds its prompt
-/// and, over its life, the mean of its output so far.
-#[must_use]
-#[expect(clippy::cast_precision_loss, reason = "sizes are far below 2^52")]
+/// Requests that wait in the engine at all times.
+const BACKLOG: usize = 64;
+
+/// Time after which completions are counted.
+const WARM_UP: Duration = Duration::from_mins(2);
+
+/// Time at which counting ends.
+const END: Duration = Duration::from_mins(12);
+
+/// Returns the requests a second that all engines complete when each has a backlog at all times.
 pub(super) fn requests_per_second(workload: Workload) -> f64 {
-    let spec = workload.spec();
     let mut rng = ChaCha8Rng::seed_from_u64(SAMPLE_SEED);
-    let (mut tokens, mut held, mut prompts) = (0.0, 0.0, 0.0);
-    for _ in 0..SAMPLES {
-        let arrival = workload.draw(Duration::ZERO, &mut rng);
-        let (prompt, length) = (f64::from(arrival.prompt), f64::from(arrival.length));
-        tokens += length;
-        held += length * (prompt + length / 2.0);
-        prompts += prompt;
+    let mut engine = Engine::new(workload.spec());
+    let mut now = Duration::ZERO;
+    let (mut submitted, mut completed) = (0_u64, 0_u32);
+    while now < END {
+        while engine.waiting() < BACKLOG {
+            let arrival = workload.draw(now, &mut rng);
+            let class = &workload.classes()[arrival.class];
+            let id = format_smolstr!("{submitted}");
+            let (prompt, length) = (u64::from(arrival.prompt), u64::from(arrival.length));
+            let mut generation = Generation::new(id, prompt, length, now).priority(class.priority);
+            if let Some(prefix) = arrival.prefix {
+                generation = generation.prefix(prefix, prefix_tokens());
+            }
+            engine.submit(generation);
+            submitted += 1;
+        }
+        let step = engine.step(now);
+        now += step.time;
+        if now > WARM_UP {
+            let ended = step.tokens.iter().filter(|(_, _, last)| *last).count();
+            completed += u32::try_from(ended).unwrap_or(0);
+        }
     }
-    let mean_held = held / tokens;
-    let batch = (spec.kv_tokens as f64 / mean_held).min(spec.max_batch as f64);
-    let samples = f64::from(SAMPLES);
-    let (mean_tokens, mean_prompt) = (tokens / samples, prompts / samples);
-    let step = spec.step_us as f64 + spec.sequence_us as f64 * batch;
-    // Each request takes its share of the steps, and adds the reading of its prompt to them.
-    let per_request = mean_tokens / batch * step + mean_prompt * spec.prefill_us as f64;
-    workload.engines() as f64 * 1e6 / per_request
+    let engines = u32::try_from(workload.engines()).unwrap_or(u32::MAX);
+    f64::from(completed * engines) / (END - WARM_UP).as_secs_f64()
 }
--- a/crates/almondcroft-standin/src/experiment/setup.rs
+++ b/crates/almondcroft-standin/src/experiment/setup.rs
@@ -49,7 +49,7 @@
             vms: 7,
             report_lag: Duration::from_millis(500),
             seed: 1,
-            time: Duration::from_mins(5),
+            time: Duration::from_mins(10),
             options: workload.options(),
             record: None,
         }
--- a/crates/almondcroft-standin/src/experiment/workload.rs
+++ b/crates/almondcroft-standin/src/experiment/workload.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::{EngineSpec, draw_length};
 use almondcroft_core::Timestamp;
+use almondcroft_core::config::Objective;
 use almondcroft_core::router::RouterOptions;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -146,7 +147,11 @@
     /// Returns the router's settings for the deployment.
     #[must_use]
     pub fn options(self) -> RouterOptions {
-        RouterOptions::default()
+        let objective = match self {
+            Self::LunchHour => Objective::Stall,
+            Self::MonthEnd => Objective::Preemption,
+        };
+        RouterOptions::default().with_objective(objective)
     }
 
     /// Draws the requests of an experiment.
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -237,6 +237,7 @@
         let (kind, detail) = match reason {
             RefuseReason::Late => ("late", "it cannot complete before its deadline"),
             RefuseReason::QueueFull => ("queue-full", "too many requests wait"),
+            RefuseReason::Overload => ("overload", "it would have to wait too long for room"),
             RefuseReason::NoTarget => ("no-target", "no target of the service can be used"),
         };
         self.app.metrics.count_refusal(kind);
--- a/crates/almondcroftd/src/routing.rs
+++ b/crates/almondcroftd/src/routing.rs
@@ -79,6 +79,8 @@
                 .iter()
                 .find_map(|service| old.get(service).cloned())
                 .unwrap_or_else(|| self.new_pool(config, &services));
+            let objective = config.objective;
+            pool.apply(TraceEvent::Objective { objective }, now);
             pool.apply(
                 TraceEvent::Targets {
                     targets: specs(config, &services),
--- a/crates/almondcroftd/src/settings.rs
+++ b/crates/almondcroftd/src/settings.rs
@@ -167,7 +167,6 @@
     let batch = fields.size("max_batch", defaults.max_batch as usize, 1, 4096);
     RouterOptions {
         headroom: fields.fraction("headroom", defaults.headroom),
-        growth: fields.fraction("growth", defaults.growth),
         max_batch: u32::try_from(batch).unwrap_or(u32::MAX),
         max_queue: fields.size("max_queue", defaults.max_queue, 1, 1_000_000),
         ..defaults
