test(ledger): keyed calls through real daemons that are killed and paused

Cause: the contract was proved in virtual time only. Change: a load tool that runs store, service and entry VMs as processes, kills, pauses and restarts VMs, loses answers of the store, and holds every answer against what the service executed; a smaller run in the tests.

--- a/crates/almondcroft-proto/tests/sheet.rs
+++ b/crates/almondcroft-proto/tests/sheet.rs
@@ -43,7 +43,9 @@
     for sheet in [VILLACRES, LAKESHORE] {
         let expected = config(sheet);
         let semicolons = with_separator(sheet, ";");
-        let decimal_commas = semicolons.replace(";2.5;", ";2,5;").replace(";0.5;", ";0,5;");
+        let decimal_commas = semicolons
+            .replace(";2.5;", ";2,5;")
+            .replace(";0.5;", ";0,5;");
         let forms = [
             format!("\u{feff}{sheet}"),
             with_separator(sheet, "\t"),
@@ -62,7 +64,13 @@
     let sheet = VILLACRES.replace("yes", "sí");
     let bytes: Vec<u8> = sheet
         .chars()
-        .map(|c| if c == 'í' { 0xed } else { u8::try_from(c).unwrap() })
+        .map(|c| {
+            if c == 'í' {
+                0xed
+            } else {
+                u8::try_from(c).unwrap()
+            }
+        })
         .collect();
     assert_eq!(parse(&bytes).unwrap(), config(VILLACRES));
 }
@@ -114,7 +122,8 @@
 
 #[test]
 fn parse_rows_after_quoted_line_breaks_and_blank_lines() {
-    let found = faults("\n\"service\n\",orders,,,plain,,,,,,,,no,,,,\nservice,,,,plain,,,,,,,,no,,,,\n");
+    let found =
+        faults("\n\"service\n\",orders,,,plain,,,,,,,,no,,,,\nservice,,,,plain,,,,,,,,no,,,,\n");
     assert_eq!(found, ["4:2: id is missing: fill it in"]);
 }
 
@@ -135,8 +144,14 @@
 fn diff_exact() {
     let before = config(VILLACRES);
     let after = config(&VILLACRES.replace(",2.5,60000,", ",3,60000,"));
-    let changes: Vec<String> = diff(&before, &after).iter().map(ToString::to_string).collect();
-    assert_eq!(changes, ["~ contracts/lunch-clubs/terms/menus/worth 2.5 -> 3.0"]);
+    let changes: Vec<String> = diff(&before, &after)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        changes,
+        ["~ contracts/lunch-clubs/terms/menus/worth 2.5 -> 3.0"]
+    );
     assert!(diff(&before, &before).is_empty());
 }
 
--- /dev/null
+++ b/crates/almondcroft-standin/src/keyed_calls/deployment.rs
@@ -0,0 +1,195 @@
+//! Processes of one deployment: store, VM list, service and entry VMs.
+
+use super::LoadSetup;
+use crate::demo::TOKEN;
+use crate::processes::{Launcher, Process, ProcessError, free_address};
+use almondcroft_proto::sheet::parse;
+use almondcroftd::http::Outbound;
+use almondcroftd::sleep;
+use almondctl::Operator;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use trillium::Method;
+
+/// Largest answer of a stand-in, in bytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+
+/// Time for a stand-in to answer.
+const ADMIN_TIME: Duration = Duration::from_secs(30);
+
+/// Looks for a configuration to come into force.
+const MAX_LOOKS: u32 = 500;
+
+/// Time between two looks.
+const LOOK_TIME: Duration = Duration::from_millis(20);
+
+/// Holds the processes.
+pub struct Deployment {
+    launcher: Launcher,
+    folder: PathBuf,
+    pub(super) store: Process,
+    _vm_list: Process,
+    pub(super) orders: Process,
+    pub(super) vms: Vec<Process>,
+    settings: Vec<Value>,
+    outbound: Outbound,
+}
+
+impl Deployment {
+    /// Starts all processes and brings a sheet into force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if anything does not come up.
+    pub async fn start(setup: &LoadSetup, program: &Path) -> Result<Self, String> {
+        let folder = std::env::temp_dir().join(format!("almondcroft-{}", uuid::Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let launcher = Launcher::new(program, &folder);
+        let text = |error: ProcessError| error.to_string();
+        let listen = json!({"listen": "127.0.0.1:0"});
+        let store = launcher
+            .start("object-api", "store", &listen)
+            .map_err(text)?;
+        let orders = launcher.start("service", "orders", &listen).map_err(text)?;
+        let mut addresses = Vec::new();
+        for _ in 0..setup.vms {
+            addresses.push(free_address().map_err(|error| error.to_string())?);
+        }
+        let entries: Vec<Value> = addresses
+            .iter()
+            .enumerate()
+            .map(|(number, address)| {
+                json!({
+                    "id": format!("entry-{number}"), "address": format!("http://{address}"),
+                    "zone": "zone-a", "state": "live",
+                })
+            })
+            .collect();
+        let list = json!({"listen": "127.0.0.1:0", "vms": entries});
+        let vm_list = launcher.start("vm-list", "vm-list", &list).map_err(text)?;
+        let settings = addresses
+            .iter()
+            .enumerate()
+            .map(|(number, address)| {
+                json!({
+                    "vm": format!("entry-{number}"), "region": "region-a", "zone": "zone-a",
+                    "listen": address, "store": store.url(),
+                    "vm_list": format!("{}/vms", vm_list.url()),
+                    "handle_secret": "handles of a test only",
+                    "peer_secret": "peers of a test only",
+                    "limits": {"drain_delay_ms": 100},
+                    "ledger": {"shards": setup.shards, "interval_ms": setup.interval_ms},
+                })
+            })
+            .collect();
+        let mut deployment = Self {
+            launcher,
+            folder,
+            store,
+            _vm_list: vm_list,
+            orders,
+            vms: Vec::new(),
+            settings,
+            outbound: Outbound::new(),
+        };
+        for number in 0..deployment.settings.len() {
+            let process = deployment.start_vm(number).map_err(text)?;
+            deployment.vms.push(process);
+        }
+        deployment.apply().await?;
+        Ok(deployment)
+    }
+
+    fn start_vm(&self, number: usize) -> Result<Process, ProcessError> {
+        let name = format!("entry-{number}");
+        self.launcher.start("entry", &name, &self.settings[number])
+    }
+
+    /// Kills a VM and starts it anew at the same address.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ProcessError`] if it does not come back.
+    pub fn replace_vm(&mut self, number: usize) -> Result<(), ProcessError> {
+        self.vms[number].kill()?;
+        self.vms[number] = self.start_vm(number)?;
+        Ok(())
+    }
+
+    async fn apply(&self) -> Result<(), String> {
+        let digits: Vec<String> = Sha256::digest(TOKEN.as_bytes())
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        let sheet = format!(
+            "kind,id,contract,service,type,address,region,zone,worth,deadline_ms,priority,\
+             idempotent,max_concurrent,token_sha256\n\
+             service,orders,,,plain,,,,,,,no,,\n\
+             contract,lunch,,orders,,,,,5,10000,0,,,\n\
+             customer,san-blas,lunch,,,,,,,,,,100000,{}\n\
+             target,orders-0,,orders,,{},region-a,zone-a,,,,,,\n",
+            digits.concat(),
+            self.orders.url()
+        );
+        let config = parse(sheet.as_bytes()).map_err(|faults| format!("{faults:?}"))?;
+        let operator = Operator::new(self.store.url(), "test");
+        let applied = operator.apply(config, None).await;
+        applied.map_err(|error| error.to_string())?;
+        for vm in &self.vms {
+            let mut looks = 0;
+            while !self.is_ready(vm.url()).await {
+                looks += 1;
+                if looks > MAX_LOOKS {
+                    return Err("the configuration does not come into force".into());
+                }
+                sleep(LOOK_TIME).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, url: &str) -> bool {
+        let url = format!("{url}/readyz");
+        let call = self
+            .outbound
+            .call_fresh(Method::Get, &url, &[], Vec::new(), ADMIN_TIME);
+        call.await
+            .is_ok_and(|conn| conn.status().is_some_and(|status| status as u16 == 200))
+    }
+
+    /// Reads JSON from a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if it does not answer.
+    pub async fn read(&self, url: &str) -> Result<Value, String> {
+        let call = self
+            .outbound
+            .call_fresh(Method::Get, url, &[], Vec::new(), ADMIN_TIME);
+        let mut conn = call.await.map_err(|error| error.to_string())?;
+        let bytes = Outbound::read_body(&mut conn, MAX_ANSWER_BYTES, ADMIN_TIME)
+            .await
+            .map_err(|error| error.to_string())?;
+        serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+    }
+
+    /// Sets faults of a stand-in.
+    pub async fn set_faults(&self, url: &str, faults: &Value) {
+        let url = format!("{url}/admin/faults");
+        let body = faults.to_string().into_bytes();
+        let call = self
+            .outbound
+            .call_fresh(Method::Put, &url, &[], body, ADMIN_TIME);
+        if let Err(error) = call.await {
+            eprintln!("faults could not be set: {error}");
+        }
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/crates/almondcroft-standin/src/lib.rs
+++ b/crates/almondcroft-standin/src/lib.rs
@@ -9,12 +9,14 @@
 //! | [`weight_store`] | the weight store |
 //!
 //! [`demo`] shows the whole path in one process; [`experiment`] measures routing policies in
-//! virtual time.
+//! virtual time; [`keyed_calls`] runs calls that may not be repeated against real processes.
 
 pub mod demo;
 pub mod engine;
 pub mod experiment;
+pub mod keyed_calls;
 pub mod object_api;
+pub mod processes;
 pub mod service;
 pub mod vm_list;
 pub mod weight_store;
--- a/crates/almondcroft-standin/src/main.rs
+++ b/crates/almondcroft-standin/src/main.rs
@@ -1,9 +1,10 @@
 //! Runs the stand-ins, the demo and the experiments.
 
 use almondcroft_standin::{
-    demo, engine, experiment, object_api, read_settings, service, vm_list, weight_store,
+    demo, engine, experiment, keyed_calls, object_api, read_settings, service, vm_list,
+    weight_store,
 };
-use almondcroftd::{block_on, init_threads, logging};
+use almondcroftd::{Settings, block_on, init_threads, logging, run_until_signal};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde::de::DeserializeOwned;
 use std::path::PathBuf;
@@ -42,7 +43,9 @@
                         .help("Stay up and print addresses for curl"),
                 ),
         )
+        .subcommand(process("entry", "Runs an entry daemon"))
         .subcommand(experiment::command())
+        .subcommand(keyed_calls::command())
 }
 
 fn main() -> ExitCode {
@@ -50,8 +53,12 @@
     if let Some(("experiment", matches)) = matches.subcommand() {
         return experiment::run(matches);
     }
+    if let Some(("entry", matches)) = matches.subcommand() {
+        return entry(matches);
+    }
     init_threads(THREADS);
     match matches.subcommand() {
+        Some(("keyed-calls", matches)) => block_on(keyed_calls::run(matches)),
         Some(("demo", matches)) => block_on(demo::run(matches.get_flag("keep"))),
         Some((name, matches)) => {
             logging::init();
@@ -96,6 +103,22 @@
     }
 }
 
+fn entry(matches: &ArgMatches) -> ExitCode {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("the argument is required");
+    let bytes = std::fs::read(path).map_err(|error| error.to_string());
+    let settings =
+        bytes.and_then(|bytes| Settings::from_json(&bytes).map_err(|error| error.to_string()));
+    match settings {
+        Ok(settings) => run_until_signal(settings),
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn settings<T: DeserializeOwned>(matches: &ArgMatches) -> Result<T, String> {
     let path = matches
         .get_one::<PathBuf>("settings")
--- a/crates/almondcroftd/src/lib.rs
+++ b/crates/almondcroftd/src/lib.rs
@@ -37,6 +37,7 @@
 mod members;
 mod metrics;
 mod peer_client;
+mod program;
 mod recorder;
 mod relay;
 mod routing;
@@ -46,6 +47,7 @@
 
 pub use clock::Clock;
 pub use daemon::{Daemon, StartError};
+pub use program::run_until_signal;
 pub use runtime::{block_on, init_threads, sleep, spawn, within};
 pub use settings::{Settings, SettingsError};
 pub use store::HttpStore;
--- a/crates/almondcroftd/src/main.rs
+++ b/crates/almondcroftd/src/main.rs
@@ -1,18 +1,12 @@
 //! The entry daemon's program.
 
-use almondcroftd::{Daemon, Settings, block_on, init_threads, logging};
+use almondcroftd::{Settings, run_until_signal};
 use clap::{Arg, ArgAction, Command, value_parser};
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Exit code for settings that are at fault.
 const EXIT_SETTINGS: u8 = 2;
-/// Exit code for a daemon that could not start.
-const EXIT_START: u8 = 1;
-/// Exit code for a stop that cut requests.
-const EXIT_CUT: u8 = 3;
 
 fn command() -> Command {
     Command::new("almondcroftd")
@@ -63,51 +57,10 @@
     if let Some(record) = matches.get_one::<PathBuf>("record") {
         settings.record = Some(record.clone());
     }
-    logging::init();
-    init_threads(settings.threads);
-    run(settings)
+    run_until_signal(settings)
 }
 
 fn read(path: &PathBuf) -> Result<Settings, String> {
     let bytes = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
     Settings::from_json(&bytes).map_err(|error| error.to_string())
 }
-
-fn run(settings: Settings) -> ExitCode {
-    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
-        Ok(signals) => signals,
-        Err(error) => {
-            eprintln!("cannot take signals: {error}");
-            return ExitCode::from(EXIT_START);
-        }
-    };
-    let (sender, receiver) = async_channel::unbounded();
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            if sender.send_blocking(signal).is_err() {
-                return;
-            }
-        }
-    });
-    block_on(async move {
-        let daemon = match Daemon::start(settings).await {
-            Ok(daemon) => daemon,
-            Err(error) => {
-                eprintln!("{error}");
-                return ExitCode::from(EXIT_START);
-            }
-        };
-        println!("listening at http://{}", daemon.address());
-        let _ = receiver.recv().await;
-        let second = async {
-            let _ = receiver.recv().await;
-            daemon.cut().await;
-            false
-        };
-        if futures_lite::future::or(daemon.stop(), second).await {
-            ExitCode::SUCCESS
-        } else {
-            ExitCode::from(EXIT_CUT)
-        }
-    })
-}
--- /dev/null
+++ b/crates/almondcroftd/src/program.rs
@@ -0,0 +1,57 @@
+//! The daemon as a process: runs until a signal.
+
+use crate::{Daemon, Settings, block_on, init_threads, logging};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::process::ExitCode;
+
+/// Exit code for a daemon that could not start.
+const EXIT_START: u8 = 1;
+/// Exit code for a stop that cut requests.
+const EXIT_CUT: u8 = 3;
+
+/// Runs the daemon until SIGTERM or SIGINT; a second signal cuts what is in flight.
+///
+/// Prints the address that it listens at. Returns 0 if everything in flight finished, 1 if the
+/// daemon could not start, and 3 if requests were cut.
+#[must_use]
+pub fn run_until_signal(settings: Settings) -> ExitCode {
+    logging::init();
+    init_threads(settings.threads);
+    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cannot take signals: {error}");
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    let (sender, receiver) = async_channel::unbounded();
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            if sender.send_blocking(signal).is_err() {
+                return;
+            }
+        }
+    });
+    block_on(async move {
+        let daemon = match Daemon::start(settings).await {
+            Ok(daemon) => daemon,
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::from(EXIT_START);
+            }
+        };
+        println!("listening at http://{}", daemon.address());
+        let _ = receiver.recv().await;
+        let second = async {
+            let _ = receiver.recv().await;
+            daemon.cut().await;
+            false
+        };
+        if futures_lite::future::or(daemon.stop(), second).await {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::from(EXIT_CUT)
+        }
+    })
+}
