--- /dev/null
+++ b/crates/almondcroft-standin/benches/relay.rs
@@ -0,0 +1,220 @@
+//! What an entry VM adds to a stream, against talking to the engine directly.
+//!
+//! Runs engine, store and daemon as processes of their own and prints one JSON object.
+
+use almondcroft_proto::sheet::parse;
+use almondcroft_standin::demo::{Caller, StreamEnd, TOKEN};
+use almondcroft_standin::processes::{Launcher, Process};
+use almondcroftd::{block_on, init_threads, sleep, spawn};
+use almondctl::Operator;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_almondcroft-standin");
+
+/// Streams that are open while times are measured.
+const OPEN_STREAMS: usize = 200;
+/// Time of a step of the engine whose first tokens are timed, in microseconds.
+const QUICK_STEP_US: u64 = 200;
+/// Time of a step of the engine of the open streams, in microseconds.
+const STEP_US: u64 = 20_000;
+/// Requests of each kind whose first token is timed.
+const TIMED: u64 = 400;
+/// Streams that are open while memory is measured.
+const MANY_STREAMS: usize = 5_000;
+/// Streams and tokens of the throughput run.
+const FAST_STREAMS: u64 = 48;
+const FAST_TOKENS: u64 = 10_000;
+
+struct Bench {
+    quick: Process,
+    entry: Process,
+    _engine: Process,
+    _store: Process,
+}
+
+fn start(folder: &Path, step_us: u64) -> Bench {
+    let launcher = Launcher::new(Path::new(PROGRAM), folder);
+    let listen = json!({"listen": "127.0.0.1:0"});
+    let store = launcher.start("object-api", "store", &listen).unwrap();
+    let engine = |step_us: u64| {
+        json!({
+            "listen": "127.0.0.1:0",
+            "spec": {
+                "kv_tokens": 1_000_000_000_u64, "max_batch": 100_000, "step_us": step_us,
+                "sequence_us": 0, "prefill_us": 0, "prefill_chunk": 100_000_000,
+            },
+        })
+    };
+    let quick = launcher
+        .start("engine", "quick", &engine(QUICK_STEP_US))
+        .unwrap();
+    let engine = launcher
+        .start("engine", "engine", &engine(step_us))
+        .unwrap();
+    let entry = json!({
+        "vm": "entry-0", "region": "r", "zone": "z", "listen": "127.0.0.1:0",
+        "store": store.url(), "handle_secret": "handles of a bench only",
+        "peer_secret": "peers of a bench only", "threads": 2,
+        "limits": {"silence_ms": 60_000}, "router": {"max_batch": 65_536},
+    });
+    let entry = launcher.start("entry", "entry", &entry).unwrap();
+    let digits: Vec<String> = Sha256::digest(TOKEN.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    let sheet = format!(
+        "kind,id,contract,service,type,model,address,region,zone,worth,deadline_ms,priority,\
+         idempotent,max_concurrent,token_sha256\n\
+         service,menus,,,engine,m,,,,,,,yes,,\n\
+         service,quick,,,engine,m,,,,,,,yes,,\n\
+         contract,c,,quick,,,,,,1,600000,1,,,\n\
+         contract,c,,menus,,,,,,1,600000,1,,,\n\
+         customer,x,c,,,,,,,,,,,100000,{}\n\
+         target,e,,menus,,,{},r,z,,,,,,\n\
+         target,q,,quick,,,{},r,z,,,,,,\n",
+        digits.concat(),
+        engine.url(),
+        quick.url()
+    );
+    let config = parse(sheet.as_bytes()).unwrap();
+    let operator = Operator::new(store.url(), "bench");
+    block_on(operator.apply(config, None)).unwrap();
+    block_on(sleep(Duration::from_secs(1)));
+    Bench {
+        quick,
+        entry,
+        _engine: engine,
+        _store: store,
+    }
+}
+
+/// Reads a figure of a process in kibibytes, or processor time in seconds.
+fn resident_kib(process: &Process) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn processor_seconds(process: &Process) -> f64 {
+    /// Ticks a second of the figures in `/proc`.
+    const TICKS: f64 = 100.0;
+    let text = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap();
+    let rest = &text[text.rfind(')').unwrap()..];
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let ticks = |index: usize| fields[index].parse::<f64>().unwrap();
+    (ticks(12) + ticks(13)) / TICKS
+}
+
+fn open_many(url: &str, count: usize, tokens: u64) {
+    for number in 0..count {
+        let url = url.to_owned();
+        spawn(async move {
+            let prompt = format!("open stream {number}");
+            Caller::default().stream(&url, &prompt, tokens).await;
+        });
+    }
+}
+
+/// Times first tokens in turn directly and through the daemon, with streams open meanwhile.
+fn first_tokens(folder: &Path) -> Value {
+    let bench = start(folder, STEP_US);
+    open_many(bench.entry.url(), OPEN_STREAMS, 100_000);
+    block_on(sleep(Duration::from_secs(2)));
+    let caller = Caller::default();
+    let mut times = [
+        Histogram::<u64>::new(3).unwrap(),
+        Histogram::<u64>::new(3).unwrap(),
+    ];
+    for round in 0..TIMED {
+        for (times, url) in times.iter_mut().zip([bench.quick.url(), bench.entry.url()]) {
+            let prompt = format!("timed {round}");
+            let streamed = block_on(caller.stream_service(url, "quick", &prompt, 2, 1));
+            times
+                .record(u64::try_from(streamed.times[0].as_micros()).unwrap())
+                .unwrap();
+        }
+    }
+    let micros = |times: &Histogram<u64>, quantile| times.value_at_quantile(quantile);
+    json!({
+        "open_streams": OPEN_STREAMS,
+        "direct_p50_us": micros(&times[0], 0.5), "direct_p99_us": micros(&times[0], 0.99),
+        "entry_p50_us": micros(&times[1], 0.5), "entry_p99_us": micros(&times[1], 0.99),
+        "added_p50_us": micros(&times[1], 0.5).saturating_sub(micros(&times[0], 0.5)),
+        "added_p99_us": micros(&times[1], 0.99).saturating_sub(micros(&times[0], 0.99)),
+    })
+}
+
+fn throughput(folder: &Path) -> Value {
+    let bench = start(folder, 50);
+    let before = processor_seconds(&bench.entry);
+    let started = Instant::now();
+    let (ended, all) = async_channel::unbounded();
+    for number in 0..FAST_STREAMS {
+        let (url, ended) = (bench.entry.url().to_owned(), ended.clone());
+        spawn(async move {
+            let prompt = format!("fast {number}");
+            let streamed = Caller::default().stream(&url, &prompt, FAST_TOKENS).await;
+            let whole = streamed.end == StreamEnd::Done;
+            let _ = ended.send((whole, streamed.tokens as u64)).await;
+        });
+    }
+    drop(ended);
+    let (mut whole, mut tokens) = (true, 0);
+    block_on(async {
+        while let Ok((good, count)) = all.recv().await {
+            whole &= good;
+            tokens += count;
+        }
+    });
+    let used = processor_seconds(&bench.entry) - before;
+    let seconds = started.elapsed().as_secs_f64();
+    let tokens = f64::from(u32::try_from(tokens).unwrap());
+    json!({
+        "whole": whole,
+        "tokens_per_s": tokens / seconds,
+        "busy_cores": used / seconds,
+        "tokens_per_s_per_busy_core": tokens / used,
+    })
+}
+
+fn memory(folder: &Path) -> Value {
+    let bench = start(folder, 10 * STEP_US);
+    let before = resident_kib(&bench.entry);
+    open_many(bench.entry.url(), MANY_STREAMS, 100_000);
+    block_on(sleep(Duration::from_secs(20)));
+    let after = resident_kib(&bench.entry);
+    let kib = (after - before) as f64 / MANY_STREAMS as f64;
+    let reached = block_on(active(bench.entry.url()));
+    json!({"open_streams": reached, "kib_per_stream": kib, "resident_kib": after})
+}
+
+async fn active(url: &str) -> Value {
+    let url = format!("{url}/status");
+    let outbound = almondcroftd::http::Outbound::new();
+    let limit = Duration::from_secs(10);
+    let call = outbound.call(trillium::Method::Get, &url, &[], Vec::new(), limit);
+    let mut conn = call.await.unwrap();
+    let bytes = almondcroftd::http::Outbound::read_body(&mut conn, 65_536, limit).await;
+    let status: Value = serde_json::from_slice(&bytes.unwrap()).unwrap();
+    status["in_flight"].clone()
+}
+
+fn main() {
+    init_threads(2);
+    let folder = std::env::temp_dir().join(format!("almondcroft-{}", uuid::Uuid::new_v4()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let report = json!({
+        "first_token": first_tokens(&folder),
+        "throughput": throughput(&folder),
+        "memory": memory(&folder),
+    });
+    println!("{report:#}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/almondcroft-standin/src/demo/caller.rs
+++ b/crates/almondcroft-standin/src/demo/caller.rs
@@ -94,9 +94,22 @@
         prompt: &str,
         tokens: u64,
         leave_after: usize,
+    ) -> Streamed {
+        self.stream_service(vm, "menus", prompt, tokens, leave_after)
+            .await
+    }
+
+    /// Streams a completion of a service and leaves after a number of events.
+    pub async fn stream_service(
+        &self,
+        vm: &str,
+        service: &str,
+        prompt: &str,
+        tokens: u64,
+        leave_after: usize,
     ) -> Streamed {
         let body = json!({
-            "model": "menus", "prompt": prompt, "stream": true, "standin_tokens": tokens,
+            "model": service, "prompt": prompt, "stream": true, "standin_tokens": tokens,
         });
         self.read_stream(vm, &body.to_string(), None, leave_after)
             .await
--- a/crates/almondcroft-standin/src/experiment.rs
+++ b/crates/almondcroft-standin/src/experiment.rs
@@ -53,7 +53,7 @@
         .arg(number("vms", "7").value_parser(value_parser!(u32).range(1..=64)))
         .arg(number("report-lag-ms", "500").value_parser(value_parser!(u64).range(0..=60_000)))
         .arg(number("seed", "1").value_parser(value_parser!(u64)))
-        .arg(number("seconds", "600").value_parser(value_parser!(u64).range(60..=3_600)))
+        .arg(number("seconds", "600").value_parser(value_parser!(u64).range(5..=3_600)))
         .arg(
             Arg::new("options")
                 .long("options")
--- a/crates/almondcroft-standin/src/experiment/world.rs
+++ b/crates/almondcroft-standin/src/experiment/world.rs
@@ -285,7 +285,8 @@
 
     /// Hands an event to a router and acts on its decisions.
     fn tell(&mut self, vm: usize, event: TraceEvent) {
-        let recorded = (vm == 0 && self.record.is_some()).then(|| event.clone());
+        let recording = vm == 0 && self.record.is_some() && self.now <= self.setup.time;
+        let recorded = recording.then(|| event.clone());
         let decisions = Player::apply(&mut self.routers[vm], event, self.now);
         if let Some(event) = recorded {
             self.write_record(&TraceLine {
--- a/crates/almondcroft-standin/src/processes.rs
+++ b/crates/almondcroft-standin/src/processes.rs
@@ -96,6 +96,12 @@
         &self.url
     }
 
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/almondcroft-standin/tests/sessions.rs
@@ -0,0 +1,147 @@
+//! Golden files of whole sessions: what a caller sends and what it gets.
+
+use almondcroft_proto::sse::Decoder;
+use almondcroft_standin::demo::{TOKEN, World};
+use almondcroftd::block_on;
+use almondcroftd::http::Outbound;
+use serde_json::Value;
+use std::fmt::Write;
+use std::time::Duration;
+use trillium::Method;
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Writes one exchange to the transcript; ids that differ from run to run are masked.
+async fn exchange(
+    transcript: &mut String,
+    vm: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) {
+    let token = format!("Bearer {TOKEN}");
+    let mut all = headers.to_vec();
+    if !headers.iter().any(|(name, _)| *name == "authorization") {
+        all.push(("authorization", &token));
+    }
+    let url = format!("{vm}{path}");
+    let outbound = Outbound::new();
+    let call = outbound.call_fresh(Method::Post, &url, &all, body.as_bytes().to_vec(), LIMIT);
+    let mut conn = call.await.unwrap();
+    let bytes = Outbound::read_body(&mut conn, 1_000_000, LIMIT)
+        .await
+        .unwrap();
+    writeln!(transcript, "> POST {path}").unwrap();
+    for (name, value) in headers {
+        writeln!(transcript, "> {name}: {value}").unwrap();
+    }
+    writeln!(transcript, "> {body}").unwrap();
+    writeln!(transcript, "< {}", conn.status().unwrap() as u16).unwrap();
+    for name in [
+        "content-type",
+        "almondcroft-verdict",
+        "retry-after",
+        "x-request-id",
+    ] {
+        if let Some(value) = conn.response_headers().get_str(name) {
+            writeln!(transcript, "< {name}: {value}").unwrap();
+        }
+    }
+    let text = String::from_utf8(bytes.clone()).unwrap();
+    if text.starts_with(':') {
+        for event in Decoder::new(100_000).feed(&bytes).unwrap() {
+            let id = if event.id.is_some() { " (id)" } else { "" };
+            writeln!(transcript, "< event{id} {}", masked(&event.data)).unwrap();
+        }
+    } else {
+        writeln!(transcript, "< {}", masked(&text)).unwrap();
+    }
+    transcript.push('\n');
+}
+
+/// Replaces the generation's id, which is drawn anew for each run.
+fn masked(text: &str) -> String {
+    let Ok(mut value) = serde_json::from_str::<Value>(text) else {
+        return text.to_owned();
+    };
+    if value["id"].is_string() {
+        value["id"] = "gen-*".into();
+    }
+    value.to_string()
+}
+
+#[test]
+fn session_completions() {
+    let transcript = block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let vm = &world.vm_urls()[0];
+        let mut transcript = String::new();
+        let id = [("x-request-id", "session-1")];
+        let plain = r#"{"model":"menus","prompt":"lunch","standin_tokens":3}"#;
+        let streamed = r#"{"model":"menus","prompt":"lunch","stream":true,"standin_tokens":3}"#;
+        let chat = r#"{"model":"menus","messages":[{"role":"user","content":"lunch"}],"standin_tokens":2}"#;
+        exchange(&mut transcript, vm, "/v1/completions", &id, plain).await;
+        exchange(&mut transcript, vm, "/v1/completions", &id, streamed).await;
+        exchange(&mut transcript, vm, "/v1/chat/completions", &id, chat).await;
+        transcript
+    });
+    insta::assert_snapshot!(transcript);
+}
+
+#[test]
+fn session_orders() {
+    let transcript = block_on(async {
+        let world = World::start(2, 1).await.unwrap();
+        let urls = world.vm_urls();
+        let mut transcript = String::new();
+        let path = "/v1/services/orders/confirm";
+        let keyed = [
+            ("x-request-id", "session-2"),
+            ("idempotency-key", "order-17"),
+        ];
+        let order = r#"{"fish":12}"#;
+        exchange(&mut transcript, &urls[0], path, &keyed, order).await;
+        exchange(&mut transcript, &urls[1], path, &keyed, order).await;
+        exchange(&mut transcript, &urls[1], path, &keyed, r#"{"fish":13}"#).await;
+        exchange(&mut transcript, &urls[0], path, &keyed[..1], order).await;
+        transcript
+    });
+    insta::assert_snapshot!(transcript);
+}
+
+#[test]
+fn session_refusals() {
+    let transcript = block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let vm = &world.vm_urls()[0];
+        let mut transcript = String::new();
+        let id = ("x-request-id", "session-3");
+        let path = "/v1/completions";
+        exchange(&mut transcript, vm, path, &[id], r#"{"model":"#).await;
+        exchange(&mut transcript, vm, path, &[id], r#"{"model":"menus"}"#).await;
+        exchange(
+            &mut transcript,
+            vm,
+            path,
+            &[id],
+            r#"{"model":"x","prompt":"y"}"#,
+        )
+        .await;
+        let bad = [id, ("almondcroft-deadline-ms", "soon")];
+        exchange(
+            &mut transcript,
+            vm,
+            path,
+            &bad,
+            r#"{"model":"menus","prompt":"y"}"#,
+        )
+        .await;
+        let stranger = [id, ("authorization", "Bearer nobody")];
+        exchange(&mut transcript, vm, path, &stranger, "{}").await;
+        let forged = [id, ("last-event-id", "Zm9yZ2Vk")];
+        exchange(&mut transcript, vm, path, &forged, "").await;
+        exchange(&mut transcript, vm, "/v1/nothing", &[id], "").await;
+        transcript
+    });
+    insta::assert_snapshot!(transcript);
+}
--- /dev/null
+++ b/crates/almondcroft-standin/tests/sheets.rs
@@ -0,0 +1,167 @@
+//! Bringing sheets into force: races, lost answers, outages and stale reads.
+
+use almondcroft_proto::object::{CONFIG_KEY, ConfigObject};
+use almondcroft_proto::sheet::parse;
+use almondcroft_standin::demo::{Caller, StreamEnd, World};
+use almondcroft_standin::object_api::StoreFaults;
+use almondcroftd::http::Outbound;
+use almondcroftd::{HttpStore, block_on, sleep};
+use almondctl::{ApplyError, Operator, status};
+use std::time::Duration;
+
+fn with_deadline(sheet: &str, millis: u64) -> String {
+    sheet.replace(",60000,", &format!(",{millis},"))
+}
+
+#[test]
+fn apply_same_sheet_changes_nothing() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let before = world.vms[0].revision();
+        let again = world.apply(&world.sheet()).await.unwrap();
+        assert_eq!(again, before);
+    });
+}
+
+#[test]
+fn apply_two_operators_one_wins() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let sheet = world.sheet();
+        let one = parse(with_deadline(&sheet, 50_000).as_bytes()).unwrap();
+        let other = parse(with_deadline(&sheet, 40_000).as_bytes()).unwrap();
+        world.store_state.set_faults(StoreFaults {
+            delay_ms: 50,
+            ..StoreFaults::default()
+        });
+        let (ana, luis) = (
+            Operator::new(&world.store.url(), "ana"),
+            Operator::new(&world.store.url(), "luis"),
+        );
+        let (first, second) =
+            futures_lite::future::zip(ana.apply(one, None), luis.apply(other, None)).await;
+        assert_eq!(u8::from(first.is_ok()) + u8::from(second.is_ok()), 1);
+        let lost = first.err().or(second.err()).unwrap();
+        let ApplyError::Conflict { changes, .. } = lost else {
+            panic!("expected a conflict, got {lost}");
+        };
+        assert_eq!(changes.len(), 1, "{changes:?}");
+    });
+}
+
+#[test]
+fn apply_answer_lost_counts_as_accepted() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        world.store_state.set_faults(StoreFaults {
+            lose_answers: 1,
+            ..StoreFaults::default()
+        });
+        let sheet = with_deadline(&world.sheet(), 50_000);
+        let revision = world.apply(&sheet).await.unwrap();
+        assert_eq!(revision, 2);
+    });
+}
+
+#[test]
+fn apply_unexpected_revision() {
+    block_on(async {
+        let world = World::start(1, 1).await.unwrap();
+        let config = parse(with_deadline(&world.sheet(), 50_000).as_bytes()).unwrap();
+        let operator = Operator::new(&world.store.url(), "ana");
+        let refused = operator.apply(config, Some(7)).await.unwrap_err();
+        assert!(matches!(
+            refused,
+            ApplyError::Unexpected {
+                expected: 7,
+                found: 1
+            }
+        ));
+    });
+}
+
+#[test]
+fn revision_never_lower_after_store_was_restored() {
+    block_on(async {
+        let world = World::start(2, 1).await.unwrap();
+        let store = HttpStore::new(&world.store.url(), Outbound::new());
+        let old = almondcroft_core::ledger::ObjectStore::get(&store, CONFIG_KEY)
+            .await
+            .unwrap()
+            .unwrap();
+        let sheet = with_deadline(&world.sheet(), 50_000);
+        assert_eq!(world.apply(&sheet).await.unwrap(), 2);
+        store.put_any(CONFIG_KEY, old.bytes).await.unwrap();
+        sleep(Duration::from_millis(500)).await;
+        assert!(world.vms.iter().all(|vm| vm.revision() == 2));
+        // The next sheet goes above what the VMs run, so that they take it.
+        let sheet = with_deadline(&world.sheet(), 45_000);
+        assert_eq!(world.apply(&sheet).await.unwrap(), 3);
+    });
+}
+
+#[test]
+fn vm_born_in_outage_takes_peers_revision() {
+    block_on(async {
+        let mut world = World::start(2, 1).await.unwrap();
+        world.store_state.set_faults(StoreFaults {
+            down: true,
+            ..StoreFaults::default()
+        });
+        world.add_vm(2).await.unwrap();
+        world.list_vms();
+        let mut looks = 0;
+        while world.vms[2].revision() == 0 {
+            looks += 1;
+            assert!(looks < 500, "the new VM has no configuration");
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(world.vms[2].revision(), 1);
+        let url = &world.vm_urls()[2];
+        let streamed = Caller::default().stream(url, "soup", 10).await;
+        assert_eq!(streamed.end, StreamEnd::Done);
+    });
+}
+
+#[test]
+fn removed_customer_and_target_finish_their_work() {
+    block_on(async {
+        let world = World::start(1, 2).await.unwrap();
+        let url = world.vm_urls()[0].clone();
+        let caller = Caller::default();
+        let streaming = caller.stream(&url, "a long menu", 80);
+        let removing = async {
+            sleep(Duration::from_millis(200)).await;
+            let whole = world.sheet();
+            let gone = ["customer,san-blas", "target,engine-"];
+            let kept = |line: &&str| !gone.iter().any(|start| line.starts_with(start));
+            let sheet: Vec<&str> = whole.lines().filter(kept).collect();
+            world.apply(&sheet.join("\n")).await.unwrap();
+        };
+        let (streamed, ()) = futures_lite::future::zip(streaming, removing).await;
+        assert_eq!((streamed.end, streamed.tokens), (StreamEnd::Done, 80));
+        let after = caller.stream(&url, "another menu", 5).await;
+        assert!(matches!(after.end, StreamEnd::Problem(problem) if problem.status == 401));
+    });
+}
+
+#[test]
+fn status_of_settled_deployment() {
+    block_on(async {
+        let world = World::start(2, 1).await.unwrap();
+        let store = HttpStore::new(&world.store.url(), Outbound::new());
+        let mut looks = 0;
+        loop {
+            let status = status(&store).await;
+            if status.is_settled() && status.vms.len() == 2 {
+                break;
+            }
+            looks += 1;
+            assert!(looks < 100, "{status:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+        let object = almondcroft_core::ledger::ObjectStore::get(&store, CONFIG_KEY).await;
+        let object: ConfigObject = serde_json::from_slice(&object.unwrap().unwrap().bytes).unwrap();
+        assert_eq!(object.who, "demo");
+    });
+}
--- a/crates/almondcroftd/src/metrics.rs
+++ b/crates/almondcroftd/src/metrics.rs
@@ -2,9 +2,9 @@
 
 use almondcroft_core::Verdict;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
-use std::time::Duration;
 
 /// Bounds of the buckets, in seconds.
 const SECONDS: [f64; 14] = [
@@ -27,6 +27,16 @@
     pub(crate) preemptions: IntGauge,
 }
 
+/// Holds the histograms of one customer and class; all times are in seconds.
+#[derive(Debug, Clone)]
+pub(crate) struct StreamTimes {
+    pub(crate) first_token: Histogram,
+    pub(crate) gap: Histogram,
+    pub(crate) stall: Histogram,
+    pub(crate) queue_wait: Histogram,
+    pub(crate) completion: Histogram,
+}
+
 impl Metrics {
     pub(crate) fn new() -> Self {
         let registry = Registry::new();
@@ -63,24 +73,16 @@
         }
     }
 
-    pub(crate) fn observe_first_token(&self, customer: &str, class: &str, time: Duration) {
-        observe(&self.first_token, customer, class, time);
-    }
-
-    pub(crate) fn observe_gap(&self, customer: &str, class: &str, time: Duration) {
-        observe(&self.gap, customer, class, time);
-    }
-
-    pub(crate) fn observe_stall(&self, customer: &str, class: &str, time: Duration) {
-        observe(&self.stall, customer, class, time);
-    }
-
-    pub(crate) fn observe_queue_wait(&self, customer: &str, class: &str, time: Duration) {
-        observe(&self.queue_wait, customer, class, time);
-    }
-
-    pub(crate) fn observe_completion(&self, customer: &str, class: &str, time: Duration) {
-        observe(&self.completion, customer, class, time);
+    /// Returns the histograms of one customer and class, looked up once per stream.
+    pub(crate) fn stream_times(&self, customer: &str, class: &str) -> StreamTimes {
+        let labels = [customer, class];
+        StreamTimes {
+            first_token: self.first_token.with_label_values(&labels),
+            gap: self.gap.with_label_values(&labels),
+            stall: self.stall.with_label_values(&labels),
+            queue_wait: self.queue_wait.with_label_values(&labels),
+            completion: self.completion.with_label_values(&labels),
+        }
     }
 
     pub(crate) fn count_verdict(&self, verdict: Verdict) {
@@ -114,12 +116,6 @@
     }
 }
 
-fn observe(histogram: &HistogramVec, customer: &str, class: &str, time: Duration) {
-    histogram
-        .with_label_values(&[customer, class])
-        .observe(time.as_secs_f64());
-}
-
 fn histogram(registry: &Registry, name: &str, help: &str) -> HistogramVec {
     let options = HistogramOpts::new(format!("almondcroft_{name}"), help).buckets(SECONDS.to_vec());
     let metric =
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -4,6 +4,7 @@
 
 use crate::app::App;
 use crate::http::{CallErrorKind, Outbound};
+use crate::metrics::StreamTimes;
 use crate::runtime::{sleep, spawn};
 use almondcroft_core::membership::Evidence;
 use almondcroft_core::quarantine::Fingerprint;
@@ -75,6 +76,7 @@
     started: Timestamp,
     last_token: Timestamp,
     longest_stall: Duration,
+    times: StreamTimes,
     finished: bool,
     ended: bool,
 }
@@ -90,8 +92,12 @@
 impl Relay {
     pub(crate) fn new(app: Arc<App>, job: Job) -> Self {
         let now = app.clock.now();
+        let times = app
+            .metrics
+            .stream_times(&job.route.customer, &job.route.service);
         Self {
             app,
+            times,
             job,
             target: SmolStr::default(),
             url: SmolStr::default(),
@@ -183,8 +189,7 @@
         let placed = async { placement.recv().await.ok() };
         let placed = self.bounded(left, placed).await;
         let waited = self.app.clock.now().saturating_sub(now);
-        let (customer, class) = (&self.job.route.customer, &self.job.route.service);
-        self.app.metrics.observe_queue_wait(customer, class, waited);
+        self.times.queue_wait.observe(waited.as_secs_f64());
         let target = match placed {
             Some(Some(Ok(target))) => target,
             Some(Some(Err((reason, retry_after)))) => {
@@ -207,7 +212,7 @@
         log::info!(
             event = "dispatch",
             request = self.job.request.as_str(),
-            customer = customer.as_str(),
+            customer = self.job.route.customer.as_str(),
             target = self.target.as_str();
             ""
         );
@@ -320,16 +325,7 @@
                 continue;
             }
             let silence = self.app.settings.limits.silence.min(left);
-            let lifecycle = Arc::clone(&self.app.lifecycle);
-            let Some(source) = &mut self.source else {
-                continue;
-            };
-            let cut = async {
-                futures_lite::future::or(lifecycle.wait_cut(), sleep(silence)).await;
-                Err(SourceError::Silent)
-            };
-            let read = futures_lite::future::or(source.next(), cut).await;
-            match read {
+            match self.read(silence).await {
                 Ok(event) => {
                     if let Some(event) = self.take(&event) {
                         return Ok(Some(event));
@@ -340,6 +336,33 @@
         }
     }
 
+    /// Returns the next event that was read already and is for the caller.
+    pub(crate) fn ready(&mut self) -> Option<Event> {
+        while !self.finished {
+            let event = self.source.as_mut()?.ready()?;
+            if let Some(event) = self.take(&event) {
+                return Some(event);
+            }
+        }
+        None
+    }
+
+    async fn read(&mut self, silence: Duration) -> Result<Event, SourceError> {
+        let lifecycle = Arc::clone(&self.app.lifecycle);
+        let Some(source) = &mut self.source else {
+            return Err(SourceError::Ended);
+        };
+        let cut = async {
+            futures_lite::future::or(lifecycle.wait_cut(), sleep(silence)).await;
+            Err(SourceError::Silent)
+        };
+        let mut next = std::pin::pin!(source.next());
+        match futures_lite::future::poll_once(&mut next).await {
+            Some(event) => event,
+            None => futures_lite::future::or(next, cut).await,
+        }
+    }
+
     fn drop_source(&mut self, error: SourceError) {
         let kind = match error {
             SourceError::Silent => "silent",
@@ -415,11 +438,10 @@
     fn note_token(&mut self, offset: u64, bytes: usize) {
         let now = self.app.clock.now();
         let gap = now.saturating_sub(self.last_token);
-        let (customer, class) = (&self.job.route.customer, &self.job.route.service);
         if offset == 0 {
-            self.app.metrics.observe_first_token(customer, class, gap);
+            self.times.first_token.observe(gap.as_secs_f64());
         } else {
-            self.app.metrics.observe_gap(customer, class, gap);
+            self.times.gap.observe(gap.as_secs_f64());
         }
         if self.region != self.app.settings.region {
             self.app.metrics.count_link_bytes(&self.region, bytes);
@@ -431,7 +453,7 @@
             let produced = u32::try_from(offset + 1).unwrap_or(u32::MAX);
             self.app
                 .routing
-                .progress(class, &self.job.route.id, produced, now);
+                .progress(&self.job.route.service, &self.job.route.id, produced, now);
         }
     }
 
@@ -448,9 +470,8 @@
             .routing
             .finished(&route.service, &route.id, true, now);
         let total = now.saturating_sub(self.started);
-        let metrics = &self.app.metrics;
-        metrics.observe_completion(&route.customer, &route.service, total);
-        metrics.observe_stall(&route.customer, &route.service, self.longest_stall);
+        self.times.completion.observe(total.as_secs_f64());
+        self.times.stall.observe(self.longest_stall.as_secs_f64());
         log::info!(
             event = "complete",
             request = self.job.request.as_str(),
--- a/crates/almondcroftd/src/relay/source.rs
+++ b/crates/almondcroftd/src/relay/source.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns the next event that has been read already.
+    pub(crate) fn ready(&mut self) -> Option<Event> {
+        self.ready.pop_front()
+    }
+
     /// Returns the next event. The future may be dropped: no event is lost.
     pub(crate) async fn next(&mut self) -> Result<Event, SourceError> {
         loop {
--- a/crates/almondcroftd/src/runtime.rs
+++ b/crates/almondcroftd/src/runtime.rs
@@ -28,6 +28,11 @@
 
 /// Returns the output of a future, or `None` when it takes longer than `limit`.
 pub async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let mut future = std::pin::pin!(future);
+    // A timer costs more than most futures that are ready at once.
+    if let Some(output) = futures_lite::future::poll_once(&mut future).await {
+        return Some(output);
+    }
     let output = async { Some(future.await) };
     let timeout = async {
         sleep(limit).await;
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -242,7 +242,11 @@
         let Some(item) = next(app, &mut relay, sender).await else {
             break;
         };
-        let (bytes, ended) = encode(app, item);
+        let (mut bytes, ended) = encode(app, item);
+        // What the engine sent in one piece leaves in one piece.
+        while let Some(event) = relay.ready() {
+            event.encode_into(&mut bytes);
+        }
         there = send(app, sender, bytes).await;
         if ended {
             return;
--- a/crates/almondcroftd/src/settings.rs
+++ b/crates/almondcroftd/src/settings.rs
@@ -164,7 +164,7 @@
 
 fn read_router(fields: &mut Fields<'_>) -> RouterOptions {
     let defaults = RouterOptions::default();
-    let batch = fields.size("max_batch", defaults.max_batch as usize, 1, 4096);
+    let batch = fields.size("max_batch", defaults.max_batch as usize, 1, 65_536);
     RouterOptions {
         headroom: fields.fraction("headroom", defaults.headroom),
         max_batch: u32::try_from(batch).unwrap_or(u32::MAX),
