--- a/crates/almondcroft-standin/benches/relay.rs
+++ b/crates/almondcroft-standin/benches/relay.rs
@@ -16,7 +16,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_almondcroft-standin");
 
 /// Streams that are open while times are measured.
-const OPEN_STREAMS: usize = 200;
+const OPEN_STREAMS: u32 = 200;
 /// Time of a step of the engine whose first tokens are timed, in microseconds.
 const QUICK_STEP_US: u64 = 200;
 /// Time of a step of the engine of the open streams, in microseconds.
@@ -24,7 +24,7 @@
 /// Requests of each kind whose first token is timed.
 const TIMED: u64 = 400;
 /// Streams that are open while memory is measured.
-const MANY_STREAMS: usize = 5_000;
+const MANY_STREAMS: u32 = 5_000;
 /// Streams and tokens of the throughput run.
 const FAST_STREAMS: u64 = 48;
 const FAST_TOKENS: u64 = 10_000;
@@ -112,7 +112,7 @@
     (ticks(12) + ticks(13)) / TICKS
 }
 
-fn open_many(url: &str, count: usize, tokens: u64) {
+fn open_many(url: &str, count: u32, tokens: u64) {
     for number in 0..count {
         let url = url.to_owned();
         spawn(async move {
@@ -190,7 +190,8 @@
     open_many(bench.entry.url(), MANY_STREAMS, 100_000);
     block_on(sleep(Duration::from_secs(20)));
     let after = resident_kib(&bench.entry);
-    let kib = (after - before) as f64 / MANY_STREAMS as f64;
+    let grown = u32::try_from(after - before).unwrap();
+    let kib = f64::from(grown) / f64::from(MANY_STREAMS);
     let reached = block_on(active(bench.entry.url()));
     json!({"open_streams": reached, "kib_per_stream": kib, "resident_kib": after})
 }
--- a/crates/almondcroft-standin/src/demo/caller.rs
+++ b/crates/almondcroft-standin/src/demo/caller.rs
@@ -76,8 +76,14 @@
     /// Creates a caller with a bearer token.
     #[must_use]
     pub fn new(token: &str) -> Self {
+        Self::with_outbound(token, Outbound::new())
+    }
+
+    /// Creates a caller with a bearer token that makes its calls in a given way.
+    #[must_use]
+    pub fn with_outbound(token: &str, outbound: Outbound) -> Self {
         Self {
-            outbound: Outbound::new(),
+            outbound,
             token: format!("Bearer {token}"),
         }
     }
--- a/crates/almondcroft-standin/src/demo/world.rs
+++ b/crates/almondcroft-standin/src/demo/world.rs
@@ -7,6 +7,7 @@
 use crate::{Server, ServerError};
 use almondcroft_proto::sheet::parse;
 use almondcroft_proto::vm_list::{VmEntry, VmState};
+use almondcroftd::http::TlsFiles;
 use almondcroftd::{Daemon, Settings, SettingsError, StartError, sleep};
 use almondctl::{ApplyError, Operator};
 use sha2::{Digest, Sha256};
@@ -86,6 +87,7 @@
     pub orders_state: Arc<ServiceState>,
     /// The entry VMs.
     pub vms: Vec<Daemon>,
+    tls: Option<TlsFiles>,
 }
 
 fn token_hash(token: &str) -> String {
@@ -107,6 +109,19 @@
     ///
     /// Returns a [`WorldError`] if any part does not come up.
     pub async fn start(vms: usize, engines: usize) -> Result<Self, WorldError> {
+        Self::start_with(vms, engines, None).await
+    }
+
+    /// Starts everything as [`World::start`] does, with a TLS identity for the entry VMs.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`WorldError`] if any part does not come up.
+    pub async fn start_with(
+        vms: usize,
+        engines: usize,
+        tls: Option<TlsFiles>,
+    ) -> Result<Self, WorldError> {
         let (store, store_state) = object_api::start(StoreSettings {
             listen: free(),
             faults: StoreFaults::default(),
@@ -142,6 +157,7 @@
             orders,
             orders_state,
             vms: Vec::new(),
+            tls,
         };
         for number in 0..vms {
             world.add_vm(number).await?;
@@ -157,7 +173,7 @@
     ///
     /// Returns a [`WorldError`] if it does not start.
     pub async fn add_vm(&mut self, number: usize) -> Result<(), WorldError> {
-        let settings = serde_json::json!({
+        let mut settings = serde_json::json!({
             "vm": format!("entry-{number}"),
             "region": "quito",
             "zone": "quito-a",
@@ -168,6 +184,11 @@
             "peer_secret": "peers of the demo only",
             "limits": {"drain_delay_ms": 100, "silence_ms": 500, "resume_grace_ms": 1000},
         });
+        if let Some(tls) = &self.tls {
+            settings["tls"] = serde_json::json!({
+                "cert": &tls.cert, "key": &tls.key, "ca": &tls.ca,
+            });
+        }
         let settings =
             Settings::from_json(settings.to_string().as_bytes()).context(SettingsSnafu)?;
         let daemon = Daemon::start(settings).await.context(DaemonSnafu)?;
@@ -183,7 +204,7 @@
             .enumerate()
             .map(|(number, vm)| VmEntry {
                 id: format!("entry-{number}").into(),
-                address: format!("http://{}", vm.address()),
+                address: vm.url(),
                 zone: "quito-a".into(),
                 state: VmState::Live,
             })
@@ -194,10 +215,7 @@
     /// Returns the base URLs of the entry VMs.
     #[must_use]
     pub fn vm_urls(&self) -> Vec<String> {
-        self.vms
-            .iter()
-            .map(|vm| format!("http://{}", vm.address()))
-            .collect()
+        self.vms.iter().map(Daemon::url).collect()
     }
 
     /// Returns the sheet that states this world.
--- a/crates/almondcroft-standin/src/experiment/capacity.rs
+++ b/crates/almondcroft-standin/src/experiment/capacity.rs
@@ -2,7 +2,7 @@
 
 use super::Workload;
 use super::workload::prefix_tokens;
-use crate::engine::{Engine, Generation};
+use crate::engine::{Engine, EngineSpec, Generation};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smol_str::format_smolstr;
@@ -17,16 +17,16 @@
 /// Time after which completions are counted.
 const WARM_UP: Duration = Duration::from_mins(2);
 
-/// Time at which counting ends.
-const END: Duration = Duration::from_mins(12);
+/// Time during which completions are counted.
+const COUNTED: Duration = Duration::from_mins(10);
 
 /// Returns the requests a second that all engines complete when each has a backlog at all times.
 pub(super) fn requests_per_second(workload: Workload) -> f64 {
     let mut rng = ChaCha8Rng::seed_from_u64(SAMPLE_SEED);
-    let mut engine = Engine::new(workload.spec());
+    let mut engine = Engine::new(EngineSpec::default());
     let mut now = Duration::ZERO;
     let (mut submitted, mut completed) = (0_u64, 0_u32);
-    while now < END {
+    while now < WARM_UP + COUNTED {
         while engine.waiting() < BACKLOG {
             let arrival = workload.draw(now, &mut rng);
             let class = &workload.classes()[arrival.class];
@@ -47,5 +47,5 @@
         }
     }
     let engines = u32::try_from(workload.engines()).unwrap_or(u32::MAX);
-    f64::from(completed * engines) / (END - WARM_UP).as_secs_f64()
+    f64::from(completed * engines) / COUNTED.as_secs_f64()
 }
--- a/crates/almondcroft-standin/src/experiment/workload.rs
+++ b/crates/almondcroft-standin/src/experiment/workload.rs
@@ -1,6 +1,6 @@
 //! What callers ask for, and when.
 
-use crate::engine::{EngineSpec, draw_length};
+use crate::engine::draw_length;
 use almondcroft_core::Timestamp;
 use almondcroft_core::config::Objective;
 use almondcroft_core::router::RouterOptions;
@@ -139,11 +139,6 @@
         }
     }
 
-    /// Returns the size and speed of each engine.
-    pub(super) fn spec(self) -> EngineSpec {
-        EngineSpec::default()
-    }
-
     /// Returns the router's settings for the deployment.
     #[must_use]
     pub fn options(self) -> RouterOptions {
--- a/crates/almondcroft-standin/src/experiment/world.rs
+++ b/crates/almondcroft-standin/src/experiment/world.rs
@@ -3,7 +3,7 @@
 use super::figures::{Figures, Gauge};
 use super::workload::{Arrival, Class, prefix_tokens};
 use super::{PolicyName, Setup, capacity};
-use crate::engine::{Engine, Generation, Step};
+use crate::engine::{Engine, EngineSpec, Generation, Step};
 use almondcroft_core::router::{
     Decision, LoadReport, Policy, RouteRequest, Router, RouterOptions, TargetSpec,
 };
@@ -111,7 +111,7 @@
             .map(|number| Router::new(options, setup.seed + u64::from(number)))
             .collect();
         let fakes = (0..setup.workload.engines()).map(|_| Fake {
-            engine: Engine::new(setup.workload.spec()),
+            engine: Engine::new(EngineSpec::default()),
             step: None,
             history: VecDeque::new(),
             dead: false,
--- a/crates/almondcroft-standin/tests/sessions.rs
+++ b/crates/almondcroft-standin/tests/sessions.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use trillium::Method;
 
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 /// Writes one exchange to the transcript; ids that differ from run to run are masked.
 async fn exchange(
--- a/crates/almondcroftd/src/app.rs
+++ b/crates/almondcroftd/src/app.rs
@@ -50,8 +50,7 @@
 }
 
 impl App {
-    pub(crate) fn new(settings: Settings, routing: Routing) -> Arc<Self> {
-        let outbound = Outbound::new();
+    pub(crate) fn new(settings: Settings, routing: Routing, outbound: Outbound) -> Arc<Self> {
         let incarnation = rand::random();
         let peers = PeerClient::new(outbound.clone(), &settings.peer_secret);
         Arc::new(Self {
@@ -97,9 +96,14 @@
         newer
     }
 
-    /// Returns the address that the daemon listens at.
-    pub(crate) const fn listen(&self) -> std::net::SocketAddr {
-        self.settings.listen
+    /// Returns the base URL at which the daemon listens.
+    pub(crate) fn url(&self) -> String {
+        let scheme = if self.settings.tls.is_some() {
+            "https"
+        } else {
+            "http"
+        };
+        format!("{scheme}://{}", self.settings.listen)
     }
 
     pub(crate) fn revision(&self) -> Revision {
--- a/crates/almondcroftd/src/daemon.rs
+++ b/crates/almondcroftd/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::app::App;
 use crate::claims::Claims;
-use crate::http::server_options;
+use crate::http::{Outbound, TlsError, client_tls, server_options, server_tls};
 use crate::routing::Routing;
 use crate::runtime::{sleep, spawn};
 use crate::settings::Settings;
@@ -12,6 +12,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
+use trillium_rustls::RustlsAcceptor;
 use trillium_server_common::ServerHandle;
 
 /// Time between two looks at the number of requests in flight.
@@ -31,6 +32,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The TLS identity cannot be used.
+    #[snafu(display("the TLS identity cannot be used"))]
+    Tls {
+        /// The cause.
+        source: TlsError,
+    },
     /// The file that records events cannot be created.
     #[snafu(display("cannot record events"))]
     Record {
@@ -63,20 +70,37 @@
             .context(ListenSnafu { address: listen })?;
         let routing =
             Routing::new(settings.router, settings.record.as_deref()).context(RecordSnafu)?;
+        let outbound = match &settings.tls {
+            Some(files) => Outbound::with_tls(Some(client_tls(files).context(TlsSnafu)?)),
+            None => Outbound::new(),
+        };
+        let acceptor = settings
+            .tls
+            .as_ref()
+            .map(server_tls)
+            .transpose()
+            .context(TlsSnafu)?;
         let app = App::new(
             Settings {
                 listen: address,
                 ..settings
             },
             routing,
+            outbound,
         );
         let listener = smol::Async::new(listener).context(ListenSnafu { address: listen })?;
-        let server = trillium_smol::config()
+        let config = trillium_smol::config()
             .without_signals()
             .with_nodelay()
             .with_http_config(server_options())
-            .with_prebound_server(smol::net::TcpListener::from(listener))
-            .spawn(server::handler(&app));
+            .with_prebound_server(smol::net::TcpListener::from(listener));
+        let handler = server::handler(&app);
+        let server = match acceptor {
+            Some(tls) => config
+                .with_acceptor(RustlsAcceptor::from(tls))
+                .spawn(handler),
+            None => config.spawn(handler),
+        };
         Claims::start(&app);
         members::start(&app);
         config_sync::start(&app);
@@ -96,6 +120,12 @@
         self.address
     }
 
+    /// Returns the base URL at which the daemon listens.
+    #[must_use]
+    pub fn url(&self) -> String {
+        self.app.url()
+    }
+
     /// Returns the revision in force.
     #[must_use]
     pub fn revision(&self) -> u64 {
--- a/crates/almondcroftd/src/http.rs
+++ b/crates/almondcroftd/src/http.rs
@@ -3,7 +3,9 @@
 mod body;
 mod options;
 mod outbound;
+mod tls;
 
 pub use body::{BodySender, stream_body};
 pub use options::{client_config, server_options};
 pub use outbound::{CallError, CallErrorKind, Outbound};
+pub use tls::{TlsError, TlsFiles, client_tls, server_tls};
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 use trillium::Method;
 use trillium_client::{Client, Conn};
+use trillium_rustls::futures_rustls::TlsConnector;
+use trillium_rustls::rustls::pki_types::ServerName;
+use trillium_rustls::{RustlsClientTransport, rustls};
 use trillium_server_common::{Connector, Url, async_trait};
 use trillium_smol::ClientConfig;
 
@@ -55,6 +58,7 @@
 #[derive(Debug, Clone)]
 pub struct Outbound {
     pooled: Client,
+    tls: Option<Arc<rustls::ClientConfig>>,
 }
 
 impl Default for Outbound {
@@ -64,11 +68,19 @@
 }
 
 impl Outbound {
-    /// Creates a caller with an empty pool of connections.
+    /// Creates a caller with an empty pool of connections; it knows `http` only.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_tls(None)
+    }
+
+    /// Creates a caller that reaches `https` addresses by these settings.
+    #[must_use]
+    pub fn with_tls(tls: Option<Arc<rustls::ClientConfig>>) -> Self {
+        let connector = connector(tls.clone(), Arc::default());
         Self {
-            pooled: Client::new(client_config()).with_default_pool(),
+            pooled: Client::new(connector).with_default_pool(),
+            tls,
         }
     }
 
@@ -104,10 +116,7 @@
         limit: Duration,
     ) -> Result<Conn, CallError> {
         let connected = Arc::new(AtomicBool::new(false));
-        let client = Client::new(TrackedConnector {
-            inner: client_config(),
-            connected: Arc::clone(&connected),
-        });
+        let client = Client::new(connector(self.tls.clone(), Arc::clone(&connected)));
         let conn = build(&client, method, url, headers, body);
         let answer = within(limit, async { conn.await }).await;
         let verdict = if connected.load(Ordering::SeqCst) {
@@ -145,6 +154,17 @@
     }
 }
 
+fn connector(
+    tls: Option<Arc<rustls::ClientConfig>>,
+    connected: Arc<AtomicBool>,
+) -> SecureConnector {
+    SecureConnector {
+        tcp: client_config(),
+        tls,
+        connected,
+    }
+}
+
 const fn ran(kind: CallErrorKind) -> CallError {
     CallError {
         kind,
@@ -201,24 +221,47 @@
     matches!(error, trillium_client::Error::Io(io) if io.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Notes whether a connection came about.
-#[derive(Debug, Clone)]
-struct TrackedConnector {
-    inner: ClientConfig,
+/// Connects over TCP, or over TLS for `https`, and notes whether a connection came about.
+///
+/// The certificate is checked against the host of the URL, which may be an IP number.
+#[derive(Clone)]
+struct SecureConnector {
+    tcp: ClientConfig,
+    tls: Option<Arc<rustls::ClientConfig>>,
     connected: Arc<AtomicBool>,
 }
 
+type Tcp = <ClientConfig as Connector>::Transport;
+
+impl SecureConnector {
+    async fn open(&self, url: &Url) -> io::Result<RustlsClientTransport<Tcp>> {
+        if url.scheme() != "https" {
+            return Ok(self.tcp.connect(url).await?.into());
+        }
+        let tls = self.tls.clone().ok_or(io::ErrorKind::Unsupported)?;
+        let host = url.host_str().unwrap_or_default().to_owned();
+        let name = ServerName::try_from(host).map_err(|_| io::ErrorKind::InvalidInput)?;
+        let mut plain = url.clone();
+        let port = url.port_or_known_default();
+        if plain.set_scheme("http").is_err() || plain.set_port(port).is_err() {
+            return Err(io::ErrorKind::InvalidInput.into());
+        }
+        let tcp = self.tcp.connect(&plain).await?;
+        let stream = TlsConnector::from(tls).connect(name, tcp).await?;
+        Ok(stream.into())
+    }
+}
+
 #[async_trait]
-impl Connector for TrackedConnector {
-    type Transport = <ClientConfig as Connector>::Transport;
+impl Connector for SecureConnector {
+    type Transport = RustlsClientTransport<Tcp>;
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
-        let connect = self.inner.connect(url);
         let timeout = async {
             sleep(CONNECT_TIMEOUT).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let transport = futures_lite::future::or(connect, timeout).await?;
+        let transport = futures_lite::future::or(self.open(url), timeout).await?;
         self.connected.store(true, Ordering::SeqCst);
         Ok(transport)
     }
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -251,7 +251,7 @@
     let status = VmStatus {
         vm: app.settings.vm.to_string(),
         incarnation: app.incarnation,
-        address: format!("http://{}", app.listen()),
+        address: app.url(),
         revision: app.revision(),
         at_ms: app.clock.now_ms(),
     };
--- a/crates/almondcroftd/src/settings.rs
+++ b/crates/almondcroftd/src/settings.rs
@@ -2,6 +2,7 @@
 
 mod fields;
 
+use crate::http::TlsFiles;
 use almondcroft_core::ledger::ShardOptions;
 use almondcroft_core::router::RouterOptions;
 use almondcroft_core::{RegionId, VmId, ZoneId};
@@ -63,6 +64,8 @@
     pub router: RouterOptions,
     /// Bounds.
     pub limits: Limits,
+    /// Files of the VM's TLS identity; plain HTTP without them.
+    pub tls: Option<TlsFiles>,
     /// File that records routing events.
     pub record: Option<PathBuf>,
 }
@@ -114,6 +117,7 @@
     let peer_secret = fields.secret("peer_secret");
     let threads = fields.size("threads", 2, 1, 64);
     let record = fields.optional_text("record");
+    let tls = fields.optional_section("tls", read_tls);
     let limits = fields.section("limits", read_limits);
     let (shards, ledger) = fields.section("ledger", read_ledger);
     let router = fields.section("router", read_router);
@@ -132,10 +136,19 @@
         ledger,
         router,
         limits,
+        tls,
         record: record.map(|path| PathBuf::from(path.as_str())),
     }
 }
 
+fn read_tls(fields: &mut Fields<'_>) -> TlsFiles {
+    TlsFiles {
+        cert: PathBuf::from(fields.text("cert").as_str()),
+        key: PathBuf::from(fields.text("key").as_str()),
+        ca: PathBuf::from(fields.text("ca").as_str()),
+    }
+}
+
 fn read_limits(fields: &mut Fields<'_>) -> Limits {
     Limits {
         body_bytes: fields.size("body_bytes", 1024 * 1024, 1, 64 * 1024 * 1024),
--- a/crates/almondcroftd/src/settings/fields.rs
+++ b/crates/almondcroftd/src/settings/fields.rs
@@ -141,6 +141,17 @@
         result
     }
 
+    /// Reads an object inside this one if it is there.
+    pub(super) fn optional_section<T>(
+        &mut self,
+        field: &str,
+        read: impl Fn(&mut Fields<'_>) -> T,
+    ) -> Option<T> {
+        self.map
+            .contains_key(field)
+            .then(|| self.section(field, read))
+    }
+
     /// Notes a fault for each field that was not read.
     pub(super) fn refuse_unknown(&mut self) {
         let unknown: Vec<String> = self.map.keys().cloned().collect();
