--- a/crates/almondcroft-core/src/membership/rendezvous.rs
+++ b/crates/almondcroft-core/src/membership/rendezvous.rs
@@ -23,7 +23,7 @@
 #[must_use]
 pub fn ranked(members: &[SmolStr], key: u64) -> Vec<SmolStr> {
     let mut order = members.to_vec();
-    order.sort_by_key(|member| std::cmp::Reverse(score(member, key)));
+    order.sort_by_cached_key(|member| std::cmp::Reverse(score(member, key)));
     order
 }
 
--- a/crates/almondcroft-core/src/router/options.rs
+++ b/crates/almondcroft-core/src/router/options.rs
@@ -58,12 +58,12 @@
     pub const fn with_objective(mut self, objective: Objective) -> Self {
         match objective {
             Objective::Stall => {
-                self.growth = 0.25;
-                self.max_wait = 0.15;
+                self.growth = 0.2;
+                self.max_wait = 0.05;
             }
             Objective::Preemption => {
-                self.growth = 0.35;
-                self.max_wait = 0.3;
+                self.growth = 0.3;
+                self.max_wait = 0.2;
             }
         }
         self
@@ -75,14 +75,14 @@
         Self {
             policy: Policy::Almondcroft,
             headroom: 1.0,
-            growth: 0.25,
+            growth: 0.2,
             max_batch: 64,
             max_queue: 2_000,
             vms: 1,
             herd: 0.3,
             prefix_bonus: 200.0,
             refuse_late: true,
-            max_wait: 0.15,
+            max_wait: 0.05,
             horizon: true,
             initial_gap: Duration::from_millis(20),
         }
--- a/crates/almondcroft-core/src/router/route.rs
+++ b/crates/almondcroft-core/src/router/route.rs
@@ -329,13 +329,7 @@
     let takes_work = |index: &usize| targets[*index].takes_work();
     if options.policy == Policy::Almondcroft {
         let mine = need(estimator, request, 0, options.growth);
-        return able
-            .iter()
-            .copied()
-            .filter(takes_work)
-            .filter_map(|index| Some((cost(options, &targets[index], request, mine)?, index)))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other))
-            .map(|(_, index)| index);
+        return least_loaded(options, targets, able, request, mine);
     }
     let able: Vec<usize> = able.iter().copied().filter(takes_work).collect();
     if able.is_empty() {
@@ -358,28 +352,45 @@
     }
 }
 
-/// Returns the load of a target in tokens, or `None` when it has no room for the request.
-fn cost(
+/// Returns the target with room whose load is least, after what its prefix cache saves and what the
+/// link to it costs.
+fn least_loaded(
     options: &RouterOptions,
-    state: &TargetState,
+    targets: &[TargetState],
+    able: &[usize],
     request: &RouteRequest,
     mine: Need,
-) -> Option<f64> {
-    let fill = state.fill(mine, options);
-    if !fill.room {
-        return None;
+) -> Option<usize> {
+    let mut best = None;
+    let mut least = f64::INFINITY;
+    for &index in able {
+        let state = &targets[index];
+        if !state.takes_work() {
+            continue;
+        }
+        let fill = state.fill(mine, options);
+        let link = if state.spec.region == request.region {
+            0.0
+        } else {
+            LINK_PENALTY_TOKENS
+        };
+        let load = fill.load + link;
+        // Looking a prefix up costs more than the rest, so it is done where it can matter.
+        if !fill.room || load - options.prefix_bonus >= least {
+            continue;
+        }
+        let known = state.has_prefix(request.prefix);
+        let cost = if known {
+            load - options.prefix_bonus
+        } else {
+            load
+        };
+        if cost < least {
+            least = cost;
+            best = Some(index);
+        }
     }
-    let prefix = if state.has_prefix(request.prefix) {
-        options.prefix_bonus
-    } else {
-        0.0
-    };
-    let link = if state.spec.region == request.region {
-        0.0
-    } else {
-        LINK_PENALTY_TOKENS
-    };
-    Some(fill.load - prefix + link)
+    best
 }
 
 fn refuse(request: &RouteRequest, reason: RefuseReason) -> Decision {
--- a/crates/almondcroft-proto/src/object.rs
+++ b/crates/almondcroft-proto/src/object.rs
@@ -4,7 +4,14 @@
 //! `If-None-Match: *`. `GET /objects?prefix=` lists keys. `GET /watch/{key}?after=VERSION` answers
 //! when the object has a higher version, or with 204 after a while.
 
+use flate2::Compression;
+use flate2::read::GzDecoder;
+use flate2::write::GzEncoder;
 use serde::{Deserialize, Serialize};
+use std::io::{BufReader, Read};
+
+/// Most bytes that a configuration unpacks to.
+pub const MAX_UNPACKED_BYTES: u64 = 16 * 1024 * 1024;
 
 /// Path of objects.
 pub const OBJECTS_PATH: &str = "/objects/";
@@ -58,6 +65,31 @@
     pub earlier: Vec<(u64, String)>,
 }
 
+impl ConfigObject {
+    /// Encodes the object for the store: JSON, compressed by gzip.
+    ///
+    /// # Panics
+    ///
+    /// Never: a configuration always serializes, and writing to memory succeeds.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+        serde_json::to_writer(&mut encoder, self).expect("a configuration serializes");
+        encoder.finish().expect("writing to memory succeeds")
+    }
+
+    /// Decodes the object as the store holds it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for bytes that are not such an object, or that unpack to more than
+    /// [`MAX_UNPACKED_BYTES`].
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        let decoder = GzDecoder::new(bytes).take(MAX_UNPACKED_BYTES);
+        serde_json::from_reader(BufReader::new(decoder))
+    }
+}
+
 /// States what a VM has put in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmStatus {
--- a/crates/almondcroft-standin/tests/sheets.rs
+++ b/crates/almondcroft-standin/tests/sheets.rs
@@ -161,7 +161,7 @@
             sleep(Duration::from_millis(20)).await;
         }
         let object = almondcroft_core::ledger::ObjectStore::get(&store, CONFIG_KEY).await;
-        let object: ConfigObject = serde_json::from_slice(&object.unwrap().unwrap().bytes).unwrap();
+        let object = ConfigObject::from_bytes(&object.unwrap().unwrap().bytes).unwrap();
         assert_eq!(object.who, "demo");
     });
 }
--- a/crates/almondcroftd/src/config_sync.rs
+++ b/crates/almondcroftd/src/config_sync.rs
@@ -32,7 +32,7 @@
 }
 
 async fn take(app: &Arc<App>, bytes: &[u8]) {
-    let object: ConfigObject = match serde_json::from_slice(bytes) {
+    let object = match ConfigObject::from_bytes(bytes) {
         Ok(object) => object,
         Err(error) => {
             log::error!(event = "config-unreadable", error:% = error; "");
--- a/crates/almondctl/src/apply.rs
+++ b/crates/almondctl/src/apply.rs
@@ -114,7 +114,7 @@
                 object: None,
             });
         };
-        let object = serde_json::from_slice(&stored.bytes).map_err(|_| StoreError::Refused)?;
+        let object = ConfigObject::from_bytes(&stored.bytes).map_err(|_| StoreError::Refused)?;
         Ok(Head {
             expected: Expected::Version(stored.version),
             object: Some(object),
@@ -188,7 +188,7 @@
         config.revision = before.revision.max(self.highest_in_force().await) + 1;
         let object = self.object(head, config);
         let revision = object.config.revision;
-        let bytes = serde_json::to_vec(&object).expect("a configuration serializes");
+        let bytes = object.to_bytes();
         if bytes.len() > MAX_CONFIG_BYTES {
             return Err(ApplyError::TooLarge);
         }
--- a/crates/almondctl/src/status.rs
+++ b/crates/almondctl/src/status.rs
@@ -63,8 +63,7 @@
         .ok()
         .and_then(Option::as_ref)
         .map_or(0, |stored| {
-            serde_json::from_slice::<ConfigObject>(&stored.bytes)
-                .map_or(0, |object| object.config.revision)
+            ConfigObject::from_bytes(&stored.bytes).map_or(0, |object| object.config.revision)
         });
     let mut vms = Vec::new();
     for key in store.list(STATUS_PREFIX).await.unwrap_or_default() {
