--- a/crates/almondcroft-standin/src/keyed_calls.rs
+++ b/crates/almondcroft-standin/src/keyed_calls.rs
@@ -52,6 +52,7 @@
         workers: number("workers"),
         interval_ms: number("interval-ms"),
         shards: number("shards"),
+        targets: 1,
         seed: number("seed"),
         faults: matches.get_flag("faults"),
     };
--- a/crates/almondcroft-standin/src/keyed_calls/deployment.rs
+++ b/crates/almondcroft-standin/src/keyed_calls/deployment.rs
@@ -98,7 +98,7 @@
             let process = deployment.start_vm(number).map_err(text)?;
             deployment.vms.push(process);
         }
-        deployment.apply().await?;
+        deployment.apply(setup.targets).await?;
         Ok(deployment)
     }
 
@@ -118,7 +118,7 @@
         Ok(())
     }
 
-    async fn apply(&self) -> Result<(), String> {
+    async fn apply(&self, targets: u64) -> Result<(), String> {
         let digits: Vec<String> = Sha256::digest(TOKEN.as_bytes())
             .iter()
             .map(|byte| format!("{byte:02x}"))
@@ -128,11 +128,13 @@
              idempotent,max_concurrent,token_sha256\n\
              service,orders,,,plain,,,,,,,no,,\n\
              contract,lunch,,orders,,,,,5,10000,0,,,\n\
-             customer,san-blas,lunch,,,,,,,,,,100000,{}\n\
-             target,orders-0,,orders,,{},region-a,zone-a,,,,,,\n",
-            digits.concat(),
-            self.orders.url()
+             customer,san-blas,lunch,,,,,,,,,,100000,{}\n",
+            digits.concat()
         );
+        let url = self.orders.url();
+        let rows = (0..targets)
+            .map(|number| format!("target,orders-{number},,orders,,{url},region-a,zone-a,,,,,,\n"));
+        let sheet: String = std::iter::once(sheet).chain(rows).collect();
         let config = parse(sheet.as_bytes()).map_err(|faults| format!("{faults:?}"))?;
         let operator = Operator::new(self.store.url(), "test");
         let applied = operator.apply(config, None).await;
@@ -159,6 +161,12 @@
             .is_ok_and(|conn| conn.status().is_some_and(|status| status as u16 == 200))
     }
 
+    /// Returns the entry VMs.
+    #[must_use]
+    pub fn vms(&self) -> &[Process] {
+        &self.vms
+    }
+
     /// Reads JSON from a stand-in.
     ///
     /// # Errors
--- a/crates/almondcroft-standin/src/keyed_calls/load.rs
+++ b/crates/almondcroft-standin/src/keyed_calls/load.rs
@@ -39,6 +39,8 @@
     pub interval_ms: u64,
     /// Number of claim shards.
     pub shards: u64,
+    /// Targets of the service; all are the same process.
+    pub targets: u64,
     /// Seed of the faults and of the callers' choices.
     pub seed: u64,
     /// Whether daemons are killed and paused and answers of the store lost.
--- a/crates/almondcroft-standin/tests/processes.rs
+++ b/crates/almondcroft-standin/tests/processes.rs
@@ -18,6 +18,7 @@
             workers: 8,
             interval_ms: 25,
             shards: 4,
+            targets: 1,
             seed,
             faults: true,
         };
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -13,16 +13,19 @@
 use trillium::Method;
 
 /// Time between two probes of a neighbour.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for a neighbour to answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time between two reads of the VM list.
+/// Time between two reads of a short VM list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// VMs for each of which the list is read more rarely, so that its bytes a second stay the same.
+const LIST_STEP: usize = 10;
+
 /// Neighbours that each VM probes.
-const NEIGHBOURS: usize = 3;
+const NEIGHBOURS: usize = 2;
 
 /// Largest VM list, in bytes.
 const MAX_LIST_BYTES: usize = 1024 * 1024;
@@ -143,7 +146,8 @@
     crate::runtime::spawn(async move {
         while !listing.lifecycle.is_crashed() {
             read_list(&listing).await;
-            sleep(LIST_INTERVAL).await;
+            let steps = listing.members.listed().len().div_ceil(LIST_STEP).max(1);
+            sleep(LIST_INTERVAL * u32::try_from(steps).unwrap_or(u32::MAX)).await;
         }
     });
 }
