refactor: tests in test files, one token hash, smaller files; tables and plots of policies

Cause: tests stood in the files they test; the token hash stood five times; relay and shard held several things. Change: tests moved to test files unchanged; shard events and actions, the relay's job and whole answer in files of their own; experiment-table prints Markdown with the spread and draws SVG.

--- a/crates/almondcroft-core/src/config.rs
+++ b/crates/almondcroft-core/src/config.rs
@@ -9,7 +9,7 @@
 mod target;
 
 pub use contract::{Contract, Terms};
-pub use customer::Customer;
+pub use customer::{Customer, hash_token};
 pub use document::Config;
 pub use gate::RevisionGate;
 pub use objective::Objective;
--- a/crates/almondcroft-core/src/ledger/shard.rs
+++ b/crates/almondcroft-core/src/ledger/shard.rs
@@ -1,101 +1,20 @@
 //! One shard of the ledger, as a state machine that a driver connects to a store.
 
+mod action;
+mod event;
 mod options;
 
 use super::{Claim, ClaimAnswer, ClaimTable, Entry, Expected, Segment};
 use crate::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
 
+pub use action::ShardAction;
+pub use event::{ShardEvent, Ticket, WriteId};
 pub use options::ShardOptions;
 
 /// Doublings of the delay between reads while the store fails.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
-/// Tells one waiting claim from another; chosen by the driver.
-pub type Ticket = u64;
-/// Tells one store call from another.
-pub type WriteId = u64;
-
-/// Tells a shard what happened.
-#[derive(Debug, Clone)]
-pub enum ShardEvent {
-    /// A VM asks for a claim.
-    Claim {
-        /// Names the claim in the answer.
-        ticket: Ticket,
-        /// What is claimed.
-        claim: Claim,
-    },
-    /// An outcome or a release is to be recorded; nobody waits for it.
-    Note(Entry),
-    /// The time for this claim is up: it is answered from what is known.
-    GiveUp {
-        /// The claim's ticket.
-        ticket: Ticket,
-    },
-    /// A load ended: segments in order of their index, with their versions.
-    Loaded {
-        /// The call.
-        id: WriteId,
-        /// Index, version and contents of each segment.
-        segments: Vec<(u64, u64, Segment)>,
-    },
-    /// A load failed.
-    LoadFailed {
-        /// The call.
-        id: WriteId,
-    },
-    /// A write took effect and gave this version.
-    Written {
-        /// The call.
-        id: WriteId,
-        /// The new version.
-        version: u64,
-    },
-    /// A write had no effect, or its effect is unknown: the log must be read again.
-    WriteFailed {
-        /// The call.
-        id: WriteId,
-    },
-    /// Time passed.
-    Tick,
-}
-
-/// Tells the driver what to do.
-#[derive(Debug, Clone)]
-pub enum ShardAction {
-    /// Read all segments from `from`, or all that exist.
-    Load {
-        /// The call.
-        id: WriteId,
-        /// First index to read; `None` reads the whole log.
-        from: Option<u64>,
-    },
-    /// Write a segment if it has the expected version.
-    Write {
-        /// The call.
-        id: WriteId,
-        /// Index of the segment.
-        index: u64,
-        /// The version that is replaced.
-        expected: Expected,
-        /// The new contents.
-        segment: Segment,
-    },
-    /// Delete a segment whose keys are all forgotten.
-    Delete {
-        /// Index of the segment.
-        index: u64,
-    },
-    /// Answer a claim.
-    Answer {
-        /// The claim's ticket.
-        ticket: Ticket,
-        /// The answer.
-        answer: ClaimAnswer,
-    },
-}
-
 #[derive(Debug, Clone)]
 struct Tail {
     index: u64,
--- a/crates/almondcroft-core/src/router/options.rs
+++ b/crates/almondcroft-core/src/router/options.rs
@@ -62,7 +62,7 @@
                 self.max_wait = 0.05;
             }
             Objective::Preemption => {
-                self.growth = 0.3;
+                self.growth = 0.35;
                 self.max_wait = 0.2;
             }
         }
--- a/crates/almondcroft-standin/src/experiment.rs
+++ b/crates/almondcroft-standin/src/experiment.rs
@@ -5,12 +5,15 @@
 
 mod capacity;
 mod figures;
+mod plot;
 mod setup;
+mod table;
 mod workload;
 mod world;
 
 pub use figures::Figures;
 pub use setup::{PolicyName, Setup};
+pub use table::{run_table, table_command};
 pub use workload::{Arrival, Workload};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
--- a/crates/almondcroft-standin/src/main.rs
+++ b/crates/almondcroft-standin/src/main.rs
@@ -45,6 +45,7 @@
         )
         .subcommand(process("entry", "Runs an entry daemon"))
         .subcommand(experiment::command())
+        .subcommand(experiment::table_command())
         .subcommand(keyed_calls::command())
 }
 
@@ -53,6 +54,9 @@
     if let Some(("experiment", matches)) = matches.subcommand() {
         return experiment::run(matches);
     }
+    if let Some(("experiment-table", matches)) = matches.subcommand() {
+        return experiment::run_table(matches);
+    }
     if let Some(("entry", matches)) = matches.subcommand() {
         return entry(matches);
     }
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -1,5 +1,7 @@
 //! One generation, from an engine to a caller.
 
+mod answer;
+mod job;
 mod source;
 
 use crate::app::App;
@@ -7,13 +9,12 @@
 use crate::metrics::StreamTimes;
 use crate::runtime::{sleep, spawn};
 use almondcroft_core::membership::Evidence;
-use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::router::{RefuseReason, RouteRequest};
-use almondcroft_core::{Accept, RequestId, ResumeHandle, Sequencer, TargetId, Timestamp, Verdict};
+use almondcroft_core::router::RefuseReason;
+use almondcroft_core::{Accept, ResumeHandle, Sequencer, TargetId, Timestamp, Verdict};
 use almondcroft_proto::Problem;
-use almondcroft_proto::caller::CompletionRequest;
 use almondcroft_proto::engine::{Chunk, DONE, GENERATIONS_PATH};
 use almondcroft_proto::sse::Event;
+use answer::WholeAnswer;
 use serde_json::json;
 use smol_str::SmolStr;
 use source::{Source, SourceError};
@@ -21,6 +22,8 @@
 use std::time::Duration;
 use trillium::Method;
 
+pub(crate) use job::Job;
+
 /// Time for an engine to accept a request or a resume.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -45,23 +48,6 @@
 /// Longest time between two such reconnects.
 const LAST_RECONNECT: Duration = Duration::from_secs(1);
 
-/// States what a relay is to do.
-#[derive(Debug)]
-pub(crate) struct Job {
-    /// The caller's id of the request.
-    pub(crate) request: RequestId,
-    /// What the router is told.
-    pub(crate) route: RouteRequest,
-    /// What the engine is sent.
-    pub(crate) body: CompletionRequest,
-    /// Identifies the request if it crashes engines.
-    pub(crate) fingerprint: Fingerprint,
-    /// Whether the caller asked for a chat completion.
-    pub(crate) chat: bool,
-    /// The position to resume at.
-    pub(crate) resume: Option<ResumeHandle>,
-}
-
 /// Relays one generation; each token is delivered once, in order, from one generation.
 pub(crate) struct Relay {
     app: Arc<App>,
@@ -617,46 +603,16 @@
 
     /// Gathers the whole generation into one answer.
     pub(crate) async fn collect(&mut self, first: Event) -> Result<String, Problem> {
-        let mut text = String::new();
-        let mut reason = SmolStr::default();
+        let mut answer = WholeAnswer::default();
         let mut event = Some(first);
         while let Some(current) = event {
-            if let Ok(chunk) = serde_json::from_str::<Chunk>(&current.data) {
-                text.push_str(chunk.text());
-                if let Some(found) = chunk.finish_reason() {
-                    reason = found.clone();
-                }
-            }
+            answer.add(&current.data);
             event = self.next().await?;
         }
-        Ok(self.whole(&text, &reason))
-    }
-
-    fn whole(&self, text: &str, reason: &str) -> String {
-        let choice = if self.job.chat {
-            json!({
-                "index": 0,
-                "message": {"role": "assistant", "content": text},
-                "finish_reason": reason,
-            })
-        } else {
-            json!({"index": 0, "text": text, "finish_reason": reason})
-        };
-        let object = if self.job.chat {
-            "chat.completion"
-        } else {
-            "text_completion"
-        };
         // The last event carries the reason, not a token.
         let tokens = self.sequencer.next().saturating_sub(1);
-        json!({
-            "id": self.generation,
-            "object": object,
-            "model": self.job.route.service,
-            "choices": [choice],
-            "usage": {"completion_tokens": tokens},
-        })
-        .to_string()
+        let service = &self.job.route.service;
+        Ok(answer.to_json(&self.generation, service, self.job.chat, tokens))
     }
 
     fn problem(&self, status: u16, kind: &str, verdict: Verdict) -> Problem {
--- a/crates/almondctl/src/commands.rs
+++ b/crates/almondctl/src/commands.rs
@@ -4,11 +4,11 @@
 mod sheet;
 
 use crate::cli::{EXIT_DIFFERS, EXIT_FAILED, command};
+use almondcroft_core::config::hash_token;
 use almondctl::{Operator, replay, status};
 use clap::ArgMatches;
 use clap_complete::{Shell, generate};
 use output::Output;
-use sha2::{Digest, Sha256};
 use std::fs::File;
 use std::io::{BufReader, Read};
 use std::path::PathBuf;
@@ -147,9 +147,7 @@
     if let Err(error) = std::io::stdin().read_to_string(&mut text) {
         return fail(&error);
     }
-    let digest = Sha256::digest(text.trim_end_matches(['\r', '\n']).as_bytes());
-    let digits: Vec<String> = digest.iter().map(|byte| format!("{byte:02x}")).collect();
-    println!("{}", digits.concat());
+    println!("{}", hash_token(text.trim_end_matches(['\r', '\n'])));
     ExitCode::SUCCESS
 }
 
