feat(members): a new configuration is passed on at once

Cause: through probes alone a revision took a round of a second a hop. Change: a VM that takes a revision probes its neighbours at once. Conclusion: the ring passes it on in the time of its calls.

--- a/crates/almondcroft-core/benches/slopes.rs
+++ b/crates/almondcroft-core/benches/slopes.rs
@@ -176,8 +176,8 @@
     packer
         .write_all(&serde_json::to_vec(&whole).unwrap())
         .unwrap();
-    let packed = packer.finish().unwrap().len();
-    println!("| configuration at full size, as gzip | {packed} | bytes | 1 |");
+    let gzip_bytes = packer.finish().unwrap().len();
+    println!("| configuration at full size, as gzip | {gzip_bytes} | bytes | 1 |");
     let entries = vec![Entry::Claim(claim(1)), outcome(1)];
     let segment = Segment {
         entries,
--- a/crates/almondcroftd/src/config_sync.rs
+++ b/crates/almondcroftd/src/config_sync.rs
@@ -1,7 +1,7 @@
 //! Brings the configuration of the store into force.
 
 use crate::app::App;
-use crate::members::confirm;
+use crate::members::announce;
 use crate::runtime::sleep;
 use almondcroft_proto::object::{CONFIG_KEY, ConfigObject};
 use std::sync::Arc;
@@ -40,6 +40,6 @@
         }
     };
     if app.offer_config(object.config) {
-        confirm(app).await;
+        announce(app).await;
     }
 }
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -8,6 +8,7 @@
 use almondcroft_proto::peer::{CONFIG, ConfigAnswer, HELLO, Hello};
 use almondcroft_proto::vm_list::{VmEntry, VmState};
 use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use trillium::Method;
@@ -246,12 +247,26 @@
     if let Ok(answer) = call.await
         && app.offer_config(answer.config)
     {
-        confirm(app).await;
+        announce(app).await;
     }
 }
 
+/// Tells the neighbours and the store that a new configuration is in force.
+///
+/// The neighbours hear of it at once, so that it passes round the ring hop by hop within the time
+/// of a few calls even when the store is away.
+pub(crate) async fn announce(app: &Arc<App>) {
+    crate::runtime::spawn(tell_neighbours(Arc::clone(app)));
+    confirm(app).await;
+}
+
+/// Probes the neighbours once; boxed, since a probe can lead to an announcement.
+fn tell_neighbours(app: Arc<App>) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move { probe_neighbours(&app).await })
+}
+
 /// Writes to the store which revision this VM has in force.
-pub(crate) async fn confirm(app: &Arc<App>) {
+async fn confirm(app: &Arc<App>) {
     let status = VmStatus {
         vm: app.settings.vm.to_string(),
         incarnation: app.incarnation,
