--- a/crates/almondcroft-core/src/ledger/answer.rs
+++ b/crates/almondcroft-core/src/ledger/answer.rs
@@ -23,8 +23,6 @@
     Done(Outcome),
     /// The key was used with another body.
     Mismatch,
-    /// The key is older than the time for which keys are remembered.
-    Expired,
     /// The store cannot be reached; the claim is not granted.
     Unavailable {
         /// Whether the shard's log is known, so that an earlier claim would be known too.
--- a/crates/almondcroft-core/src/router/queue.rs
+++ b/crates/almondcroft-core/src/router/queue.rs
@@ -43,12 +43,9 @@
         self.waiting.retain(|_, request| request.id != *id);
     }
 
-    /// Takes out the requests for which `leaves` holds.
-    pub(super) fn take_if(&mut self, leaves: impl Fn(&RouteRequest) -> bool) -> Vec<RouteRequest> {
-        self.waiting
-            .extract_if(.., |_, request| leaves(request))
-            .map(|(_, request)| request)
-            .collect()
+    /// Drops the requests for which `stays` does not hold.
+    pub(super) fn retain(&mut self, mut stays: impl FnMut(&RouteRequest) -> bool) {
+        self.waiting.retain(|_, request| stays(request));
     }
 }
 
--- a/crates/almondcroft-core/src/router/route.rs
+++ b/crates/almondcroft-core/src/router/route.rs
@@ -231,15 +231,15 @@
     /// Notes that time passed: places what has room and refuses what is late.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Decision> {
         let mut queue = std::mem::take(&mut self.queue);
-        let hopeless = queue.take_if(|request| self.hopeless(request, now).is_some());
+        let mut decisions = Vec::new();
+        queue.retain(|request| match self.hopeless(request, now) {
+            Some(reason) => {
+                decisions.push(refuse(request, reason));
+                false
+            }
+            None => true,
+        });
         self.queue = queue;
-        let mut decisions: Vec<Decision> = hopeless
-            .iter()
-            .map(|request| {
-                let reason = self.hopeless(request, now).unwrap_or(RefuseReason::Late);
-                refuse(request, reason)
-            })
-            .collect();
         decisions.extend(self.drain(now));
         decisions
     }
--- a/crates/almondcroft-core/tests/ledger_contract/world.rs
+++ b/crates/almondcroft-core/tests/ledger_contract/world.rs
@@ -269,7 +269,6 @@
             ClaimAnswer::Done(outcome) => self.check_outcome(number, outcome),
             ClaimAnswer::Running { .. } => self.end(number, Some(Verdict::MayHaveRun)),
             ClaimAnswer::Mismatch => self.end(number, None),
-            ClaimAnswer::Expired => Err("expired".into()),
             ClaimAnswer::Unavailable { loaded } => self.refuse(number, *loaded),
         }
     }
--- a/crates/almondcroft-standin/src/engine/http.rs
+++ b/crates/almondcroft-standin/src/engine/http.rs
@@ -145,7 +145,7 @@
             sleep(IDLE_TIME).await;
             continue;
         }
-        let step = state.lock().engine.step(now);
+        let step = state.lock().engine.step();
         sleep(step.time).await;
         if !publish(&state, step.tokens, now) {
             state.die();
--- a/crates/almondcroft-standin/src/engine/model.rs
+++ b/crates/almondcroft-standin/src/engine/model.rs
@@ -1,7 +1,6 @@
 //! The engine itself, stepped in time that the caller keeps.
 
 use super::{EngineSpec, Generation};
-use almondcroft_core::Timestamp;
 use smol_str::SmolStr;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -93,9 +92,9 @@
     }
 
     /// Runs one step.
-    pub fn step(&mut self, now: Timestamp) -> Step {
+    pub fn step(&mut self) -> Step {
         let mut step = Step::default();
-        self.admit(now);
+        self.admit();
         let prefill = self.prefill();
         self.make_room(&mut step);
         let batch = self.running.len() as u64;
@@ -115,7 +114,7 @@
     }
 
     /// Moves waiting generations into the batch while there is memory for what they hold.
-    fn admit(&mut self, _now: Timestamp) {
+    fn admit(&mut self) {
         self.waiting
             .sort_by_key(|generation| (generation.priority, generation.arrived));
         let mut used = self.kv_used();
--- a/crates/almondcroft-standin/src/engine/model/tests.rs
+++ b/crates/almondcroft-standin/src/engine/model/tests.rs
@@ -4,7 +4,7 @@
     let mut tokens = Vec::new();
     let mut now = Duration::ZERO;
     while !engine.is_idle() {
-        let step = engine.step(now);
+        let step = engine.step();
         now += step.time;
         tokens.extend(step.tokens.into_iter().map(|(id, offset, _)| (id, offset)));
     }
@@ -40,10 +40,10 @@
     let mut engine = Engine::new(EngineSpec::default());
     let first = Generation::new("a".into(), 400, 1, Duration::ZERO).prefix(9, 300);
     engine.submit(first);
-    let cold = engine.step(Duration::ZERO).time;
+    let cold = engine.step().time;
     let second = Generation::new("b".into(), 400, 1, Duration::ZERO).prefix(9, 300);
     engine.submit(second);
-    let warm = engine.step(Duration::ZERO).time;
+    let warm = engine.step().time;
     assert!(warm < cold, "{warm:?} {cold:?}");
 }
 
@@ -51,7 +51,7 @@
 fn cancel_running() {
     let mut engine = Engine::new(EngineSpec::default());
     engine.submit(Generation::new("a".into(), 10, 100, Duration::ZERO));
-    engine.step(Duration::ZERO);
+    engine.step();
     assert!(engine.cancel("a"));
     assert!(engine.is_idle());
     assert!(!engine.cancel("a"));
--- a/crates/almondcroft-standin/src/experiment/capacity.rs
+++ b/crates/almondcroft-standin/src/experiment/capacity.rs
@@ -39,7 +39,7 @@
             engine.submit(generation);
             submitted += 1;
         }
-        let step = engine.step(now);
+        let step = engine.step();
         now += step.time;
         if now > WARM_UP {
             let ended = step.tokens.iter().filter(|(_, _, last)| *last).count();
--- a/crates/almondcroft-standin/src/experiment/world.rs
+++ b/crates/almondcroft-standin/src/experiment/world.rs
@@ -345,7 +345,7 @@
         if fake.dead || fake.step.is_some() || fake.engine.is_idle() {
             return;
         }
-        let step = fake.engine.step(self.now);
+        let step = fake.engine.step();
         let end = self.now + step.time;
         fake.step = Some(step);
         self.schedule(end, Event::StepEnd(engine));
--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -55,15 +55,11 @@
     /// Runs the call in a task of its own, which ends even if nobody waits for it.
     pub(crate) async fn run(self, app: Arc<App>) -> Result<PlainAnswer, Problem> {
         let active = app.lifecycle.enter();
-        let task = async_global_executor::spawn(async move {
-            let result = self.perform(&app).await;
-            drop(active);
-            result
-        });
-        // Dropping a task cancels it; the detached channel keeps it running.
         let (sender, receiver) = async_channel::bounded(1);
         crate::runtime::spawn(async move {
-            let _ = sender.send(task.await).await;
+            let result = self.perform(&app).await;
+            drop(active);
+            let _ = sender.send(result).await;
         });
         receiver
             .recv()
@@ -155,7 +151,6 @@
                 ClaimAnswer::Granted => return Ok(None),
                 ClaimAnswer::Done(outcome) => return Ok(Some(outcome)),
                 ClaimAnswer::Mismatch => return Err(mismatch()),
-                ClaimAnswer::Expired => return Err(expired()),
                 ClaimAnswer::Unavailable { loaded } => {
                     release(app, claim);
                     return Err(unavailable(loaded));
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -313,7 +313,7 @@
             let silence = self.app.settings.limits.silence.min(left);
             match self.read(silence).await {
                 Ok(event) => {
-                    if let Some(event) = self.take(&event) {
+                    if let Some(event) = self.take(event) {
                         return Ok(Some(event));
                     }
                 }
@@ -326,7 +326,7 @@
     pub(crate) fn ready(&mut self) -> Option<Event> {
         while !self.finished {
             let event = self.source.as_mut()?.ready()?;
-            if let Some(event) = self.take(&event) {
+            if let Some(event) = self.take(event) {
                 return Some(event);
             }
         }
@@ -372,7 +372,7 @@
     }
 
     /// Judges an event of the engine and returns what the caller gets of it.
-    fn take(&mut self, event: &Event) -> Option<Event> {
+    fn take(&mut self, event: Event) -> Option<Event> {
         if event.data == DONE {
             // An end without the last token is no end.
             self.source = None;
@@ -405,7 +405,7 @@
         Some(Event {
             id: Some(self.handle(offset)),
             event: None,
-            data: event.data.clone(),
+            data: event.data,
         })
     }
 
--- a/crates/almondcroftd/src/routing.rs
+++ b/crates/almondcroftd/src/routing.rs
@@ -267,7 +267,7 @@
     groups
 }
 
-/// Applies decisions for tests and the pool alike.
+/// Splits a decision into the request and its placement.
 pub(crate) fn placement(decision: Decision) -> (RequestId, Placement) {
     match decision {
         Decision::Dispatch { request, target } => (request, Ok(target)),
