--- /dev/null
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -0,0 +1,30 @@
+//! Decisions of the gateway: which route, which customer, which target, how often.
+//!
+//! The gateway serves callers that speak plain HTTP by host and path. Its configuration, targets and
+//! load change while requests run; every decision takes the present time as an argument.
+//!
+//! | module | answers |
+//! |---|---|
+//! | [`GatewayConfig`] | which route and customer does a request belong to? |
+//! | [`Directory`] | which targets exist, and which of them leave? |
+//! | [`Fleet`] | which target runs a request, and who waits or is refused? |
+//! | [`RetryShare`] | may this VM send a request once more? |
+//! | [`Vouch`] | is the configuration known to be recent? |
+
+mod config;
+mod directory;
+mod fleet;
+mod retry_share;
+mod route;
+mod target;
+mod vouch;
+
+pub use config::{CallerLimits, CustomerSpec, EngineSpec, GatewayConfig, PoolSpec};
+pub use directory::{Change, Directory, EntryEvent};
+pub use fleet::{
+    Choice, Demand, Fleet, FleetOptions, Need, PeerLoad, PeerNews, Placed, Refusal, Work,
+};
+pub use retry_share::RetryShare;
+pub use route::{CallKind, Cluster, RouteSpec, RouteTable};
+pub use target::TargetEntry;
+pub use vouch::Vouch;
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -0,0 +1,422 @@
+//! Places requests on targets, lets them wait or refuses them.
+//!
+//! The load that it answers: long generations of unknown length beside short ones, on engines whose
+//! memory holds few of them, and short calls to plain services. Several VMs decide at once, each with
+//! exact knowledge of what it sent and late knowledge of what the others did.
+
+mod choice;
+mod demand;
+mod load;
+mod options;
+mod queue;
+mod state;
+
+pub use choice::Choice;
+pub use demand::{Demand, Need};
+pub use load::{PeerLoad, PeerNews};
+pub use options::FleetOptions;
+
+use super::{PoolSpec, TargetEntry};
+use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId};
+use queue::{Queue, Waiting};
+use state::TargetState;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// Time after which news of another VM no longer counts.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+
+/// Weight of the newest time between two departures.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// Shortest time after which a refused caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Longest time after which a refused caller is told to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Tells why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// No target of the service can be used.
+    NoTarget,
+    /// It would wait longer than it is worth.
+    Overload,
+    /// It can no longer be answered in time.
+    Late,
+}
+
+impl Refusal {
+    /// Returns the form used in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no-target",
+            Self::Overload => "overload",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// Tells what becomes of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Placed {
+    /// It is sent to a target.
+    Send(Choice),
+    /// It is refused; it has not run.
+    Refused {
+        /// The reason.
+        reason: Refusal,
+        /// Time after which it is worth coming back.
+        retry_after: Duration,
+    },
+}
+
+/// Assigns an outcome to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Work {
+    /// The request.
+    pub request: RequestId,
+    /// What becomes of it.
+    pub placed: Placed,
+}
+
+/// Knows all targets and what runs on them, and decides where requests go.
+#[derive(Debug)]
+pub struct Fleet {
+    options: FleetOptions,
+    pools: BTreeMap<ServiceId, PoolSpec>,
+    targets: BTreeMap<TargetId, TargetState>,
+    flights: HashMap<RequestId, TargetId>,
+    peers: HashMap<VmId, PeerNews>,
+    queues: BTreeMap<ServiceId, Queue>,
+}
+
+impl Fleet {
+    /// Creates a fleet without targets.
+    #[must_use]
+    pub fn new(options: FleetOptions) -> Self {
+        Self {
+            options,
+            pools: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            flights: HashMap::new(),
+            peers: HashMap::new(),
+            queues: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over the services of a configuration.
+    pub fn set_pools(&mut self, pools: BTreeMap<ServiceId, PoolSpec>) {
+        self.pools = pools;
+    }
+
+    /// Adds a target, or takes over what changed of it.
+    pub fn join(&mut self, entry: TargetEntry, now: Timestamp) -> Vec<Work> {
+        let service = entry.service.clone();
+        if let Some(state) = self.targets.get_mut(&entry.id) {
+            state.renew(entry);
+        } else {
+            let state = TargetState::new(entry);
+            self.targets.insert(state.entry.id.clone(), state);
+        }
+        self.drain(&service, now)
+    }
+
+    /// Stops placing work on a target; returns the requests that run there.
+    pub fn leave(&mut self, target: &str) -> Vec<RequestId> {
+        let Some(state) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        state.leaving = true;
+        state.flights.keys().cloned().collect()
+    }
+
+    /// Forgets a target once nothing runs there; returns the requests that still do.
+    pub fn remove(&mut self, target: &str) -> Vec<RequestId> {
+        let running = self.leave(target);
+        if running.is_empty() {
+            self.targets.remove(target);
+        }
+        running
+    }
+
+    /// Takes in what another VM has at the targets.
+    pub fn hear(&mut self, vm: VmId, news: PeerNews) {
+        self.peers.insert(vm, news);
+    }
+
+    /// Returns what this VM has at the targets, for the others.
+    #[must_use]
+    pub fn news(&self, now: Timestamp) -> PeerNews {
+        let loads = self
+            .targets
+            .iter()
+            .filter(|(_, state)| !state.flights.is_empty())
+            .map(|(id, state)| (id.clone(), state.own_load()));
+        PeerNews {
+            at: now,
+            loads: loads.collect(),
+        }
+    }
+
+    /// Returns the number of VMs that were heard of lately, this one included.
+    #[must_use]
+    pub fn vms(&self, now: Timestamp) -> usize {
+        1 + self.fresh_peers(now).count()
+    }
+
+    /// Takes a new request: places it, lets it wait or refuses it.
+    pub fn submit(&mut self, demand: Demand, now: Timestamp) -> Vec<Work> {
+        let service = demand.service.clone();
+        if let Some(placed) = self.unplaceable(&demand, now) {
+            return vec![Work {
+                request: demand.id,
+                placed,
+            }];
+        }
+        self.queues
+            .entry(service.clone())
+            .or_default()
+            .push(Waiting { demand, since: now });
+        self.drain(&service, now)
+    }
+
+    /// Notes that a target began to answer a request.
+    pub fn started(&mut self, request: &RequestId, now: Timestamp) -> Vec<Work> {
+        let Some(target) = self.flights.get(request) else {
+            return Vec::new();
+        };
+        let Some(state) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        state.start(request);
+        let service = state.entry.service.clone();
+        self.drain(&service, now)
+    }
+
+    /// Notes how many tokens a generation has produced.
+    pub fn progress(&mut self, request: &RequestId, produced: u32) {
+        if let Some(state) = self.state_of(request) {
+            state.progress(request, produced);
+        }
+    }
+
+    /// Notes that a generation goes on at another target.
+    pub fn moved(&mut self, request: &RequestId, target: &TargetId, now: Timestamp) -> Vec<Work> {
+        let Some(flight) = self.state_of(request).and_then(|state| state.end(request)) else {
+            return Vec::new();
+        };
+        let Some(state) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        state.adopt(request.clone(), flight);
+        self.flights.insert(request.clone(), target.clone());
+        let service = state.entry.service.clone();
+        self.drain(&service, now)
+    }
+
+    /// Notes the end of a request that was placed, or takes it out of the queue.
+    pub fn finished(&mut self, request: &RequestId, now: Timestamp) -> Vec<Work> {
+        let Some(target) = self.flights.remove(request) else {
+            for queue in self.queues.values_mut() {
+                queue.remove(request);
+            }
+            return Vec::new();
+        };
+        let Some(state) = self.targets.get_mut(&target) else {
+            return Vec::new();
+        };
+        state.end(request);
+        let service = state.entry.service.clone();
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.note_departure(now, PACE_WEIGHT);
+        }
+        self.drain(&service, now)
+    }
+
+    /// Takes in the load that a target told with an answer.
+    pub fn told(&mut self, target: &str, running: u32, waiting: u32, now: Timestamp) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.tell(running + waiting, now);
+        }
+    }
+
+    /// Notes that a target answered in time.
+    pub fn succeeded(&mut self, target: &str, took: Duration) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.succeed(took);
+        }
+    }
+
+    /// Notes that a target failed a request.
+    ///
+    /// A failure is hard where the target gave no answer of its own; hard ones in a row pause it.
+    pub fn failed(&mut self, target: &str, hard: bool, now: Timestamp) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.fail(hard, now);
+        }
+    }
+
+    /// Returns whether a target is about to go, or is gone.
+    #[must_use]
+    pub fn is_leaving(&self, target: &str) -> bool {
+        self.targets.get(target).is_none_or(|state| state.leaving)
+    }
+
+    /// Returns a target as a choice that was made already.
+    #[must_use]
+    pub fn choice_of(&self, target: &str) -> Option<Choice> {
+        let state = self.targets.get(target)?;
+        Some(Choice {
+            target: state.entry.id.clone(),
+            address: state.entry.address,
+            beside: state.own_load().count,
+            cost: Duration::ZERO,
+        })
+    }
+
+    /// Notes that a target refused a request as it is full.
+    pub fn rejected(&mut self, target: &str, now: Timestamp) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.reject(now);
+        }
+    }
+
+    /// Notes that time passed: places what has room and refuses what waited too long.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Work> {
+        self.peers.retain(|_, news| news.at + NEWS_TIME * 4 > now);
+        let gone = |state: &TargetState| state.leaving && state.flights.is_empty();
+        self.targets
+            .retain(|_, state| !gone(state) || state.entry.draining);
+        let services: Vec<ServiceId> = self.queues.keys().cloned().collect();
+        let mut works = Vec::new();
+        for service in services {
+            works.extend(self.expire(&service, now));
+            works.extend(self.drain(&service, now));
+        }
+        works
+    }
+
+    /// Chooses a target to which a running generation can be copied.
+    #[must_use]
+    pub fn destination(&self, request: &RequestId, now: Timestamp) -> Option<Choice> {
+        let source = self.targets.get(self.flights.get(request)?)?;
+        let flight = source.flights.get(request)?;
+        let demand = Demand {
+            // What was read comes with the copy.
+            need: Need {
+                prompt: flight.held(),
+                output: flight.left(),
+                read: true,
+            },
+            avoid: vec![source.entry.id.clone()],
+            zone: source.entry.zone.clone(),
+            region: source.entry.region.clone(),
+            ..flight.demand.clone()
+        };
+        self.choose(&demand, now)
+    }
+
+    /// Returns the target at which a request runs.
+    #[must_use]
+    pub fn target_of(&self, request: &RequestId) -> Option<&TargetEntry> {
+        let state = self.targets.get(self.flights.get(request)?)?;
+        Some(&state.entry)
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(Queue::len).sum()
+    }
+
+    /// Returns the number of targets that take work.
+    #[must_use]
+    pub fn usable(&self, now: Timestamp) -> usize {
+        let usable = |state: &&TargetState| state.takes_work(now);
+        self.targets.values().filter(usable).count()
+    }
+
+    fn state_of(&mut self, request: &RequestId) -> Option<&mut TargetState> {
+        self.targets.get_mut(self.flights.get(request)?)
+    }
+
+    fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerNews> {
+        self.peers
+            .values()
+            .filter(move |news| news.at + NEWS_TIME > now)
+    }
+
+    /// Returns the refusal of a request that need not wait, if it need not.
+    fn unplaceable(&self, demand: &Demand, now: Timestamp) -> Option<Placed> {
+        let known = self
+            .targets
+            .values()
+            .any(|state| state.entry.service == demand.service && !state.leaving);
+        if !known {
+            return Some(refusal(Refusal::NoTarget, MIN_RETRY_AFTER * 5));
+        }
+        if now >= demand.deadline {
+            return Some(refusal(Refusal::Late, MIN_RETRY_AFTER));
+        }
+        let queue = self.queues.get(&demand.service)?;
+        let wait = queue.wait_for(demand);
+        if wait > demand.patience.mul_f64(self.options.wait_part) {
+            return Some(refusal(Refusal::Overload, retry_after(wait)));
+        }
+        None
+    }
+
+    /// Refuses what has waited longer than it is worth.
+    fn expire(&mut self, service: &ServiceId, now: Timestamp) -> Vec<Work> {
+        let part = self.options.wait_part;
+        let Some(queue) = self.queues.get_mut(service) else {
+            return Vec::new();
+        };
+        let expired = queue.take_expired(now, part);
+        let back = retry_after(queue.pace() * u32::try_from(queue.len()).unwrap_or(u32::MAX));
+        let works = expired.into_iter().map(|waiting| Work {
+            request: waiting.demand.id,
+            placed: refusal(Refusal::Overload, back),
+        });
+        works.collect()
+    }
+
+    /// Places waiting requests in order, until the first one that has no room.
+    fn drain(&mut self, service: &ServiceId, now: Timestamp) -> Vec<Work> {
+        let mut works = Vec::new();
+        while let Some(waiting) = self.queues.get(service).and_then(Queue::first) {
+            let Some(choice) = self.choose(&waiting.demand, now) else {
+                break;
+            };
+            let Some(waiting) = self.queues.get_mut(service).and_then(Queue::pop) else {
+                break;
+            };
+            let request = waiting.demand.id.clone();
+            if let Some(state) = self.targets.get_mut(&choice.target) {
+                state.begin(waiting.demand);
+                self.flights.insert(request.clone(), choice.target.clone());
+            }
+            works.push(Work {
+                request,
+                placed: Placed::Send(choice),
+            });
+        }
+        works
+    }
+}
+
+fn refusal(reason: Refusal, retry_after: Duration) -> Placed {
+    Placed::Refused {
+        reason,
+        retry_after,
+    }
+}
+
+fn retry_after(wait: Duration) -> Duration {
+    wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -0,0 +1,150 @@
+//! Chooses among targets by the time that they are expected to cost.
+
+use super::state::TargetState;
+use super::{Demand, Fleet, PeerLoad};
+use crate::gateway::EngineSpec;
+use crate::{TargetId, Timestamp};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Expected memory of a request of which only its presence is known, in tokens.
+const UNKNOWN_TOKENS: f64 = 3_000.0;
+
+/// Cost of a target that fails every request, as a multiple of the caller's patience.
+const FAILURE_COST: f64 = 0.5;
+
+/// Names the target that a request is sent to, with what decided it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Requests that are taken to be there, this VM's and others'.
+    pub beside: u32,
+    /// Time that the choice was expected to cost.
+    pub cost: Duration,
+}
+
+/// Sums up the load of a target as it is believed to be.
+struct Load {
+    count: f64,
+    tokens: f64,
+    unread: f64,
+}
+
+impl Fleet {
+    /// Returns the cheapest target with room, if any has room.
+    pub(super) fn choose(&self, demand: &Demand, now: Timestamp) -> Option<Choice> {
+        let engine = self
+            .pools
+            .get(&demand.service)
+            .and_then(|pool| pool.engine.as_ref());
+        let mut best: Option<(f64, &TargetState, f64)> = None;
+        for state in self.targets.values() {
+            let able = state.entry.service == demand.service && state.takes_work(now);
+            if !able || demand.avoid.contains(&state.entry.id) {
+                continue;
+            }
+            let load = self.load(state, now);
+            let Some(cost) = self.cost(state, &load, demand, engine, now) else {
+                continue;
+            };
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, state, load.count));
+            }
+        }
+        best.map(|(cost, state, count)| Choice {
+            target: state.entry.id.clone(),
+            address: state.entry.address,
+            beside: whole(count),
+            cost: Duration::from_secs_f64(cost.max(0.0)),
+        })
+    }
+
+    /// Sums up own requests and what is known of others'.
+    fn load(&self, state: &TargetState, now: Timestamp) -> Load {
+        let own = state.own_load();
+        let mut heard = false;
+        let mut peers = PeerLoad::default();
+        for news in self.fresh_peers(now) {
+            heard = true;
+            if let Some(load) = news.loads.get(&state.entry.id) {
+                peers = peers.add(*load);
+            }
+        }
+        // What the target tells counts only requests; the other VMs know their sizes.
+        let told = if heard { 0.0 } else { state.told_count(now) };
+        Load {
+            count: f64::from(own.count + peers.count) + told,
+            tokens: f64::from(own.tokens) + f64::from(peers.tokens) + told * UNKNOWN_TOKENS,
+            unread: f64::from(own.unread) + f64::from(peers.unread),
+        }
+    }
+
+    /// Returns the expected cost in seconds, or `None` where the target has no room.
+    fn cost(
+        &self,
+        state: &TargetState,
+        load: &Load,
+        demand: &Demand,
+        engine: Option<&EngineSpec>,
+        now: Timestamp,
+    ) -> Option<f64> {
+        let work = match engine {
+            Some(engine) => self.engine_cost(engine, load, demand)?,
+            None => self.plain_cost(state, load)?,
+        };
+        let cold = state.entry.cold_until.saturating_sub(now).as_secs_f64();
+        let failing = state.failure_rate * demand.patience.as_secs_f64() * FAILURE_COST;
+        Some(work + self.distance(state, demand) + cold + failing)
+    }
+
+    fn engine_cost(&self, engine: &EngineSpec, load: &Load, demand: &Demand) -> Option<f64> {
+        let options = &self.options;
+        let memory = f64::from(engine.kv_tokens);
+        let filled = load.tokens + f64::from(demand.need.tokens());
+        let read = load.unread / options.read_rate;
+        let empty = load.count < 1.0;
+        let room = filled <= memory * options.headroom
+            && load.count < f64::from(engine.slots)
+            && read <= options.read_backlog.as_secs_f64();
+        if !room && !empty {
+            return None;
+        }
+        let own = f64::from(demand.need.unread()) / options.read_rate;
+        let beside = load.count * options.beside_cost.as_secs_f64();
+        let full = filled / memory * options.memory_cost.as_secs_f64();
+        Some(read + own + beside + full)
+    }
+
+    fn plain_cost(&self, state: &TargetState, load: &Load) -> Option<f64> {
+        let slots = f64::from(state.entry.slots.max(1));
+        if load.count >= slots * (1.0 + self.options.plain_queue) {
+            return None;
+        }
+        let time = state.answer_time.as_secs_f64();
+        let waits = (load.count + 1.0 - slots).max(0.0) / slots;
+        Some(time * (1.0 + waits + load.count / slots))
+    }
+
+    fn distance(&self, state: &TargetState, demand: &Demand) -> f64 {
+        let cost = if state.entry.region != demand.region {
+            self.options.region_cost
+        } else if state.entry.zone == demand.zone {
+            Duration::ZERO
+        } else {
+            self.options.zone_cost
+        };
+        cost.as_secs_f64()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts of requests are small and not negative"
+)]
+const fn whole(count: f64) -> u32 {
+    count as u32
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -0,0 +1,34 @@
+//! What one VM has at a target, as told to the others.
+
+use crate::{TargetId, Timestamp};
+use std::collections::HashMap;
+
+/// Sums up the requests of one VM at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PeerLoad {
+    /// Requests.
+    pub count: u32,
+    /// Tokens of memory that they are expected to fill.
+    pub tokens: u32,
+    /// Tokens of prompts that the target has yet to read.
+    pub unread: u32,
+}
+
+impl PeerLoad {
+    pub(super) const fn add(self, other: Self) -> Self {
+        Self {
+            count: self.count + other.count,
+            tokens: self.tokens.saturating_add(other.tokens),
+            unread: self.unread.saturating_add(other.unread),
+        }
+    }
+}
+
+/// Holds the requests of one VM at all targets.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct PeerNews {
+    /// Time at which the news arrived.
+    pub at: Timestamp,
+    /// Sums by target.
+    pub loads: HashMap<TargetId, PeerLoad>,
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -0,0 +1,45 @@
+//! Settings of the fleet.
+
+use std::time::Duration;
+
+/// Tunes placement to a deployment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetOptions {
+    /// Prompt tokens that an engine reads in a second beside running generations.
+    ///
+    /// 14 tokens a millisecond alone, by the users' sheet; a step of decoding stands between two
+    /// chunks and takes about as long as a chunk.
+    pub read_rate: f64,
+    /// Part of an engine's memory that requests may be expected to fill.
+    pub headroom: f64,
+    /// Part of a caller's patience for which a request may wait here.
+    pub wait_part: f64,
+    /// Most time that prompts waiting to be read at one engine may take.
+    pub read_backlog: Duration,
+    /// Cost of another availability zone, as time.
+    pub zone_cost: Duration,
+    /// Cost of another region, as time: a round trip and the price of its bytes.
+    pub region_cost: Duration,
+    /// Cost of each request that runs beside, as time.
+    pub beside_cost: Duration,
+    /// Cost of an engine whose memory is filled, as time; less in proportion.
+    pub memory_cost: Duration,
+    /// Requests beyond its slots that a plain target may hold, as a part of the slots.
+    pub plain_queue: f64,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            read_rate: 7_000.0,
+            headroom: 0.95,
+            wait_part: 0.4,
+            read_backlog: Duration::from_millis(1_200),
+            zone_cost: Duration::from_millis(5),
+            region_cost: Duration::from_millis(60),
+            beside_cost: Duration::from_millis(8),
+            memory_cost: Duration::from_millis(150),
+            plain_queue: 1.5,
+        }
+    }
+}
--- a/crates/almondcroft-core/src/lib.rs
+++ b/crates/almondcroft-core/src/lib.rs
@@ -19,11 +19,13 @@
 //! | [`router`] | which target runs this request, and when? |
 //! | [`limits`] | may this customer send one more, may this attempt be retried? |
 //! | [`membership`] | which VMs and targets take part? |
+//! | [`gateway`] | which route, customer and target does a plain HTTP request belong to? |
 //! | [`config`] | what has been agreed, and is this revision newer? |
 //! | [`quarantine`] | does this request crash targets? |
 //! | [`trace`] | what was decided, and does a replay decide the same? |
 
 pub mod config;
+pub mod gateway;
 pub mod ledger;
 pub mod limits;
 pub mod membership;
--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -46,6 +46,11 @@
         entry.count
     }
 
+    /// Notes that a target ran the request whole: what crashed before was not its doing.
+    pub fn note_success(&mut self, fingerprint: Fingerprint) {
+        self.crashes.remove(&fingerprint);
+    }
+
     /// Takes over a count that another VM reported.
     pub fn merge(&mut self, fingerprint: Fingerprint, count: u32, now: Timestamp) {
         self.evict(now);
--- /dev/null
+++ b/crates/almondcroft-gateway/src/clock.rs
@@ -0,0 +1,16 @@
+//! The present time, through suspensions of the VM.
+
+use almondcroft_core::Timestamp;
+use rustix::time::{ClockId, clock_gettime};
+use std::time::Duration;
+
+/// Returns the time since the VM started, the time for which it was suspended included.
+///
+/// Whatever must lapse during a pause is measured on this clock; the time of day may jump.
+#[must_use]
+pub(crate) fn now() -> Timestamp {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- /dev/null
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -0,0 +1,53 @@
+//! The gateway: plain HTTP by host and path in front of engines and services.
+//!
+//! Callers reach it through the platform's balancer. It finds the route and the customer of each
+//! request, places it on a target, and sees to it that the answer arrives whole, once and in time.
+//! Decisions are made in [`almondcroft_core::gateway`]; names on the wire are translated by an
+//! [`adapter`]. This crate moves bytes and keeps time.
+//!
+//! | module | layer |
+//! |---|---|
+//! | `link`, `pool`, `listener` | transport |
+//! | `caller`, `exchange`, `relay` | protocol |
+//! | `dispatch`, `mover`, `sync`, `news` | coordination |
+//! | `state`, `lifecycle`, `metrics` | state |
+//!
+//! ```no_run
+//! use almondcroft_gateway::adapter::{Dialect, Registry};
+//! use almondcroft_gateway::{GatewaySettings, run};
+//! # fn dialect() -> Box<dyn Dialect> { unimplemented!() }
+//! # fn registry() -> Box<dyn Registry> { unimplemented!() }
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = GatewaySettings::read("gateway.json".as_ref())?;
+//! run(settings, dialect(), registry());
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod adapter;
+
+mod call;
+mod caller;
+mod clock;
+mod dispatch;
+mod exchange;
+mod lifecycle;
+mod link;
+mod listener;
+mod logging;
+mod metrics;
+mod mover;
+mod news;
+mod pool;
+mod program;
+mod relay;
+mod reply;
+mod runtime;
+mod settings;
+mod state;
+mod store;
+mod sync;
+
+pub use program::{Program, run};
+pub use settings::{Bounds, GatewaySettings, SettingsError};
--- /dev/null
+++ b/crates/almondcroft-gateway/src/listener.rs
@@ -0,0 +1,47 @@
+//! Listening sockets.
+
+use crate::link::Link;
+use crate::runtime::{sleep, spawn};
+use smol::Async;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Listens at an address; port 0 takes a free one.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(TcpListener::from(socket))
+}
+
+/// Accepts connections and serves each in a task of its own.
+pub(crate) async fn accept<F, Served>(listener: Async<TcpListener>, serve: F)
+where
+    F: Fn(Link) -> Served,
+    Served: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        let accepted = listener.accept().await;
+        match accepted.and_then(|(socket, _)| Link::new(socket)) {
+            Ok(link) => spawn(serve(link)),
+            Err(error) => {
+                log::warn!(event = "accept-failed", error:% = error; "");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -0,0 +1,159 @@
+//! The gateway as a process: starts, follows signals, stops in order.
+
+use crate::adapter::{Dialect, Registry};
+use crate::caller::{self, serve_pages};
+use crate::clock;
+use crate::listener::{accept, bind};
+use crate::runtime::{block_on, sleep, spawn};
+use crate::settings::GatewaySettings;
+use crate::state::Gateway;
+use crate::{logging, sync};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time in which the balancer learns that the VM takes no more connections.
+const BALANCER_TIME: Duration = Duration::from_millis(2_600);
+
+/// Time before the end of the grace period at which the process ends in any case.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time between two looks at what is still open during a stop.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Runs a gateway inside this process.
+pub struct Program {
+    gateway: Arc<Gateway>,
+    listen: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Program {
+    /// Starts to listen and to follow the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's fault if an address cannot be listened at.
+    pub fn start(
+        settings: GatewaySettings,
+        dialect: Box<dyn Dialect>,
+        registry: Box<dyn Registry>,
+    ) -> io::Result<Self> {
+        let callers = bind(settings.listen)?;
+        let ready = bind(settings.ready)?;
+        let metrics = settings.metrics.map(bind).transpose()?;
+        let program = Self {
+            listen: callers.get_ref().local_addr()?,
+            ready: ready.get_ref().local_addr()?,
+            gateway: Gateway::new(settings, dialect, registry),
+        };
+        let gateway = &program.gateway;
+        log::info!(event = "started", version = env!("CARGO_PKG_VERSION"),
+            vm = gateway.settings.vm.as_str(), zone = gateway.settings.zone.as_str(),
+            listen:% = program.listen; "");
+        let served = Arc::clone(gateway);
+        spawn(accept(callers, move |link| {
+            caller::serve(Arc::clone(&served), link)
+        }));
+        for listener in [Some(ready), metrics].into_iter().flatten() {
+            let shown = Arc::clone(gateway);
+            spawn(accept(listener, move |link| {
+                let shown = Arc::clone(&shown);
+                serve_pages(link, move |path| page(&shown, path))
+            }));
+        }
+        sync::start(gateway);
+        let ticked = Arc::clone(gateway);
+        spawn(async move {
+            loop {
+                ticked.tick(clock::now());
+                sleep(TICK).await;
+            }
+        });
+        Ok(program)
+    }
+
+    /// Returns the address for callers.
+    #[must_use]
+    pub const fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Returns the address of readiness and metrics.
+    #[must_use]
+    pub const fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Stops in order: callers go elsewhere, what is in flight finishes.
+    pub async fn stop(&self) {
+        let lifecycle = &self.gateway.lifecycle;
+        lifecycle.start_drain();
+        log::info!(event = "stopping", requests = lifecycle.requests(),
+            connections = lifecycle.connections(); "");
+        let begun = clock::now();
+        let grace = self.gateway.settings.bounds.grace();
+        loop {
+            let passed = clock::now().saturating_sub(begun);
+            let idle = lifecycle.requests() == 0 && lifecycle.connections() == 0;
+            if (idle && passed >= BALANCER_TIME) || passed + STOP_MARGIN >= grace {
+                break;
+            }
+            sleep(STOP_POLL).await;
+        }
+        log::info!(event = "stopped", requests = lifecycle.requests(),
+            connections = lifecycle.connections(); "");
+    }
+}
+
+fn page(gateway: &Gateway, path: &str) -> (u16, &'static str, Vec<u8>) {
+    match path {
+        "/readyz" if gateway.is_ready(clock::now()) => (200, "text/plain", b"ready\n".to_vec()),
+        "/readyz" => (503, "text/plain", b"not ready\n".to_vec()),
+        "/metrics" => (200, "text/plain", gateway.metrics.encode()),
+        _ => (404, "text/plain", Vec::new()),
+    }
+}
+
+/// Runs a gateway until SIGTERM or SIGINT.
+#[must_use]
+pub fn run(
+    settings: GatewaySettings,
+    dialect: Box<dyn Dialect>,
+    registry: Box<dyn Registry>,
+) -> ExitCode {
+    logging::init();
+    for _ in 1..settings.threads {
+        std::thread::spawn(|| block_on(std::future::pending::<()>()));
+    }
+    block_on(async move {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+        let started = signals.and_then(|signals| {
+            Program::start(settings, dialect, registry).map(|program| (signals, program))
+        });
+        let (mut signals, program) = match started {
+            Ok(started) => started,
+            Err(error) => {
+                log::error!(event = "start-failed", error:% = error; "");
+                sleep(TICK).await;
+                return ExitCode::FAILURE;
+            }
+        };
+        while let Some(Ok(signal)) = signals.next().await {
+            if signal != Signal::Hup {
+                break;
+            }
+            log::info!(event = "reload"; "");
+        }
+        program.stop().await;
+        sleep(STOP_POLL).await;
+        ExitCode::SUCCESS
+    })
+}
--- /dev/null
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -0,0 +1,338 @@
+//! A stream of events from a target to its caller, through moves between targets.
+
+use crate::adapter::{Continuation, SendMeta};
+use crate::call::Call;
+use crate::caller::Caller;
+use crate::clock;
+use crate::dispatch::{Record, check_crash, rank};
+use crate::exchange::Exchange;
+use crate::link::LinkError;
+use crate::mover::{self, Moved};
+use crate::runtime::sleep;
+use crate::state::{Gateway, Ticket, lock};
+use almondcroft_core::gateway::Choice;
+use almondcroft_core::{TargetId, Verdict};
+use almondcroft_proto::http1::EventSplitter;
+use async_channel::Receiver;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Events between two reports of progress to the fleet.
+const PROGRESS_STEP: u64 = 8;
+
+/// Time to wait for a move whose source has ended the stream.
+const MOVE_TIME: Duration = Duration::from_secs(3);
+
+/// Time for a target to take over a generation.
+const RESUME_TIME: Duration = Duration::from_secs(3);
+
+/// Time without an event after which a generation goes on from its copy.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Tells what happened next on a stream.
+enum Step {
+    /// More bytes were read.
+    Read,
+    /// The stream ended whole.
+    Whole,
+    /// The stream broke.
+    Broken(LinkError),
+    /// Nothing came for too long.
+    Silent,
+    /// The target is about to go.
+    Leaving,
+    /// Time is up.
+    Late,
+}
+
+/// Relays one stream; each event is sent on once and in order.
+pub(crate) struct Relay<'a> {
+    gateway: &'a Arc<Gateway>,
+    call: &'a Arc<Call>,
+    ticket: Ticket,
+    choice: Choice,
+    backup: Option<TargetId>,
+    exchange: Exchange,
+    splitter: EventSplitter,
+    piece: Vec<u8>,
+    last: u64,
+    notice: Receiver<()>,
+    moving: Option<Receiver<Option<Moved>>>,
+}
+
+impl<'a> Relay<'a> {
+    pub(crate) fn new(
+        gateway: &'a Arc<Gateway>,
+        call: &'a Arc<Call>,
+        ticket: Ticket,
+        choice: Choice,
+        backup: Option<TargetId>,
+        exchange: Exchange,
+    ) -> Self {
+        let notice = gateway.watch_target(&ticket.request);
+        Self {
+            gateway,
+            call,
+            ticket,
+            choice,
+            backup,
+            exchange,
+            splitter: EventSplitter::default(),
+            piece: Vec::new(),
+            last: 0,
+            notice,
+            moving: None,
+        }
+    }
+
+    /// Relays to the end; returns whether the caller got all of it.
+    pub(crate) async fn run(mut self, caller: &mut Caller, record: &mut Record) -> bool {
+        if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
+            self.start_move();
+        }
+        loop {
+            match self.step().await {
+                Step::Read => {
+                    if !self.send_events(caller, record).await {
+                        record.end(0, "caller-gone");
+                        return false;
+                    }
+                }
+                Step::Whole if self.moving.is_some() && self.ends_with_connection() => {
+                    if !self.go_on(caller, record, "ended").await {
+                        return false;
+                    }
+                }
+                Step::Whole => return self.finish(caller, record).await,
+                Step::Broken(error) => {
+                    let reason = match error {
+                        LinkError::Closed => "closed",
+                        LinkError::Frame { .. } => "garbled",
+                        LinkError::Io { .. } | LinkError::Timeout => "reset",
+                    };
+                    if !self.go_on(caller, record, reason).await {
+                        return false;
+                    }
+                }
+                Step::Silent => {
+                    if !self.go_on(caller, record, "silent").await {
+                        return false;
+                    }
+                }
+                Step::Leaving => self.start_move(),
+                Step::Late => {
+                    record.end(0, "timeout");
+                    return false;
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let left = self.call.left(clock::now());
+        if left.is_zero() {
+            return Step::Late;
+        }
+        self.piece.clear();
+        let read = async {
+            match self.exchange.read(&mut self.piece).await {
+                Ok(true) => Step::Read,
+                Ok(false) => Step::Whole,
+                Err(error) => Step::Broken(error),
+            }
+        };
+        let notice = async {
+            match self.notice.recv().await {
+                Ok(()) => Step::Leaving,
+                Err(_) => std::future::pending().await,
+            }
+        };
+        let safe = self.backup.is_some() && self.moving.is_none();
+        let late = async {
+            if safe && SILENCE < left {
+                sleep(SILENCE).await;
+                Step::Silent
+            } else {
+                sleep(left).await;
+                Step::Late
+            }
+        };
+        futures_lite::future::or(read, futures_lite::future::or(notice, late)).await
+    }
+
+    /// Sends on the events that are whole; returns whether the caller is still there.
+    async fn send_events(&mut self, caller: &mut Caller, record: &mut Record) -> bool {
+        let mut bytes = Vec::new();
+        for event in self.splitter.push(&self.piece) {
+            if let Some(id) = event.id {
+                if id <= self.last {
+                    continue;
+                }
+                self.last = id;
+                record.events += 1;
+            }
+            bytes.extend_from_slice(&event.bytes);
+        }
+        if bytes.is_empty() {
+            return true;
+        }
+        record.progress();
+        if record.events.is_multiple_of(PROGRESS_STEP) {
+            self.note_progress(record.events);
+        }
+        if caller.has_begun() {
+            caller.piece(&bytes).await.is_ok()
+        } else {
+            caller.begin(&self.exchange.head, &bytes).await.is_ok()
+        }
+    }
+
+    fn note_progress(&self, events: u64) {
+        let stride = self.gateway.config().map_or(1, |config| {
+            let engine = config.pools.get(&self.call.service);
+            let engine = engine.and_then(|pool| pool.engine.as_ref());
+            engine.map_or(1, |engine| engine.stride)
+        });
+        let tokens = u32::try_from(events).unwrap_or(u32::MAX);
+        lock(&self.gateway.fleet).progress(&self.ticket.request, tokens.saturating_mul(stride));
+    }
+
+    fn ends_with_connection(&self) -> bool {
+        self.exchange.decoder.ends_with_connection()
+    }
+
+    async fn finish(self, caller: &mut Caller, record: &mut Record) -> bool {
+        let rest = self.splitter.pending().to_vec();
+        let begun = caller.has_begun();
+        let sent = if begun {
+            rest.is_empty() || caller.piece(&rest).await.is_ok()
+        } else {
+            caller.begin(&self.exchange.head, &rest).await.is_ok()
+        };
+        let whole = sent && caller.end().await.is_ok();
+        record.end(
+            self.exchange.head.status,
+            if whole { "answered" } else { "caller-gone" },
+        );
+        let now = clock::now();
+        lock(&self.gateway.fleet)
+            .succeeded(&self.choice.target, now.saturating_sub(self.call.arrived));
+        lock(&self.gateway.quarantine).note_success(self.call.fingerprint);
+        self.exchange.finish(self.gateway);
+        whole
+    }
+
+    fn start_move(&mut self) {
+        if self.moving.is_none() {
+            self.moving = mover::start(self.gateway, self.call, &self.ticket.request, &self.choice);
+        }
+    }
+
+    /// Goes on at another target after the stream broke; returns whether it does.
+    async fn go_on(&mut self, caller: &Caller, record: &mut Record, reason: &str) -> bool {
+        self.splitter = EventSplitter::default();
+        let moving = self.moving.take();
+        let moved = match &moving {
+            Some(result) => {
+                let result = async { result.recv().await.ok().flatten() };
+                crate::runtime::within(MOVE_TIME, result).await.flatten()
+            }
+            None => None,
+        };
+        if moved.is_none() {
+            record.fault(&self.choice.target, reason, Verdict::MayHaveRun);
+            if moving.is_none() {
+                lock(&self.gateway.fleet).failed(&self.choice.target, true, clock::now());
+                check_crash(self.gateway, self.call, &self.choice);
+            }
+        }
+        let places = self.places(moved);
+        for (choice, copy) in places {
+            if self.resume(&choice, copy, record).await {
+                self.gateway.metrics.count_move("resumed");
+                return true;
+            }
+        }
+        self.gateway.metrics.count_move("lost");
+        let begun = if caller.has_begun() {
+            "broken-off"
+        } else {
+            "broken"
+        };
+        record.end(0, begun);
+        false
+    }
+
+    /// Lists where the generation can go on, best first.
+    fn places(&self, moved: Option<Moved>) -> Vec<(Choice, (std::net::SocketAddr, String))> {
+        let mut places = Vec::new();
+        if let Some(moved) = moved {
+            let copy = (self.choice.address, moved.handle.to_string());
+            places.push((moved.target, copy.clone()));
+            places.push((self.choice.clone(), copy));
+        }
+        let fleet = lock(&self.gateway.fleet);
+        if let Some(target) = self.backup.as_ref().and_then(|id| fleet.choice_of(id)) {
+            let copy = (target.address, self.call.name().to_owned());
+            places.push((target, copy));
+        }
+        places
+    }
+
+    async fn resume(
+        &mut self,
+        choice: &Choice,
+        copy: (std::net::SocketAddr, String),
+        record: &mut Record,
+    ) -> bool {
+        let now = clock::now();
+        if !self.gateway.take_retry(&self.call.service, now) {
+            return false;
+        }
+        let backup = lock(&self.gateway.fleet).destination(&self.ticket.request, now);
+        let backup = backup.filter(|other| other.target != choice.target);
+        let send = SendMeta {
+            left: self.call.left(now),
+            target: choice.target.clone(),
+            customer: self.call.customer.as_ref().map(|c| c.id.clone()),
+            rank: rank(self.call),
+            backup: backup.as_ref().map(|choice| choice.address),
+            resume: Some(Continuation {
+                holder: copy.0,
+                handle: copy.1.into(),
+                after: self.last,
+            }),
+        };
+        record.sent(choice, now);
+        let limit = RESUME_TIME.min(send.left);
+        let opened = Exchange::open(self.gateway, self.call, choice.address, &send, limit).await;
+        let exchange = match opened {
+            Ok(exchange) if exchange.head.status == 200 && exchange.meta.signed => exchange,
+            Ok(exchange) => {
+                let kind = if exchange.meta.not_run {
+                    "resume-refused"
+                } else {
+                    "resume-failed"
+                };
+                record.fault(&choice.target, kind, Verdict::NotRun);
+                return false;
+            }
+            Err(error) => {
+                record.fault(&choice.target, error.kind, error.verdict);
+                return false;
+            }
+        };
+        log::info!(event = "moved", request = self.call.name(),
+            from = self.choice.target.as_str(), target_id = choice.target.as_str(),
+            after = self.last, took_ms = u64::try_from(clock::now().saturating_sub(now).as_millis()).unwrap_or(u64::MAX); "");
+        let works = lock(&self.gateway.fleet).moved(&self.ticket.request, &choice.target, now);
+        self.gateway.deliver(works);
+        self.exchange = exchange;
+        self.choice = choice.clone();
+        self.backup = backup.map(|choice| choice.target);
+        if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
+            self.start_move();
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-gateway/src/runtime.rs
@@ -0,0 +1,40 @@
+//! The executor and timers.
+
+use futures_lite::future;
+use smol::Executor;
+use std::future::Future;
+use std::time::Duration;
+
+static EXECUTOR: Executor<'static> = Executor::new();
+
+/// Runs a future to its end on this thread, beside all tasks.
+///
+/// Further threads may call it with a pending future to share the tasks.
+pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
+    smol::block_on(EXECUTOR.run(future))
+}
+
+/// Runs a future in the background until it ends.
+pub(crate) fn spawn(future: impl Future<Output = ()> + Send + 'static) {
+    EXECUTOR.spawn(future).detach();
+}
+
+/// Waits.
+pub(crate) async fn sleep(time: Duration) {
+    smol::Timer::after(time).await;
+}
+
+/// Returns the output of a future, or `None` when it takes longer than `limit`.
+pub(crate) async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let mut future = std::pin::pin!(future);
+    // A timer costs more than most futures that are ready at once.
+    if let Some(output) = future::poll_once(&mut future).await {
+        return Some(output);
+    }
+    let output = async { Some(future.await) };
+    let timeout = async {
+        sleep(limit).await;
+        None
+    };
+    future::or(output, timeout).await
+}
--- /dev/null
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -0,0 +1,251 @@
+//! What a gateway knows, each part under its own lock.
+
+use crate::adapter::{Dialect, Registry};
+use crate::clock;
+use crate::lifecycle::Lifecycle;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::GatewaySettings;
+use almondcroft_core::gateway::{
+    Change, Demand, Directory, Fleet, FleetOptions, GatewayConfig, Placed, RetryShare, Vouch, Work,
+};
+use almondcroft_core::quarantine::Quarantine;
+use almondcroft_core::{RequestId, ServiceId, Timestamp};
+use async_channel::{Receiver, Sender, bounded};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Locks a part of the state.
+pub(crate) fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Holds the state of one gateway.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) registry: Box<dyn Registry>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) metrics: Metrics,
+    pub(crate) pool: Pool,
+    pub(crate) fleet: Mutex<Fleet>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    config: Mutex<Option<Arc<GatewayConfig>>>,
+    vouch: Mutex<Vouch>,
+    directory: Mutex<Directory>,
+    waiters: Mutex<HashMap<RequestId, Sender<Placed>>>,
+    notices: Mutex<HashMap<RequestId, Sender<()>>>,
+    retries: Mutex<HashMap<ServiceId, RetryShare>>,
+    numbers: AtomicU64,
+}
+
+impl Gateway {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        dialect: Box<dyn Dialect>,
+        registry: Box<dyn Registry>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            dialect,
+            registry,
+            lifecycle: Arc::default(),
+            metrics: Metrics::new(),
+            pool: Pool::default(),
+            fleet: Mutex::new(Fleet::new(FleetOptions::default())),
+            quarantine: Mutex::default(),
+            config: Mutex::default(),
+            vouch: Mutex::new(Vouch::new(settings.bounds.revoke())),
+            directory: Mutex::default(),
+            waiters: Mutex::default(),
+            notices: Mutex::default(),
+            retries: Mutex::default(),
+            numbers: AtomicU64::new(1),
+            settings,
+        })
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn config(&self) -> Option<Arc<GatewayConfig>> {
+        lock(&self.config).clone()
+    }
+
+    /// Returns whether keys may be accepted.
+    pub(crate) fn is_fresh(&self, now: Timestamp) -> bool {
+        lock(&self.vouch).is_fresh(now)
+    }
+
+    /// Returns the time since the configuration was known to be the newest.
+    pub(crate) fn config_age(&self, now: Timestamp) -> Option<Duration> {
+        lock(&self.vouch).at().map(|at| now.saturating_sub(at))
+    }
+
+    /// Notes that the configuration held was the newest one at a time.
+    pub(crate) fn confirm_config(&self, at: Timestamp) {
+        lock(&self.vouch).confirm(at);
+    }
+
+    /// Puts a configuration in force unless a later one is.
+    pub(crate) fn offer_config(&self, config: GatewayConfig) -> bool {
+        let mut current = lock(&self.config);
+        let newer = current
+            .as_ref()
+            .is_none_or(|held| config.revision > held.revision);
+        if newer {
+            lock(&self.fleet).set_pools(config.pools.clone());
+            *current = Some(Arc::new(config));
+        }
+        newer
+    }
+
+    /// Returns whether callers are better sent here than elsewhere.
+    pub(crate) fn is_ready(&self, now: Timestamp) -> bool {
+        !self.lifecycle.is_draining() && self.config().is_some() && self.is_fresh(now)
+    }
+
+    /// Returns a number that no other request of this process has.
+    pub(crate) fn next_id(&self) -> RequestId {
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        RequestId::from(format!("{number:x}"))
+    }
+
+    /// Changes what is known of the targets.
+    pub(crate) fn change_targets(&self, change: impl FnOnce(&mut Directory) -> Vec<Change>) {
+        let changes = change(&mut lock(&self.directory));
+        for change in changes {
+            self.change_target(change);
+        }
+    }
+
+    fn change_target(&self, change: Change) {
+        let now = clock::now();
+        match change {
+            Change::Joined(entry) => {
+                log::info!(event = "target-joined", target_id = entry.id.as_str(),
+                    service = entry.service.as_str(), address:% = entry.address,
+                    zone = entry.zone.as_str(); "");
+                let works = lock(&self.fleet).join(entry, now);
+                self.deliver(works);
+            }
+            Change::Leaving(id) => {
+                let running = lock(&self.fleet).leave(&id);
+                log::info!(event = "target-leaving", target_id = id.as_str(), running = running.len(); "");
+                self.notify(&running);
+            }
+            Change::Gone(id) => {
+                let mut fleet = lock(&self.fleet);
+                if let Some(choice) = fleet.choice_of(&id) {
+                    self.pool.forget(choice.address);
+                }
+                let running = fleet.remove(&id);
+                drop(fleet);
+                log::info!(event = "target-gone", target_id = id.as_str(), running = running.len(); "");
+                self.notify(&running);
+            }
+        }
+    }
+
+    /// Tells requests that their target is about to go.
+    fn notify(&self, requests: &[RequestId]) {
+        let notices = lock(&self.notices);
+        for request in requests {
+            if let Some(sender) = notices.get(request) {
+                // A notice that was not taken yet says the same.
+                let _ = sender.try_send(());
+            }
+        }
+    }
+
+    /// Returns a channel that tells when the request's target is about to go.
+    pub(crate) fn watch_target(&self, request: &RequestId) -> Receiver<()> {
+        let (sender, receiver) = bounded(1);
+        lock(&self.notices).insert(request.clone(), sender);
+        receiver
+    }
+
+    /// Hands the fleet's decisions to the requests that wait for them.
+    pub(crate) fn deliver(&self, works: Vec<Work>) {
+        for work in works {
+            let waiter = lock(&self.waiters).remove(&work.request);
+            let taken = waiter.is_some_and(|waiter| waiter.try_send(work.placed).is_ok());
+            if !taken {
+                let works = lock(&self.fleet).finished(&work.request, clock::now());
+                self.deliver(works);
+            }
+        }
+    }
+
+    /// Waits for a place; the ticket frees it.
+    pub(crate) async fn place(self: &Arc<Self>, demand: Demand) -> (Ticket, Placed) {
+        let (sender, receiver) = bounded(1);
+        let ticket = Ticket {
+            gateway: Arc::clone(self),
+            request: demand.id.clone(),
+        };
+        lock(&self.waiters).insert(demand.id.clone(), sender);
+        let works = lock(&self.fleet).submit(demand, clock::now());
+        self.deliver(works);
+        let placed = receiver.recv().await.unwrap_or(Placed::Refused {
+            reason: almondcroft_core::gateway::Refusal::Overload,
+            retry_after: Duration::from_secs(1),
+        });
+        (ticket, placed)
+    }
+
+    /// Notes a caller's request in the retry budget.
+    pub(crate) fn note_request(&self, service: &ServiceId, now: Timestamp) {
+        self.retry_share(service, |share| share.note_request(now));
+    }
+
+    /// Takes an extra send from the retry budget.
+    pub(crate) fn take_retry(&self, service: &ServiceId, now: Timestamp) -> bool {
+        self.retry_share(service, |share| share.take(now))
+    }
+
+    fn retry_share<T>(&self, service: &ServiceId, use_it: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut retries = lock(&self.retries);
+        let share = retries.entry(service.clone()).or_insert_with(|| {
+            let window = Duration::from_secs_f64(bounds.retry_window_s);
+            RetryShare::new(bounds.retry_ratio, bounds.retry_slack, bounds.vms, window)
+        });
+        use_it(share)
+    }
+
+    /// Does what is due as time passes.
+    pub(crate) fn tick(&self, now: Timestamp) {
+        self.change_targets(|directory| directory.tick(now));
+        let works = lock(&self.fleet).tick(now);
+        self.deliver(works);
+        self.pool.expire(now);
+        let fleet = lock(&self.fleet);
+        let metrics = &self.metrics;
+        metrics.waiting.set(whole(fleet.waiting()));
+        metrics.targets.set(whole(fleet.usable(now)));
+        metrics.vms.set(whole(fleet.vms(now)));
+        metrics.running.set(whole(self.lifecycle.requests()));
+        metrics.connections.set(whole(self.lifecycle.connections()));
+        let age = self.config_age(now).unwrap_or_default();
+        metrics.config_age.set(whole(age.as_millis()));
+    }
+}
+
+fn whole<T: TryInto<i64>>(number: T) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
+
+/// Keeps a request's place, in the queue or at a target.
+pub(crate) struct Ticket {
+    gateway: Arc<Gateway>,
+    pub(crate) request: RequestId,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        lock(&self.gateway.waiters).remove(&self.request);
+        lock(&self.gateway.notices).remove(&self.request);
+        let works = lock(&self.gateway.fleet).finished(&self.request, clock::now());
+        self.gateway.deliver(works);
+    }
+}
--- /dev/null
+++ b/crates/almondcroft-proto/src/http1/tests.rs
@@ -0,0 +1,129 @@
+use super::*;
+use proptest::prelude::*;
+
+fn head(text: &str) -> Result<Option<(RequestHead, usize)>, FrameError> {
+    parse_request(text.as_bytes(), 4096)
+}
+
+#[test]
+fn parse_request_smuggled() {
+    for bad in [
+        "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+        "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: +1\r\n\r\n",
+        "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length:\r\n\r\n",
+        "POST /a HTTP/1.0\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n",
+    ] {
+        let (head, _) = head(bad).unwrap().unwrap();
+        assert_eq!(head.body_kind(), Err(FrameError::Malformed), "{bad}");
+    }
+    for bad in [
+        "POST /a HTTP/1.1\nhost: x\n\n",
+        "POST /a HTTP/1.1\r\n\r\n",
+        "POST /a HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n",
+        "POST /a HTTP/1.1\r\nhost : x\r\n\r\n",
+        "\r\nPOST /a HTTP/1.1\r\nhost: x\r\n\r\n",
+        "POST http://x/a HTTP/1.1\r\nhost: x\r\n\r\n",
+    ] {
+        assert_eq!(head(bad), Err(FrameError::Malformed), "{bad}");
+    }
+}
+
+#[test]
+fn parse_request_too_large() {
+    let text = format!("GET /{} HTTP/1.1\r\nhost: x\r\n\r\n", "a".repeat(5000));
+    assert_eq!(head(&text), Err(FrameError::TooLarge));
+}
+
+#[test]
+fn body_kind_response() {
+    let text = b"HTTP/1.1 200 OK\r\n\r\n";
+    let (head, _) = parse_response(text, 4096).unwrap().unwrap();
+    assert_eq!(head.body_kind("GET"), Ok(BodyKind::ToEnd));
+    assert_eq!(head.body_kind("HEAD"), Ok(BodyKind::Length(0)));
+}
+
+#[test]
+fn feed_bad_chunk() {
+    for bad in [
+        "g\r\n",
+        "-1\r\n",
+        "\r\n",
+        "1 \r\n",
+        "1\n",
+        "1\r\nab\r\n",
+        "ffffffffffffffff\r\n",
+    ] {
+        let mut body = BodyDecoder::new(BodyKind::Chunked);
+        let result = body.feed(bad.as_bytes(), &mut Vec::new());
+        assert_eq!(result, Err(FrameError::Malformed), "{bad:?}");
+    }
+}
+
+#[test]
+fn headers_end_to_end() {
+    let mut headers = Headers::default();
+    headers.push("Connection", b"close, X-Private");
+    headers.push("x-private", b"1");
+    headers.push("X-Kept", b"2");
+    headers.push("Transfer-Encoding", b"chunked");
+    let kept = headers.end_to_end();
+    assert_eq!(kept.iter().count(), 1);
+    assert_eq!(kept.text("x-kept"), Some("2"));
+}
+
+#[test]
+fn events_partial_kept_back() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(1));
+    assert_eq!(splitter.pending(), b"id: 2\nda");
+}
+
+proptest! {
+    #[test]
+    fn feed_any_split(parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+                      cut in 1usize..17) {
+        let mut wire = Vec::new();
+        for part in &parts {
+            write_chunk(part, &mut wire);
+        }
+        wire.extend_from_slice(b"0\r\n\r\nnext");
+        let mut body = BodyDecoder::new(BodyKind::Chunked);
+        let mut out = Vec::new();
+        let mut used = 0;
+        for piece in wire.chunks(cut) {
+            used += body.feed(piece, &mut out).unwrap();
+        }
+        prop_assert!(body.is_done());
+        prop_assert_eq!(out, parts.concat());
+        prop_assert_eq!(&wire[used..], b"next");
+    }
+
+    #[test]
+    fn events_any_split(count in 1u64..12, cut in 1usize..23, crlf in any::<bool>()) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let whole: Vec<String> =
+            (1..=count).map(|id| format!("id: {id}{end}data: x{id}{end}{end}")).collect();
+        let whole = whole.concat();
+        let mut splitter = EventSplitter::default();
+        let events: Vec<StreamEvent> =
+            whole.as_bytes().chunks(cut).flat_map(|piece| splitter.push(piece)).collect();
+        let ids: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
+        prop_assert_eq!(ids, (1..=count).collect::<Vec<_>>());
+        let bytes: Vec<u8> = events.into_iter().flat_map(|event| event.bytes).collect();
+        prop_assert_eq!(bytes, whole.into_bytes());
+    }
+
+    #[test]
+    fn parse_arbitrary_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(Some((head, used))) = parse_request(&bytes, 4096) {
+            prop_assert!(used <= bytes.len());
+            let _ = head.body_kind();
+        }
+        let _ = parse_response(&bytes, 4096);
+        let _ = BodyDecoder::new(BodyKind::Chunked).feed(&bytes, &mut Vec::new());
+    }
+}
--- a/crates/almondcroft-proto/src/lib.rs
+++ b/crates/almondcroft-proto/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`caller`] | callers and entry VMs |
 //! | [`engine`] | entry VMs and model engines |
+//! | [`http1`] | anybody who speaks HTTP/1.1, as framing without I/O |
 //! | [`object`] | entry VMs and the platform's object API |
 //! | [`peer`] | entry VMs |
 //! | [`sheet`] | planners and operators |
@@ -21,6 +22,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod http1;
 pub mod object;
 pub mod peer;
 pub mod problem;
