feat(news): VMs tell each other what they have at the targets

Change: datagrams with requests, tokens and unread prompts by target; copies count as memory and go only where there is much room; moves prefer the own zone; a silent target is looked at first, and moved from only if it answers.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -19,7 +19,7 @@
 use super::{PoolSpec, TargetEntry};
 use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use queue::{Queue, Waiting};
-use state::TargetState;
+use state::{Flight, TargetState};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -81,13 +81,20 @@
     pub placed: Placed,
 }
 
+/// Tells where a request runs and where a copy of it is kept.
+#[derive(Debug, Clone)]
+struct Seat {
+    target: TargetId,
+    copy: Option<TargetId>,
+}
+
 /// Knows all targets and what runs on them, and decides where requests go.
 #[derive(Debug)]
 pub struct Fleet {
     options: FleetOptions,
     pools: BTreeMap<ServiceId, PoolSpec>,
     targets: BTreeMap<TargetId, TargetState>,
-    flights: HashMap<RequestId, TargetId>,
+    flights: HashMap<RequestId, Seat>,
     peers: HashMap<VmId, PeerNews>,
     queues: BTreeMap<ServiceId, Queue>,
 }
@@ -152,7 +159,7 @@
         let loads = self
             .targets
             .iter()
-            .filter(|(_, state)| !state.flights.is_empty())
+            .filter(|(_, state)| !state.is_idle())
             .map(|(id, state)| (id.clone(), state.own_load()));
         PeerNews {
             at: now,
@@ -184,10 +191,7 @@
 
     /// Notes that a target began to answer a request.
     pub fn started(&mut self, request: &RequestId, now: Timestamp) -> Vec<Work> {
-        let Some(target) = self.flights.get(request) else {
-            return Vec::new();
-        };
-        let Some(state) = self.targets.get_mut(target) else {
+        let Some(state) = self.state_of(request) else {
             return Vec::new();
         };
         state.start(request);
@@ -197,13 +201,36 @@
 
     /// Notes how many tokens a generation has produced.
     pub fn progress(&mut self, request: &RequestId, produced: u32) {
-        if let Some(state) = self.state_of(request) {
-            state.progress(request, produced);
+        let Some(state) = self.state_of(request) else {
+            return;
+        };
+        let held = state.progress(request, produced);
+        if let Some(copy) = self.copy_of(request) {
+            copy.copies.insert(request.clone(), held);
+        }
+    }
+
+    /// Notes at which target a copy of a generation's memory is kept.
+    pub fn set_copy(&mut self, request: &RequestId, copy: Option<&TargetId>) {
+        self.drop_copy(request);
+        let held = self
+            .state_of(request)
+            .and_then(|state| state.flights.get(request))
+            .map(Flight::held);
+        let Some(seat) = self.flights.get_mut(request) else {
+            return;
+        };
+        seat.copy = copy.cloned();
+        if let Some(state) = self.copy_of(request) {
+            state
+                .copies
+                .insert(request.clone(), held.unwrap_or_default());
         }
     }
 
     /// Notes that a generation goes on at another target.
     pub fn moved(&mut self, request: &RequestId, target: &TargetId, now: Timestamp) -> Vec<Work> {
+        self.drop_copy(request);
         let Some(flight) = self.state_of(request).and_then(|state| state.end(request)) else {
             return Vec::new();
         };
@@ -211,20 +238,21 @@
             return Vec::new();
         };
         state.adopt(request.clone(), flight);
-        self.flights.insert(request.clone(), target.clone());
+        self.flights.insert(request.clone(), Seat::new(target));
         let service = state.entry.service.clone();
         self.drain(&service, now)
     }
 
     /// Notes the end of a request that was placed, or takes it out of the queue.
     pub fn finished(&mut self, request: &RequestId, now: Timestamp) -> Vec<Work> {
-        let Some(target) = self.flights.remove(request) else {
+        self.drop_copy(request);
+        let Some(seat) = self.flights.remove(request) else {
             for queue in self.queues.values_mut() {
                 queue.remove(request);
             }
             return Vec::new();
         };
-        let Some(state) = self.targets.get_mut(&target) else {
+        let Some(state) = self.targets.get_mut(&seat.target) else {
             return Vec::new();
         };
         state.end(request);
@@ -298,30 +326,42 @@
         works
     }
 
-    /// Chooses a target to which a running generation can be copied.
+    /// Chooses a target to which a running generation can be moved.
     #[must_use]
     pub fn destination(&self, request: &RequestId, now: Timestamp) -> Option<Choice> {
-        let source = self.targets.get(self.flights.get(request)?)?;
+        let demand = self.copy_demand(request)?;
+        self.choose(&demand, self.options.headroom, now)
+    }
+
+    /// Chooses a target that keeps a copy of a generation while it runs, if one has much room.
+    #[must_use]
+    pub fn keeper(&self, request: &RequestId, now: Timestamp) -> Option<Choice> {
+        let demand = self.copy_demand(request)?;
+        self.choose(&demand, self.options.copy_headroom, now)
+    }
+
+    fn copy_demand(&self, request: &RequestId) -> Option<Demand> {
+        let source = self.targets.get(&self.flights.get(request)?.target)?;
         let flight = source.flights.get(request)?;
-        let demand = Demand {
+        Some(Demand {
             // What was read comes with the copy.
             need: Need {
                 prompt: flight.held(),
                 output: flight.left(),
                 read: true,
             },
+            copied: true,
             avoid: vec![source.entry.id.clone()],
             zone: source.entry.zone.clone(),
             region: source.entry.region.clone(),
             ..flight.demand.clone()
-        };
-        self.choose(&demand, now)
+        })
     }
 
     /// Returns the target at which a request runs.
     #[must_use]
     pub fn target_of(&self, request: &RequestId) -> Option<&TargetEntry> {
-        let state = self.targets.get(self.flights.get(request)?)?;
+        let state = self.targets.get(&self.flights.get(request)?.target)?;
         Some(&state.entry)
     }
 
@@ -339,7 +379,18 @@
     }
 
     fn state_of(&mut self, request: &RequestId) -> Option<&mut TargetState> {
-        self.targets.get_mut(self.flights.get(request)?)
+        self.targets.get_mut(&self.flights.get(request)?.target)
+    }
+
+    fn copy_of(&mut self, request: &RequestId) -> Option<&mut TargetState> {
+        self.targets
+            .get_mut(self.flights.get(request)?.copy.as_ref()?)
+    }
+
+    fn drop_copy(&mut self, request: &RequestId) {
+        if let Some(state) = self.copy_of(request) {
+            state.copies.remove(request);
+        }
     }
 
     fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerNews> {
@@ -387,7 +438,7 @@
     fn drain(&mut self, service: &ServiceId, now: Timestamp) -> Vec<Work> {
         let mut works = Vec::new();
         while let Some(waiting) = self.queues.get(service).and_then(Queue::first) {
-            let Some(choice) = self.choose(&waiting.demand, now) else {
+            let Some(choice) = self.choose(&waiting.demand, self.options.headroom, now) else {
                 break;
             };
             let Some(waiting) = self.queues.get_mut(service).and_then(Queue::pop) else {
@@ -396,7 +447,8 @@
             let request = waiting.demand.id.clone();
             if let Some(state) = self.targets.get_mut(&choice.target) {
                 state.begin(waiting.demand);
-                self.flights.insert(request.clone(), choice.target.clone());
+                self.flights
+                    .insert(request.clone(), Seat::new(&choice.target));
             }
             works.push(Work {
                 request,
@@ -407,6 +459,15 @@
     }
 }
 
+impl Seat {
+    fn new(target: &TargetId) -> Self {
+        Self {
+            target: target.clone(),
+            copy: None,
+        }
+    }
+}
+
 fn refusal(reason: Refusal, retry_after: Duration) -> Placed {
     Placed::Refused {
         reason,
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -35,7 +35,7 @@
 
 impl Fleet {
     /// Returns the cheapest target with room, if any has room.
-    pub(super) fn choose(&self, demand: &Demand, now: Timestamp) -> Option<Choice> {
+    pub(super) fn choose(&self, demand: &Demand, headroom: f64, now: Timestamp) -> Option<Choice> {
         let engine = self
             .pools
             .get(&demand.service)
@@ -47,9 +47,14 @@
                 continue;
             }
             let load = self.load(state, now);
-            let Some(cost) = self.cost(state, &load, demand, engine, now) else {
+            let work = match engine {
+                Some(engine) => self.engine_cost(engine, &load, demand, headroom),
+                None => self.plain_cost(state, &load),
+            };
+            let Some(work) = work else {
                 continue;
             };
+            let cost = work + self.extra_cost(state, demand, now);
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, state, load.count));
             }
@@ -82,31 +87,27 @@
         }
     }
 
-    /// Returns the expected cost in seconds, or `None` where the target has no room.
-    fn cost(
-        &self,
-        state: &TargetState,
-        load: &Load,
-        demand: &Demand,
-        engine: Option<&EngineSpec>,
-        now: Timestamp,
-    ) -> Option<f64> {
-        let work = match engine {
-            Some(engine) => self.engine_cost(engine, load, demand)?,
-            None => self.plain_cost(state, load)?,
-        };
+    /// Returns what speaks against a target whatever its load, in seconds.
+    fn extra_cost(&self, state: &TargetState, demand: &Demand, now: Timestamp) -> f64 {
         let cold = state.entry.cold_until.saturating_sub(now).as_secs_f64();
         let failing = state.failure_rate * demand.patience.as_secs_f64() * FAILURE_COST;
-        Some(work + self.distance(state, demand) + cold + failing)
+        self.distance(state, demand) + cold + failing
     }
 
-    fn engine_cost(&self, engine: &EngineSpec, load: &Load, demand: &Demand) -> Option<f64> {
+    /// Returns the expected time in seconds, or `None` where the engine has no room.
+    fn engine_cost(
+        &self,
+        engine: &EngineSpec,
+        load: &Load,
+        demand: &Demand,
+        headroom: f64,
+    ) -> Option<f64> {
         let options = &self.options;
         let memory = f64::from(engine.kv_tokens);
         let filled = load.tokens + f64::from(demand.need.tokens());
         let read = load.unread / options.read_rate;
         let empty = load.count < 1.0;
-        let room = filled <= memory * options.headroom
+        let room = filled <= memory * headroom
             && load.count < f64::from(engine.slots)
             && read <= options.read_backlog.as_secs_f64();
         if !room && !empty {
@@ -129,6 +130,10 @@
     }
 
     fn distance(&self, state: &TargetState, demand: &Demand) -> f64 {
+        if demand.copied && state.entry.zone != demand.zone {
+            let tokens = f64::from(demand.need.prompt);
+            return tokens * self.options.copy_cost.as_secs_f64();
+        }
         let cost = if state.entry.region != demand.region {
             self.options.region_cost
         } else if state.entry.zone == demand.zone {
--- a/crates/almondcroft-core/src/gateway/fleet/demand.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/demand.rs
@@ -47,6 +47,8 @@
     pub zone: ZoneId,
     /// Region of this VM.
     pub region: RegionId,
+    /// Whether its memory is copied over a link, which takes twice as long between zones.
+    pub copied: bool,
     /// Targets at which it failed before.
     pub avoid: Vec<TargetId>,
 }
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -12,6 +12,8 @@
     pub read_rate: f64,
     /// Part of an engine's memory that requests may be expected to fill.
     pub headroom: f64,
+    /// Part of an engine's memory up to which it is asked to keep copies for others.
+    pub copy_headroom: f64,
     /// Part of a caller's patience for which a request may wait here.
     pub wait_part: f64,
     /// Most time that prompts waiting to be read at one engine may take.
@@ -20,6 +22,10 @@
     pub zone_cost: Duration,
     /// Cost of another region, as time: a round trip and the price of its bytes.
     pub region_cost: Duration,
+    /// Cost of each token of memory that is copied to another availability zone, as time.
+    ///
+    /// 131,072 bytes at 19 Gbit/s are 55 us, twice that between zones; others queue behind.
+    pub copy_cost: Duration,
     /// Cost of each request that runs beside, as time.
     pub beside_cost: Duration,
     /// Cost of an engine whose memory is filled, as time; less in proportion.
@@ -33,10 +39,12 @@
         Self {
             read_rate: 7_000.0,
             headroom: 0.95,
+            copy_headroom: 0.6,
             wait_part: 0.4,
             read_backlog: Duration::from_millis(1_200),
             zone_cost: Duration::from_millis(5),
             region_cost: Duration::from_millis(60),
+            copy_cost: Duration::from_micros(110),
             beside_cost: Duration::from_millis(8),
             memory_cost: Duration::from_millis(150),
             plain_queue: 1.5,
--- a/crates/almondcroft-core/src/gateway/fleet/state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/state.rs
@@ -67,6 +67,8 @@
     pub(super) entry: TargetEntry,
     pub(super) leaving: bool,
     pub(super) flights: BTreeMap<RequestId, Flight>,
+    /// Tokens of copies that are kept here for generations that run elsewhere.
+    pub(super) copies: BTreeMap<RequestId, u32>,
     pub(super) failure_rate: f64,
     pub(super) answer_time: Duration,
     failures: u32,
@@ -80,6 +82,7 @@
             leaving: entry.draining,
             entry,
             flights: BTreeMap::new(),
+            copies: BTreeMap::new(),
             failure_rate: 0.0,
             answer_time: INITIAL_TIME,
             failures: 0,
@@ -103,7 +106,15 @@
             tokens: flight.held() + flight.left(),
             unread: flight.unread(),
         });
-        loads.fold(PeerLoad::default(), PeerLoad::add)
+        let copies = PeerLoad {
+            tokens: self.copies.values().sum(),
+            ..PeerLoad::default()
+        };
+        loads.fold(copies, PeerLoad::add)
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.flights.is_empty() && self.copies.is_empty()
     }
 
     /// Estimates the requests of others from what the target told.
@@ -139,10 +150,13 @@
         }
     }
 
-    pub(super) fn progress(&mut self, request: &RequestId, produced: u32) {
-        if let Some(flight) = self.flights.get_mut(request) {
-            flight.produced = produced;
-        }
+    /// Notes the tokens that a flight has produced; returns what it holds.
+    pub(super) fn progress(&mut self, request: &RequestId, produced: u32) -> u32 {
+        let Some(flight) = self.flights.get_mut(request) else {
+            return 0;
+        };
+        flight.produced = produced;
+        flight.held()
     }
 
     pub(super) fn end(&mut self, request: &RequestId) -> Option<Flight> {
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -178,6 +178,10 @@
             backup: backup.as_ref().map(|choice| choice.address),
             resume: None,
         };
+        lock(&self.gateway.fleet).set_copy(
+            &ticket.request,
+            backup.as_ref().map(|choice| &choice.target),
+        );
         self.sends += 1;
         self.record.sent(&choice, now);
         let opened = Exchange::open(self.gateway, &self.call, choice.address, &send, limit).await;
@@ -207,7 +211,7 @@
         if !engine.backups || !long {
             return None;
         }
-        lock(&self.gateway.fleet).destination(&ticket.request, now)
+        lock(&self.gateway.fleet).keeper(&ticket.request, now)
     }
 
     async fn take_answer(
@@ -407,6 +411,7 @@
         deadline: call.deadline(),
         zone: gateway.settings.zone.clone(),
         region: gateway.settings.region.clone(),
+        copied: false,
         avoid: avoid.to_vec(),
     }
 }
--- a/crates/almondcroft-gateway/src/news.rs
+++ b/crates/almondcroft-gateway/src/news.rs
@@ -1,1 +1,179 @@
-//! News between the VMs of the fleet: what each has at the targets.
+//! News between the VMs of the fleet: what each has at the targets, and what crashes them.
+//!
+//! Load reports of targets are late, and two VMs that read the same report send to the same target.
+//! Each VM knows exactly what it sent, so it tells the others in small datagrams; one that is lost
+//! is made up for by the next. VMs find each other by a list in the platform's store.
+
+mod message;
+
+use crate::adapter::{Item, Kind, PlainCall};
+use crate::clock;
+use crate::runtime::{sleep, spawn};
+use crate::state::{Gateway, lock};
+use crate::store::{StoreClient, StoreError};
+use message::Message;
+use rand::seq::SliceRandom;
+use smol::Async;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two rounds of news that changed; prompts are read in about this time.
+const ROUND: Duration = Duration::from_millis(120);
+
+/// Rounds after which news is told although nothing changed.
+const QUIET_ROUNDS: u32 = 6;
+
+/// VMs that are told in one round; the others follow in later ones.
+const MAX_TOLD: usize = 12;
+
+/// Time between two looks at the list of VMs.
+const LIST_TIME: Duration = Duration::from_secs(8);
+
+/// Time between such looks while no other VM is known.
+const FIRST_LIST_TIME: Duration = Duration::from_secs(1);
+
+/// Time for a call to the store.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+
+/// Longest datagram, in bytes; more than a few hundred targets do not fit and are left out.
+const MAX_DATAGRAM: usize = 8 * 1024;
+
+/// Status of a store that has the object already.
+const CONFLICT: u16 = 409;
+
+/// Starts to tell and to hear news, if the settings give an address for it.
+pub(crate) fn start(gateway: &Arc<Gateway>) -> io::Result<()> {
+    let Some(address) = gateway.settings.peers else {
+        return Ok(());
+    };
+    let socket = Arc::new(Async::<UdpSocket>::bind(address)?);
+    spawn(hear(Arc::clone(gateway), Arc::clone(&socket)));
+    spawn(tell(Arc::clone(gateway), socket));
+    spawn(find(Arc::clone(gateway), address));
+    Ok(())
+}
+
+/// Takes this VM off the list, so that others stop telling it.
+pub(crate) async fn unregister(gateway: &Gateway) {
+    if gateway.settings.peers.is_none() {
+        return;
+    }
+    let mut client = StoreClient::new(gateway.settings.store);
+    let call = gateway.registry.unregister(&gateway.settings.vm);
+    if let Err(error) = client.call(&call, CALL_TIME).await {
+        // An entry of a VM that is gone costs the others a datagram a round.
+        log::info!(event = "unregister-failed", error:% = error; "");
+    }
+}
+
+async fn hear(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (count, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!(event = "news-failed", error:% = error; "");
+                sleep(ROUND).await;
+                continue;
+            }
+        };
+        match Message::decode(&buffer[..count]) {
+            Ok(message) => take(&gateway, message, from),
+            Err(error) => log::warn!(event = "news-unreadable", from:% = from, error:% = error; ""),
+        }
+    }
+}
+
+fn take(gateway: &Gateway, message: Message, from: SocketAddr) {
+    let now = clock::now();
+    if message.vm == gateway.settings.vm {
+        return;
+    }
+    let known = lock(&gateway.vms).insert(message.vm.clone(), from);
+    if known.is_none() {
+        log::info!(event = "vm-heard", vm = message.vm.as_str(), address:% = from; "");
+    }
+    let mut quarantine = lock(&gateway.quarantine);
+    for (fingerprint, count) in &message.crashes {
+        quarantine.merge(*fingerprint, *count, now);
+    }
+    drop(quarantine);
+    let vm = message.vm.clone();
+    lock(&gateway.fleet).hear(vm, message.into_news(now));
+}
+
+async fn tell(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
+    let mut told = Vec::new();
+    let mut quiet = 0;
+    loop {
+        sleep(ROUND).await;
+        let now = clock::now();
+        let news = lock(&gateway.fleet).news(now);
+        let crashes = lock(&gateway.quarantine).counts(now);
+        let message = Message::new(gateway.settings.vm.clone(), &news, crashes);
+        let bytes = message.encode(MAX_DATAGRAM);
+        quiet += 1;
+        if bytes == told && quiet < QUIET_ROUNDS {
+            continue;
+        }
+        quiet = 0;
+        let mut others: Vec<SocketAddr> = lock(&gateway.vms).values().copied().collect();
+        others.shuffle(&mut rand::rng());
+        others.truncate(MAX_TOLD);
+        for other in others {
+            if let Err(error) = socket.get_ref().send_to(&bytes, other) {
+                log::debug!(event = "news-lost", to:% = other, error:% = error; "");
+            }
+        }
+        told = bytes;
+    }
+}
+
+/// Registers this VM and looks for the others.
+async fn find(gateway: Arc<Gateway>, address: SocketAddr) {
+    let mut client = StoreClient::new(gateway.settings.store);
+    let own = gateway.settings.vm.clone();
+    let mut registered = false;
+    loop {
+        if !registered {
+            let call = gateway.registry.register(&own, address);
+            registered = match client.call(&call, CALL_TIME).await {
+                Ok(_) | Err(StoreError::Status(CONFLICT)) => true,
+                Err(error) => {
+                    log::info!(event = "register-failed", error:% = error; "");
+                    false
+                }
+            };
+        }
+        let call = gateway.registry.list(Kind::Vms, None);
+        if let Err(error) = list(&gateway, &mut client, &call).await {
+            log::info!(event = "vms-unknown", error:% = error; "");
+        }
+        let alone = lock(&gateway.vms).is_empty();
+        sleep(if alone { FIRST_LIST_TIME } else { LIST_TIME }).await;
+    }
+}
+
+async fn list(
+    gateway: &Gateway,
+    client: &mut StoreClient,
+    call: &PlainCall,
+) -> Result<(), StoreError> {
+    let body = client.call(call, CALL_TIME).await?;
+    let batch = gateway
+        .registry
+        .read_list(Kind::Vms, &body, clock::now())
+        .map_err(StoreError::Unreadable)?;
+    let mut vms = lock(&gateway.vms);
+    vms.clear();
+    for item in batch.items {
+        if let Item::Vm(name, Some(address)) = item
+            && name != gateway.settings.vm
+        {
+            vms.insert(name, address);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -0,0 +1,58 @@
+//! The datagram that one VM sends to another.
+
+use almondcroft_core::gateway::{PeerLoad, PeerNews};
+use almondcroft_core::quarantine::Fingerprint;
+use almondcroft_core::{TargetId, Timestamp, VmId};
+use serde::{Deserialize, Serialize};
+
+/// Holds what one VM has at the targets: requests, tokens and unread tokens for each.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Message {
+    pub(super) vm: VmId,
+    loads: Vec<(TargetId, u32, u32, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) crashes: Vec<(Fingerprint, u32)>,
+}
+
+impl Message {
+    pub(super) fn new(vm: VmId, news: &PeerNews, crashes: Vec<(Fingerprint, u32)>) -> Self {
+        let loads = news.loads.iter();
+        let mut loads: Vec<_> = loads
+            .map(|(id, load)| (id.clone(), load.count, load.tokens, load.unread))
+            .collect();
+        loads.sort_unstable();
+        Self { vm, loads, crashes }
+    }
+
+    /// Encodes the message; leaves targets out until it fits.
+    pub(super) fn encode(mut self, most: usize) -> Vec<u8> {
+        loop {
+            let bytes = serde_json::to_vec(&self).expect("a message serializes");
+            if bytes.len() <= most || self.loads.is_empty() {
+                return bytes;
+            }
+            let half = self.loads.len() / 2;
+            self.loads.truncate(half);
+        }
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+
+    pub(super) fn into_news(self, at: Timestamp) -> PeerNews {
+        let loads = self.loads.into_iter();
+        let load = |(id, count, tokens, unread)| {
+            let load = PeerLoad {
+                count,
+                tokens,
+                unread,
+            };
+            (id, load)
+        };
+        PeerNews {
+            at,
+            loads: loads.map(load).collect(),
+        }
+    }
+}
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -7,7 +7,7 @@
 use crate::runtime::{block_on, sleep, spawn};
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
-use crate::{logging, sync};
+use crate::{logging, news, sync};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::io;
@@ -70,6 +70,7 @@
             }));
         }
         sync::start(gateway);
+        news::start(gateway)?;
         let ticked = Arc::clone(gateway);
         spawn(async move {
             loop {
@@ -108,6 +109,7 @@
             }
             sleep(STOP_POLL).await;
         }
+        news::unregister(&self.gateway).await;
         log::info!(event = "stopped", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
     }
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -6,9 +6,10 @@
 use crate::clock;
 use crate::dispatch::{Record, check_crash, rank};
 use crate::exchange::Exchange;
+use crate::link::Link;
 use crate::link::LinkError;
 use crate::mover::{self, Moved};
-use crate::runtime::sleep;
+use crate::runtime::{sleep, within};
 use crate::state::{Gateway, Ticket, lock};
 use almondcroft_core::gateway::Choice;
 use almondcroft_core::{TargetId, Verdict};
@@ -26,8 +27,14 @@
 /// Time for a target to take over a generation.
 const RESUME_TIME: Duration = Duration::from_secs(3);
 
-/// Time without an event after which a generation goes on from its copy.
-const SILENCE: Duration = Duration::from_millis(1_500);
+/// Time without an event after which a target is looked at; a preempted generation is silent too.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Time to learn whether a silent target takes connections.
+const LOOK_TIME: Duration = Duration::from_millis(400);
+
+/// Time for the rest of a stream to arrive after its source has stopped.
+const REST_TIME: Duration = Duration::from_millis(150);
 
 /// Tells what happened next on a stream.
 enum Step {
@@ -41,6 +48,8 @@
     Silent,
     /// The target is about to go.
     Leaving,
+    /// The source of a move has stopped, or the move failed.
+    Moved(Option<Moved>),
     /// Time is up.
     Late,
 }
@@ -58,6 +67,7 @@
     last: u64,
     notice: Receiver<()>,
     moving: Option<Receiver<Option<Moved>>>,
+    moved: Option<Moved>,
 }
 
 impl<'a> Relay<'a> {
@@ -82,6 +92,7 @@
             last: 0,
             notice,
             moving: None,
+            moved: None,
         }
     }
 
@@ -91,49 +102,72 @@
             self.start_move();
         }
         loop {
-            match self.step().await {
+            let broken = match self.step().await {
                 Step::Read => {
                     if !self.send_events(caller, record).await {
                         record.end(0, "caller-gone");
                         return false;
                     }
+                    None
                 }
-                Step::Whole if self.moving.is_some() && self.ends_with_connection() => {
-                    if !self.go_on(caller, record, "ended").await {
-                        return false;
-                    }
-                }
+                Step::Whole if self.is_stopping() && self.ends_with_connection() => Some("ended"),
                 Step::Whole => return self.finish(caller, record).await,
-                Step::Broken(error) => {
-                    let reason = match error {
-                        LinkError::Closed => "closed",
-                        LinkError::Frame { .. } => "garbled",
-                        LinkError::Io { .. } | LinkError::Timeout => "reset",
-                    };
-                    if !self.go_on(caller, record, reason).await {
-                        return false;
-                    }
+                Step::Broken(error) => Some(fault(&error)),
+                Step::Silent => self.look(record).await,
+                Step::Leaving => {
+                    self.start_move();
+                    None
                 }
-                Step::Silent => {
-                    if !self.go_on(caller, record, "silent").await {
-                        return false;
-                    }
+                Step::Moved(moved) => {
+                    self.moving = None;
+                    self.moved = moved;
+                    None
+                }
+                Step::Late if self.moved.is_some() && !self.call.left(clock::now()).is_zero() => {
+                    Some("stopped")
                 }
-                Step::Leaving => self.start_move(),
                 Step::Late => {
                     record.end(0, "timeout");
                     return false;
                 }
+            };
+            if let Some(reason) = broken
+                && !self.go_on(record, reason).await
+            {
+                self.gateway.metrics.count_move("lost");
+                let begun = caller.has_begun();
+                record.end(0, if begun { "broken-off" } else { "broken" });
+                return false;
             }
         }
     }
 
+    /// Returns whether a move may have ended the stream.
+    const fn is_stopping(&self) -> bool {
+        self.moving.is_some() || self.moved.is_some()
+    }
+
+    /// Looks at a target that sends nothing; returns the reason to go on elsewhere, if it is gone.
+    ///
+    /// A generation that waits for memory is silent as well, and ending it would lose it; so only a
+    /// target that takes no connection counts as gone. One that does is asked to move it.
+    async fn look(&mut self, record: &Record) -> Option<&'static str> {
+        if Link::connect(self.choice.address, LOOK_TIME).await.is_err() {
+            return Some("dark");
+        }
+        record.fault(&self.choice.target, "silent", Verdict::MayHaveRun);
+        self.start_move();
+        None
+    }
+
     async fn step(&mut self) -> Step {
         let left = self.call.left(clock::now());
         if left.is_zero() {
             return Step::Late;
         }
         self.piece.clear();
+        let stopped = self.moved.is_some();
+        let quiet = !self.is_stopping() && SILENCE < left;
         let read = async {
             match self.exchange.read(&mut self.piece).await {
                 Ok(true) => Step::Read,
@@ -147,9 +181,17 @@
                 Err(_) => std::future::pending().await,
             }
         };
-        let safe = self.backup.is_some() && self.moving.is_none();
+        let moved = async {
+            match &self.moving {
+                Some(result) => Step::Moved(result.recv().await.ok().flatten()),
+                None => std::future::pending().await,
+            }
+        };
         let late = async {
-            if safe && SILENCE < left {
+            if stopped {
+                sleep(REST_TIME.min(left)).await;
+                Step::Late
+            } else if quiet {
                 sleep(SILENCE).await;
                 Step::Silent
             } else {
@@ -157,7 +199,8 @@
                 Step::Late
             }
         };
-        futures_lite::future::or(read, futures_lite::future::or(notice, late)).await
+        let news = futures_lite::future::or(notice, moved);
+        futures_lite::future::or(read, futures_lite::future::or(news, late)).await
     }
 
     /// Sends on the events that are whole; returns whether the caller is still there.
@@ -229,37 +272,24 @@
     }
 
     /// Goes on at another target after the stream broke; returns whether it does.
-    async fn go_on(&mut self, caller: &Caller, record: &mut Record, reason: &str) -> bool {
+    async fn go_on(&mut self, record: &mut Record, reason: &str) -> bool {
         self.splitter = EventSplitter::default();
-        let moving = self.moving.take();
-        let moved = match &moving {
-            Some(result) => {
-                let result = async { result.recv().await.ok().flatten() };
-                crate::runtime::within(MOVE_TIME, result).await.flatten()
-            }
-            None => None,
-        };
+        if let Some(result) = self.moving.take() {
+            let result = async { result.recv().await.ok().flatten() };
+            self.moved = within(MOVE_TIME, result).await.flatten();
+        }
+        let moved = self.moved.take();
         if moved.is_none() {
             record.fault(&self.choice.target, reason, Verdict::MayHaveRun);
-            if moving.is_none() {
-                lock(&self.gateway.fleet).failed(&self.choice.target, true, clock::now());
-                check_crash(self.gateway, self.call, &self.choice);
-            }
+            lock(&self.gateway.fleet).failed(&self.choice.target, true, clock::now());
+            check_crash(self.gateway, self.call, &self.choice);
         }
-        let places = self.places(moved);
-        for (choice, copy) in places {
+        for (choice, copy) in self.places(moved) {
             if self.resume(&choice, copy, record).await {
                 self.gateway.metrics.count_move("resumed");
                 return true;
             }
         }
-        self.gateway.metrics.count_move("lost");
-        let begun = if caller.has_begun() {
-            "broken-off"
-        } else {
-            "broken"
-        };
-        record.end(0, begun);
         false
     }
 
@@ -289,7 +319,7 @@
         if !self.gateway.take_retry(&self.call.service, now) {
             return false;
         }
-        let backup = lock(&self.gateway.fleet).destination(&self.ticket.request, now);
+        let backup = lock(&self.gateway.fleet).keeper(&self.ticket.request, now);
         let backup = backup.filter(|other| other.target != choice.target);
         let send = SendMeta {
             left: self.call.left(now),
@@ -325,7 +355,13 @@
         log::info!(event = "moved", request = self.call.name(),
             from = self.choice.target.as_str(), target_id = choice.target.as_str(),
             after = self.last, took_ms = u64::try_from(clock::now().saturating_sub(now).as_millis()).unwrap_or(u64::MAX); "");
-        let works = lock(&self.gateway.fleet).moved(&self.ticket.request, &choice.target, now);
+        let mut fleet = lock(&self.gateway.fleet);
+        let works = fleet.moved(&self.ticket.request, &choice.target, now);
+        fleet.set_copy(
+            &self.ticket.request,
+            backup.as_ref().map(|choice| &choice.target),
+        );
+        drop(fleet);
         self.gateway.deliver(works);
         self.exchange = exchange;
         self.choice = choice.clone();
@@ -336,3 +372,11 @@
         true
     }
 }
+
+const fn fault(error: &LinkError) -> &'static str {
+    match error {
+        LinkError::Closed => "closed",
+        LinkError::Frame { .. } => "garbled",
+        LinkError::Io { .. } | LinkError::Timeout => "reset",
+    }
+}
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -10,9 +10,10 @@
     Change, Demand, Directory, Fleet, FleetOptions, GatewayConfig, Placed, RetryShare, Vouch, Work,
 };
 use almondcroft_core::quarantine::Quarantine;
-use almondcroft_core::{RequestId, ServiceId, Timestamp};
+use almondcroft_core::{RequestId, ServiceId, Timestamp, VmId};
 use async_channel::{Receiver, Sender, bounded};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,6 +33,7 @@
     pub(crate) pool: Pool,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) vms: Mutex<HashMap<VmId, SocketAddr>>,
     config: Mutex<Option<Arc<GatewayConfig>>>,
     vouch: Mutex<Vouch>,
     directory: Mutex<Directory>,
@@ -55,6 +57,7 @@
             pool: Pool::default(),
             fleet: Mutex::new(Fleet::new(FleetOptions::default())),
             quarantine: Mutex::default(),
+            vms: Mutex::default(),
             config: Mutex::default(),
             vouch: Mutex::new(Vouch::new(settings.bounds.revoke())),
             directory: Mutex::default(),
