feat(gateway): leave for the kept copy at once; moves try again

Cause: on notice all generations of an engine queued on its link (8 copies of 0.2 to 0.4 s against a notice of 1.5 to 2.1 s); a destination without room ended the move, and copies on their way were not counted there, so all went to the newest engine.

Change: resume at the copy's engine while the source still runs; the source is kept unless it takes over; moves try up to eight times and count at the destination from their start.

--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -8,7 +8,7 @@
 use crate::clock;
 use crate::exchange::round_trip;
 use crate::link::Link;
-use crate::runtime::{spawn, within};
+use crate::runtime::{sleep, spawn, within};
 use crate::state::{Gateway, lock};
 use almondcroft_core::RequestId;
 use almondcroft_core::gateway::Choice;
@@ -24,8 +24,11 @@
 /// Time to open a connection to the source.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
-/// Destinations that are tried.
-const MAX_DESTINATIONS: u32 = 2;
+/// Destinations that are tried; a notice of two seconds leaves time for about as many.
+const MAX_TRIES: u32 = 8;
+
+/// Pause between two tries, in which other copies may be used up.
+const TRY_PAUSE: Duration = Duration::from_millis(120);
 
 /// Longest answer to a copy, in bytes.
 const MAX_ANSWER: usize = 64 * 1024;
@@ -64,6 +67,16 @@
     Some(receiver)
 }
 
+/// Tells what came of a try to move a generation.
+enum Tried {
+    /// The source has stopped.
+    Moved(Moved),
+    /// The destination has no room.
+    NoRoom,
+    /// The source does not know the generation or is gone.
+    Failed,
+}
+
 struct Mover {
     gateway: Arc<Gateway>,
     call: Arc<Call>,
@@ -73,32 +86,53 @@
 
 impl Mover {
     async fn run(&self) -> Option<Moved> {
-        for _ in 0..MAX_DESTINATIONS {
+        for _ in 0..MAX_TRIES {
             let now = clock::now();
-            let Some(target) = lock(&self.gateway.fleet).destination(&self.request, now) else {
+            let target = lock(&self.gateway.fleet).destination(&self.request, now);
+            let Some(target) = target else {
                 self.log("no-destination", None, now);
-                return None;
+                sleep(TRY_PAUSE).await;
+                continue;
             };
-            let copied = self.copy(target.address, false).await;
-            self.log(outcome(copied.as_ref()), Some(&target), now);
-            match copied {
-                Some((200, _)) => {}
-                Some((404, _)) | None => return None,
-                Some(_) => continue,
+            match self.move_to(target).await {
+                Tried::Moved(moved) => return Some(moved),
+                Tried::NoRoom => sleep(TRY_PAUSE).await,
+                Tried::Failed => return None,
             }
-            let now = clock::now();
-            let stopped = self.copy(target.address, true).await;
-            self.log(outcome(stopped.as_ref()), Some(&target), now);
-            let (status, body) = stopped?;
-            if !matches!(status, 200 | 503) {
-                return None;
-            }
-            let handle = self.gateway.dialect.read_copy(&body)?;
-            return Some(Moved { target, handle });
         }
         None
     }
 
+    /// Tries to move the generation to one target.
+    async fn move_to(&self, target: Choice) -> Tried {
+        let begun = clock::now();
+        lock(&self.gateway.fleet).set_copy(&self.request, Some(&target.target));
+        let copied = self.copy(target.address, false).await;
+        self.log(outcome(copied.as_ref()), Some(&target), begun);
+        match copied {
+            Some((200, _)) => {}
+            Some((503 | 409, _)) => return self.no_room(&target),
+            Some(_) | None => return Tried::Failed,
+        }
+        let stopping = clock::now();
+        let stopped = self.copy(target.address, true).await;
+        self.log(outcome(stopped.as_ref()), Some(&target), stopping);
+        let Some((status, body)) = stopped else {
+            return Tried::Failed;
+        };
+        match (status, self.gateway.dialect.read_copy(&body)) {
+            (200 | 503, Some(handle)) => Tried::Moved(Moved { target, handle }),
+            // Without a handle the generation was not stopped.
+            (503 | 409, None) => self.no_room(&target),
+            _ => Tried::Failed,
+        }
+    }
+
+    fn no_room(&self, target: &Choice) -> Tried {
+        lock(&self.gateway.fleet).rejected(&target.target, clock::now());
+        Tried::NoRoom
+    }
+
     async fn copy(&self, to: SocketAddr, last: bool) -> Option<(u16, Vec<u8>)> {
         let name = self.call.name();
         let call = self.gateway.dialect.copy_call(name, to, last);
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use almondcroft_core::{TargetId, Verdict};
 use almondcroft_proto::http1::EventSplitter;
 use async_channel::Receiver;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,13 @@
 /// Time for the rest of a stream to arrive after its source has stopped.
 const REST_TIME: Duration = Duration::from_millis(150);
 
+/// Time for the engine that keeps a copy to take over while the source still runs; the users' rules
+/// let both work for 400 ms.
+const SWITCH_TIME: Duration = Duration::from_millis(300);
+
+/// Names a copy: the target that holds it and its name there.
+type Copy = (SocketAddr, String);
+
 /// Tells what happened next on a stream.
 enum Step {
     /// More bytes were read.
@@ -99,7 +107,7 @@
     /// Relays to the end; returns whether the caller got all of it.
     pub(crate) async fn run(mut self, caller: &mut Caller, record: &mut Record) -> bool {
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
-            self.start_move();
+            self.leave(record).await;
         }
         loop {
             let broken = match self.step().await {
@@ -115,7 +123,7 @@
                 Step::Broken(error) => Some(fault(&error)),
                 Step::Silent => self.look(record).await,
                 Step::Leaving => {
-                    self.start_move();
+                    self.leave(record).await;
                     None
                 }
                 Step::Moved(moved) => {
@@ -142,6 +150,35 @@
         }
     }
 
+    /// Leaves a target that is about to go: at once to the engine that keeps a copy, else by a move.
+    ///
+    /// The source runs on until the copy's engine has taken over, so a copy that turns out to be
+    /// missing loses nothing.
+    async fn leave(&mut self, record: &mut Record) {
+        if self.is_stopping() {
+            return;
+        }
+        let keeper = self.keeper();
+        let switched = match keeper {
+            Some((choice, copy)) => self.resume(&choice, copy, SWITCH_TIME, record).await,
+            None => false,
+        };
+        if switched {
+            self.gateway.metrics.count_move("switched");
+        } else {
+            self.start_move();
+        }
+    }
+
+    /// Returns the engine that keeps a copy, unless it is about to go as well.
+    fn keeper(&self) -> Option<(Choice, Copy)> {
+        let fleet = lock(&self.gateway.fleet);
+        let target = self.backup.as_ref().filter(|id| !fleet.is_leaving(id))?;
+        let choice = fleet.choice_of(target)?;
+        let copy = (choice.address, self.call.name().to_owned());
+        Some((choice, copy))
+    }
+
     /// Returns whether a move may have ended the stream.
     const fn is_stopping(&self) -> bool {
         self.moving.is_some() || self.moved.is_some()
@@ -273,7 +310,6 @@
 
     /// Goes on at another target after the stream broke; returns whether it does.
     async fn go_on(&mut self, record: &mut Record, reason: &str) -> bool {
-        self.splitter = EventSplitter::default();
         if let Some(result) = self.moving.take() {
             let result = async { result.recv().await.ok().flatten() };
             self.moved = within(MOVE_TIME, result).await.flatten();
@@ -285,7 +321,7 @@
             check_crash(self.gateway, self.call, &self.choice);
         }
         for (choice, copy) in self.places(moved) {
-            if self.resume(&choice, copy, record).await {
+            if self.resume(&choice, copy, RESUME_TIME, record).await {
                 self.gateway.metrics.count_move("resumed");
                 return true;
             }
@@ -294,25 +330,23 @@
     }
 
     /// Lists where the generation can go on, best first.
-    fn places(&self, moved: Option<Moved>) -> Vec<(Choice, (std::net::SocketAddr, String))> {
+    fn places(&self, moved: Option<Moved>) -> Vec<(Choice, Copy)> {
         let mut places = Vec::new();
         if let Some(moved) = moved {
             let copy = (self.choice.address, moved.handle.to_string());
             places.push((moved.target, copy.clone()));
             places.push((self.choice.clone(), copy));
         }
-        let fleet = lock(&self.gateway.fleet);
-        if let Some(target) = self.backup.as_ref().and_then(|id| fleet.choice_of(id)) {
-            let copy = (target.address, self.call.name().to_owned());
-            places.push((target, copy));
-        }
+        places.extend(self.keeper());
         places
     }
 
+    /// Goes on at a target from a copy; the former stream is kept unless the target takes over.
     async fn resume(
         &mut self,
         choice: &Choice,
-        copy: (std::net::SocketAddr, String),
+        copy: Copy,
+        limit: Duration,
         record: &mut Record,
     ) -> bool {
         let now = clock::now();
@@ -334,7 +368,7 @@
             }),
         };
         record.sent(choice, now);
-        let limit = RESUME_TIME.min(send.left);
+        let limit = limit.min(send.left);
         let opened = Exchange::open(self.gateway, self.call, choice.address, &send, limit).await;
         let exchange = match opened {
             Ok(exchange) if exchange.head.status == 200 && exchange.meta.signed => exchange,
@@ -364,6 +398,7 @@
         drop(fleet);
         self.gateway.deliver(works);
         self.exchange = exchange;
+        self.splitter = EventSplitter::default();
         self.choice = choice.clone();
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
