feat(fleet): VMs take turns when an engine leaves

Cause: copies of all generations queued on the leaving engine's link, and the last part of each stalled behind all others (up to 1.7 s).

Change: each VM waits for those before it, by the news of what they have there; within a VM the generation with most to come goes first.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -91,6 +91,7 @@
 /// Knows all targets and what runs on them, and decides where requests go.
 #[derive(Debug)]
 pub struct Fleet {
+    vm: VmId,
     options: FleetOptions,
     pools: BTreeMap<ServiceId, PoolSpec>,
     targets: BTreeMap<TargetId, TargetState>,
@@ -102,8 +103,9 @@
 impl Fleet {
     /// Creates a fleet without targets.
     #[must_use]
-    pub fn new(options: FleetOptions) -> Self {
+    pub fn new(vm: VmId, options: FleetOptions) -> Self {
         Self {
+            vm,
             options,
             pools: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -213,10 +215,13 @@
     /// Notes at which target a copy of a generation's memory is kept.
     pub fn set_copy(&mut self, request: &RequestId, copy: Option<&TargetId>) {
         self.drop_copy(request);
-        let held = self
+        let flight = self
             .state_of(request)
-            .and_then(|state| state.flights.get(request))
-            .map(Flight::held);
+            .and_then(|state| state.flights.get_mut(request));
+        let held = flight.map(|flight| {
+            flight.kept = copy.is_some();
+            flight.held()
+        });
         let Some(seat) = self.flights.get_mut(request) else {
             return;
         };
@@ -340,6 +345,38 @@
         self.choose(&demand, self.options.copy_headroom, now)
     }
 
+    /// Returns how long to wait before a generation is copied off a target that leaves.
+    ///
+    /// Copies queue on the target's link, and the last part of one stalls behind all others. So the
+    /// VMs take turns, in the order of their names, without asking each other: each knows about how
+    /// much the others have there. Among its own, the VM begins with the one that has most to come.
+    #[must_use]
+    pub fn move_delay(&self, request: &RequestId, now: Timestamp) -> Duration {
+        let Some(source) = self
+            .flights
+            .get(request)
+            .and_then(|seat| self.targets.get(&seat.target))
+        else {
+            return Duration::ZERO;
+        };
+        let peers = self
+            .peers
+            .iter()
+            .filter(|(vm, news)| **vm < self.vm && news.at + NEWS_TIME > now);
+        let others: u32 = peers
+            .filter_map(|(_, news)| news.loads.get(&source.entry.id))
+            .map(|load| load.movable)
+            .sum();
+        let left = source.flights.get(request).map_or(0, Flight::left);
+        let own: u32 = source
+            .flights
+            .iter()
+            .filter(|(id, flight)| (flight.left(), *id) > (left, request))
+            .map(|(_, flight)| flight.movable())
+            .sum();
+        self.options.link_time * (others + own)
+    }
+
     fn copy_demand(&self, request: &RequestId) -> Option<Demand> {
         let source = self.targets.get(&self.flights.get(request)?.target)?;
         let flight = source.flights.get(request)?;
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -106,7 +106,8 @@
         let memory = f64::from(engine.kv_tokens);
         let filled = load.tokens + f64::from(demand.need.tokens());
         let read = load.unread / options.read_rate;
-        let empty = load.count < 1.0;
+        // A request as large as a whole engine still runs, but a copy is never worth that.
+        let empty = load.count < 1.0 && !demand.copied;
         let room = filled <= memory * headroom
             && load.count < f64::from(engine.slots)
             && read <= options.read_backlog.as_secs_f64();
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -12,6 +12,8 @@
     pub tokens: u32,
     /// Tokens of prompts that the target has yet to read.
     pub unread: u32,
+    /// Tokens that would have to be copied if the target left now; none where a copy is kept.
+    pub movable: u32,
 }
 
 impl PeerLoad {
@@ -20,6 +22,7 @@
             count: self.count + other.count,
             tokens: self.tokens.saturating_add(other.tokens),
             unread: self.unread.saturating_add(other.unread),
+            movable: self.movable.saturating_add(other.movable),
         }
     }
 }
--- a/crates/almondcroft-core/src/gateway/fleet/state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/state.rs
@@ -27,6 +27,9 @@
 /// Answer time that is assumed before any was seen.
 const INITIAL_TIME: Duration = Duration::from_millis(40);
 
+/// Expected output below which a generation ends before a move would, in tokens.
+const MIN_MOVED: u32 = 40;
+
 /// Time in which what a target told of others' requests loses half its weight.
 const TOLD_HALF_LIFE: f64 = 1.5;
 
@@ -35,6 +38,8 @@
     pub(super) demand: Demand,
     produced: u32,
     started: bool,
+    /// Whether another target keeps a copy.
+    pub(super) kept: bool,
 }
 
 impl Flight {
@@ -52,6 +57,15 @@
             .max(self.produced / 4)
     }
 
+    /// Returns the tokens that would have to be copied if the target left now.
+    pub(super) const fn movable(&self) -> u32 {
+        if self.kept || !self.started || self.demand.need.output < MIN_MOVED {
+            0
+        } else {
+            self.held()
+        }
+    }
+
     const fn unread(&self) -> u32 {
         if self.started {
             0
@@ -105,6 +119,7 @@
             count: 1,
             tokens: flight.held() + flight.left(),
             unread: flight.unread(),
+            movable: flight.movable(),
         });
         let copies = PeerLoad {
             tokens: self.copies.values().sum(),
@@ -136,6 +151,7 @@
             demand,
             produced: 0,
             started: false,
+            kept: false,
         };
         self.flights.insert(flight.demand.id.clone(), flight);
     }
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -183,7 +183,7 @@
             backup.as_ref().map(|choice| &choice.target),
         );
         self.sends += 1;
-        self.record.sent(&choice, now);
+        self.record.sent(&choice, backup.as_ref(), now);
         let opened = Exchange::open(self.gateway, &self.call, choice.address, &send, limit).await;
         match opened {
             Ok(exchange) => {
--- a/crates/almondcroft-gateway/src/dispatch/record.rs
+++ b/crates/almondcroft-gateway/src/dispatch/record.rs
@@ -50,12 +50,13 @@
     }
 
     /// Logs that the request goes to a target.
-    pub(crate) fn sent(&mut self, choice: &Choice, now: Timestamp) {
+    pub(crate) fn sent(&mut self, choice: &Choice, keeper: Option<&Choice>, now: Timestamp) {
         self.sends += 1;
         self.target = Some(choice.target.clone());
         log::info!(event = "dispatch", request = self.name.as_str(),
             customer = self.customer.as_str(), class = self.class.as_str(),
             target_id = choice.target.as_str(), beside = choice.beside,
+            keeper = keeper.map_or("-", |keeper| keeper.target.as_str()),
             cost_ms = millis(choice.cost), attempt = self.sends,
             waited_ms = millis(now.saturating_sub(self.arrived)), revision = self.revision; "");
     }
--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -86,6 +86,8 @@
 
 impl Mover {
     async fn run(&self) -> Option<Moved> {
+        let delay = lock(&self.gateway.fleet).move_delay(&self.request, clock::now());
+        sleep(delay).await;
         for _ in 0..MAX_TRIES {
             let now = clock::now();
             let target = lock(&self.gateway.fleet).destination(&self.request, now);
--- a/crates/almondcroft-gateway/src/news/message.rs
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -5,11 +5,11 @@
 use almondcroft_core::{TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
 
-/// Holds what one VM has at the targets: requests, tokens and unread tokens for each.
+/// Holds what one VM has at the targets: requests, tokens, unread and movable tokens for each.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Message {
     pub(super) vm: VmId,
-    loads: Vec<(TargetId, u32, u32, u32)>,
+    loads: Vec<(TargetId, [u32; 4])>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
 }
@@ -18,7 +18,10 @@
     pub(super) fn new(vm: VmId, news: &PeerNews, crashes: Vec<(Fingerprint, u32)>) -> Self {
         let loads = news.loads.iter();
         let mut loads: Vec<_> = loads
-            .map(|(id, load)| (id.clone(), load.count, load.tokens, load.unread))
+            .map(|(id, load)| {
+                let numbers = [load.count, load.tokens, load.unread, load.movable];
+                (id.clone(), numbers)
+            })
             .collect();
         loads.sort_unstable();
         Self { vm, loads, crashes }
@@ -42,11 +45,12 @@
 
     pub(super) fn into_news(self, at: Timestamp) -> PeerNews {
         let loads = self.loads.into_iter();
-        let load = |(id, count, tokens, unread)| {
+        let load = |(id, [count, tokens, unread, movable]): (TargetId, [u32; 4])| {
             let load = PeerLoad {
                 count,
                 tokens,
                 unread,
+                movable,
             };
             (id, load)
         };
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -367,7 +367,7 @@
                 after: self.last,
             }),
         };
-        record.sent(choice, now);
+        record.sent(choice, backup.as_ref(), now);
         let limit = limit.min(send.left);
         let opened = Exchange::open(self.gateway, self.call, choice.address, &send, limit).await;
         let exchange = match opened {
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -55,7 +55,7 @@
             lifecycle: Arc::default(),
             metrics: Metrics::new(),
             pool: Pool::default(),
-            fleet: Mutex::new(Fleet::new(FleetOptions::default())),
+            fleet: Mutex::new(Fleet::new(settings.vm.clone(), FleetOptions::default())),
             quarantine: Mutex::default(),
             vms: Mutex::default(),
             config: Mutex::default(),
