perf(fleet): copies of generations stay within their region

Half of the copies went to other regions as fresh engines there looked cheapest.

Ruled out: full memory at destinations (reports showed most of it free), the engine refusing as it leaves (in-zone copies pass at any time).

Change: copies, kept or moved, go to engines of the same region; copies on their way count against a destination and are told at once.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -19,7 +19,7 @@
 use super::{PoolSpec, TargetEntry};
 use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use queue::{Queue, Waiting};
-use state::{Flight, TargetState};
+use state::{Flight, HeldCopy, TargetState};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -208,28 +208,39 @@
         };
         let held = state.progress(request, produced);
         if let Some(copy) = self.copy_of(request) {
-            copy.copies.insert(request.clone(), held);
+            let copy = copy.copies.get_mut(request);
+            if let Some(copy) = copy {
+                copy.tokens = held;
+            }
         }
     }
 
-    /// Notes at which target a copy of a generation's memory is kept.
+    /// Notes which target keeps a copy of a generation's memory as it grows.
     pub fn set_copy(&mut self, request: &RequestId, copy: Option<&TargetId>) {
+        self.place_copy(request, copy, false);
+    }
+
+    /// Notes to which target a generation's memory is being copied at once.
+    pub fn set_move(&mut self, request: &RequestId, to: &TargetId) {
+        self.place_copy(request, Some(to), true);
+    }
+
+    fn place_copy(&mut self, request: &RequestId, copy: Option<&TargetId>, arriving: bool) {
         self.drop_copy(request);
         let flight = self
             .state_of(request)
             .and_then(|state| state.flights.get_mut(request));
-        let held = flight.map(|flight| {
-            flight.kept = copy.is_some();
-            flight.held()
-        });
-        let Some(seat) = self.flights.get_mut(request) else {
+        let Some(flight) = flight else {
             return;
         };
-        seat.copy = copy.cloned();
+        flight.kept = copy.is_some();
+        let tokens = flight.held();
+        if let Some(seat) = self.flights.get_mut(request) {
+            seat.copy = copy.cloned();
+        }
         if let Some(state) = self.copy_of(request) {
-            state
-                .copies
-                .insert(request.clone(), held.unwrap_or_default());
+            let held = HeldCopy { tokens, arriving };
+            state.copies.insert(request.clone(), held);
         }
     }
 
@@ -377,6 +388,15 @@
         self.options.link_time * (others + own)
     }
 
+    /// Returns the tokens of memory that a generation fills now.
+    #[must_use]
+    pub fn held(&self, request: &RequestId) -> u32 {
+        let seat = self.flights.get(request);
+        let state = seat.and_then(|seat| self.targets.get(&seat.target));
+        let flight = state.and_then(|state| state.flights.get(request));
+        flight.map_or(0, Flight::held)
+    }
+
     fn copy_demand(&self, request: &RequestId) -> Option<Demand> {
         let source = self.targets.get(&self.flights.get(request)?.target)?;
         let flight = source.flights.get(request)?;
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -31,6 +31,7 @@
     count: f64,
     tokens: f64,
     unread: f64,
+    arriving: f64,
 }
 
 impl Fleet {
@@ -43,7 +44,7 @@
         let mut best: Option<(f64, &TargetState, f64)> = None;
         for state in self.targets.values() {
             let able = state.entry.service == demand.service && state.takes_work(now);
-            if !able || demand.avoid.contains(&state.entry.id) {
+            if !able || demand.avoid.contains(&state.entry.id) || self.too_far(state, demand) {
                 continue;
             }
             let load = self.load(state, now);
@@ -84,6 +85,7 @@
             count: f64::from(own.count + peers.count) + told,
             tokens: f64::from(own.tokens) + f64::from(peers.tokens) + told * UNKNOWN_TOKENS,
             unread: f64::from(own.unread) + f64::from(peers.unread),
+            arriving: f64::from(own.arriving) + f64::from(peers.arriving),
         }
     }
 
@@ -117,7 +119,13 @@
         let own = f64::from(demand.need.unread()) / options.read_rate;
         let beside = load.count * options.beside_cost.as_secs_f64();
         let full = filled / memory * options.memory_cost.as_secs_f64();
-        Some(read + own + beside + full)
+        // A copy waits until the links of both ends are free, and holds up its source meanwhile.
+        let link = if demand.copied {
+            load.arriving * options.copy_cost.as_secs_f64()
+        } else {
+            0.0
+        };
+        Some(read + own + beside + full + link)
     }
 
     fn plain_cost(&self, state: &TargetState, load: &Load) -> Option<f64> {
@@ -130,10 +138,20 @@
         Some(time * (1.0 + waits + load.count / slots))
     }
 
+    /// Returns whether a copy would take too long to another region.
+    fn too_far(&self, state: &TargetState, demand: &Demand) -> bool {
+        let far = demand.copied && state.entry.region != demand.region;
+        far && self.options.far_copy_cost * demand.need.prompt > self.options.far_copy_limit
+    }
+
     fn distance(&self, state: &TargetState, demand: &Demand) -> f64 {
         if demand.copied && state.entry.zone != demand.zone {
-            let tokens = f64::from(demand.need.prompt);
-            return tokens * self.options.copy_cost.as_secs_f64();
+            let token_cost = if state.entry.region == demand.region {
+                self.options.copy_cost
+            } else {
+                self.options.far_copy_cost
+            };
+            return f64::from(demand.need.prompt) * token_cost.as_secs_f64();
         }
         let cost = if state.entry.region != demand.region {
             self.options.region_cost
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -14,6 +14,8 @@
     pub unread: u32,
     /// Tokens that would have to be copied if the target left now; none where a copy is kept.
     pub movable: u32,
+    /// Tokens of copies that are on their way to the target.
+    pub arriving: u32,
 }
 
 impl PeerLoad {
@@ -23,6 +25,7 @@
             tokens: self.tokens.saturating_add(other.tokens),
             unread: self.unread.saturating_add(other.unread),
             movable: self.movable.saturating_add(other.movable),
+            arriving: self.arriving.saturating_add(other.arriving),
         }
     }
 }
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -26,6 +26,11 @@
     ///
     /// 131,072 bytes at 19 Gbit/s are 55 us, twice that between zones; others queue behind.
     pub copy_cost: Duration,
+    /// Time to copy a token of memory to another region; ten times that within a zone, by the logs
+    /// of played days. The source's link is taken all the while.
+    pub far_copy_cost: Duration,
+    /// Longest time that a copy to another region may take.
+    pub far_copy_limit: Duration,
     /// Time to copy a token of memory within an availability zone: 131,072 bytes at 19 Gbit/s.
     pub link_time: Duration,
     /// Cost of each request that runs beside, as time.
@@ -41,12 +46,14 @@
         Self {
             read_rate: 7_000.0,
             headroom: 0.95,
-            copy_headroom: 0.5,
+            copy_headroom: 0.7,
             wait_part: 0.4,
             read_backlog: Duration::from_millis(1_200),
             zone_cost: Duration::from_millis(5),
             region_cost: Duration::from_millis(60),
             copy_cost: Duration::from_micros(110),
+            far_copy_cost: Duration::from_micros(550),
+            far_copy_limit: Duration::ZERO,
             link_time: Duration::from_micros(55),
             beside_cost: Duration::from_millis(8),
             memory_cost: Duration::from_millis(150),
--- a/crates/almondcroft-core/src/gateway/fleet/state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/state.rs
@@ -75,14 +75,22 @@
     }
 }
 
+/// Holds the size of a copy.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HeldCopy {
+    pub(super) tokens: u32,
+    /// Whether it is still on its way.
+    pub(super) arriving: bool,
+}
+
 /// Tracks one target: what this VM runs there and how it behaves.
 #[derive(Debug)]
 pub(super) struct TargetState {
     pub(super) entry: TargetEntry,
     pub(super) leaving: bool,
     pub(super) flights: BTreeMap<RequestId, Flight>,
-    /// Tokens of copies that are kept here for generations that run elsewhere.
-    pub(super) copies: BTreeMap<RequestId, u32>,
+    /// Copies that are kept here for generations that run elsewhere.
+    pub(super) copies: BTreeMap<RequestId, HeldCopy>,
     pub(super) failure_rate: f64,
     pub(super) answer_time: Duration,
     failures: u32,
@@ -120,12 +128,14 @@
             tokens: flight.held() + flight.left(),
             unread: flight.unread(),
             movable: flight.movable(),
+            arriving: 0,
         });
-        let copies = PeerLoad {
-            tokens: self.copies.values().sum(),
+        let copies = self.copies.values().map(|copy| PeerLoad {
+            tokens: copy.tokens,
+            arriving: if copy.arriving { copy.tokens } else { 0 },
             ..PeerLoad::default()
-        };
-        loads.fold(copies, PeerLoad::add)
+        });
+        loads.chain(copies).fold(PeerLoad::default(), PeerLoad::add)
     }
 
     pub(super) fn is_idle(&self) -> bool {
--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -92,7 +92,7 @@
             let now = clock::now();
             let target = lock(&self.gateway.fleet).destination(&self.request, now);
             let Some(target) = target else {
-                self.log("no-destination", None, now);
+                self.log("ahead", "no-destination", None, now);
                 sleep(TRY_PAUSE).await;
                 continue;
             };
@@ -108,9 +108,10 @@
     /// Tries to move the generation to one target.
     async fn move_to(&self, target: Choice) -> Tried {
         let begun = clock::now();
-        lock(&self.gateway.fleet).set_copy(&self.request, Some(&target.target));
+        lock(&self.gateway.fleet).set_move(&self.request, &target.target);
+        self.gateway.tell_news();
         let copied = self.copy(target.address, false).await;
-        self.log(outcome(copied.as_ref()), Some(&target), begun);
+        self.log("ahead", outcome(copied.as_ref()), Some(&target), begun);
         match copied {
             Some((200, _)) => {}
             Some((503 | 409, _)) => return self.no_room(&target),
@@ -118,7 +119,7 @@
         }
         let stopping = clock::now();
         let stopped = self.copy(target.address, true).await;
-        self.log(outcome(stopped.as_ref()), Some(&target), stopping);
+        self.log("last", outcome(stopped.as_ref()), Some(&target), stopping);
         let Some((status, body)) = stopped else {
             return Tried::Failed;
         };
@@ -130,6 +131,10 @@
         }
     }
 
+    fn tokens(&self) -> u32 {
+        lock(&self.gateway.fleet).held(&self.request)
+    }
+
     fn no_room(&self, target: &Choice) -> Tried {
         lock(&self.gateway.fleet).rejected(&target.target, clock::now());
         Tried::NoRoom
@@ -160,11 +165,12 @@
         Some((head.status, body))
     }
 
-    fn log(&self, outcome: &str, target: Option<&Choice>, since: Duration) {
+    fn log(&self, part: &str, outcome: &str, target: Option<&Choice>, since: Duration) {
         let took = clock::now().saturating_sub(since);
         log::info!(event = "copy", request = self.call.name(),
             from = self.source.target.as_str(),
-            target_id = target.map_or("-", |choice| choice.target.as_str()), outcome = outcome,
+            target_id = target.map_or("-", |choice| choice.target.as_str()), part = part, outcome = outcome,
+            tokens = self.tokens(), beside = target.map_or(0, |choice| choice.beside),
             took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX); "");
     }
 }
--- a/crates/almondcroft-gateway/src/news.rs
+++ b/crates/almondcroft-gateway/src/news.rs
@@ -108,7 +108,7 @@
     let mut told = Vec::new();
     let mut quiet = 0;
     loop {
-        sleep(ROUND).await;
+        futures_lite::future::or(sleep(ROUND), gateway.urgent_news()).await;
         let now = clock::now();
         let news = lock(&gateway.fleet).news(now);
         let crashes = lock(&gateway.quarantine).counts(now);
--- a/crates/almondcroft-gateway/src/news/message.rs
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -5,11 +5,12 @@
 use almondcroft_core::{TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
 
-/// Holds what one VM has at the targets: requests, tokens, unread and movable tokens for each.
+/// Holds what one VM has at the targets: requests, then tokens: expected, unread,
+/// movable and arriving.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Message {
     pub(super) vm: VmId,
-    loads: Vec<(TargetId, [u32; 4])>,
+    loads: Vec<(TargetId, [u32; 5])>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
 }
@@ -19,7 +20,13 @@
         let loads = news.loads.iter();
         let mut loads: Vec<_> = loads
             .map(|(id, load)| {
-                let numbers = [load.count, load.tokens, load.unread, load.movable];
+                let numbers = [
+                    load.count,
+                    load.tokens,
+                    load.unread,
+                    load.movable,
+                    load.arriving,
+                ];
                 (id.clone(), numbers)
             })
             .collect();
@@ -45,12 +52,13 @@
 
     pub(super) fn into_news(self, at: Timestamp) -> PeerNews {
         let loads = self.loads.into_iter();
-        let load = |(id, [count, tokens, unread, movable]): (TargetId, [u32; 4])| {
+        let load = |(id, [count, tokens, unread, movable, arriving]): (TargetId, [u32; 5])| {
             let load = PeerLoad {
                 count,
                 tokens,
                 unread,
                 movable,
+                arriving,
             };
             (id, load)
         };
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -41,6 +41,7 @@
     notices: Mutex<HashMap<RequestId, Sender<()>>>,
     retries: Mutex<HashMap<ServiceId, RetryShare>>,
     numbers: AtomicU64,
+    urgent: (Sender<()>, Receiver<()>),
 }
 
 impl Gateway {
@@ -65,6 +66,7 @@
             notices: Mutex::default(),
             retries: Mutex::default(),
             numbers: AtomicU64::new(1),
+            urgent: bounded(1),
             settings,
         })
     }
@@ -216,6 +218,19 @@
         use_it(share)
     }
 
+    /// Has the other VMs told at once.
+    pub(crate) fn tell_news(&self) {
+        // A full channel says the same.
+        let _ = self.urgent.0.try_send(());
+    }
+
+    /// Ends when the other VMs are to be told at once.
+    pub(crate) async fn urgent_news(&self) {
+        if self.urgent.1.recv().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Does what is due as time passes.
     pub(crate) fn tick(&self, now: Timestamp) {
         self.change_targets(|directory| directory.tick(now));
