feat(fleet): one retry budget for the fleet; moves may overcommit

Change: VMs tell each other their requests and extra sends, and draw on what the fleet has left; a move may fill an engine to 1.25 of what is expected.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -24,7 +24,7 @@
 pub use fleet::{
     Choice, Demand, Fleet, FleetOptions, Need, PeerLoad, PeerNews, Placed, Refusal, Work,
 };
-pub use retry_share::RetryShare;
+pub use retry_share::{RetryShare, SendCounts};
 pub use route::{CallKind, Cluster, RouteSpec, RouteTable};
 pub use target::TargetEntry;
 pub use vouch::Vouch;
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -16,7 +16,7 @@
 pub use load::{PeerLoad, PeerNews};
 pub use options::FleetOptions;
 
-use super::{PoolSpec, TargetEntry};
+use super::{PoolSpec, SendCounts, TargetEntry};
 use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use queue::{Queue, Waiting};
 use state::{Flight, HeldCopy, TargetState};
@@ -166,9 +166,19 @@
         PeerNews {
             at: now,
             loads: loads.collect(),
+            sends: HashMap::new(),
         }
     }
 
+    /// Sums up the requests and extra sends of the other VMs, if any was heard of lately.
+    #[must_use]
+    pub fn sends_of_others(&self, service: &str, now: Timestamp) -> Option<SendCounts> {
+        let counts = self
+            .fresh_peers(now)
+            .map(|news| news.sends.get(service).copied().unwrap_or_default());
+        counts.reduce(SendCounts::add)
+    }
+
     /// Returns the number of VMs that were heard of lately, this one included.
     #[must_use]
     pub fn vms(&self, now: Timestamp) -> usize {
@@ -346,7 +356,7 @@
     #[must_use]
     pub fn destination(&self, request: &RequestId, now: Timestamp) -> Option<Choice> {
         let demand = self.copy_demand(request)?;
-        self.choose(&demand, self.options.headroom, now)
+        self.choose(&demand, self.options.move_headroom, now)
     }
 
     /// Chooses a target that keeps a copy of a generation while it runs, if one has much room.
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -1,6 +1,7 @@
 //! What one VM has at a target, as told to the others.
 
-use crate::{TargetId, Timestamp};
+use crate::gateway::SendCounts;
+use crate::{ServiceId, TargetId, Timestamp};
 use std::collections::HashMap;
 
 /// Sums up the requests of one VM at one target.
@@ -37,4 +38,6 @@
     pub at: Timestamp,
     /// Sums by target.
     pub loads: HashMap<TargetId, PeerLoad>,
+    /// Requests and extra sends by service.
+    pub sends: HashMap<ServiceId, SendCounts>,
 }
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -14,6 +14,9 @@
     pub headroom: f64,
     /// Part of an engine's memory up to which it is asked to keep copies for others.
     pub copy_headroom: f64,
+    /// Part of an engine's memory that may be expected to fill when a generation is moved there: one
+    /// that is preempted later is late, one that cannot move is lost.
+    pub move_headroom: f64,
     /// Part of a caller's patience for which a request may wait here.
     pub wait_part: f64,
     /// Most time that prompts waiting to be read at one engine may take.
@@ -31,7 +34,8 @@
     pub far_copy_cost: Duration,
     /// Longest time that a copy to another region may take.
     pub far_copy_limit: Duration,
-    /// Time to copy a token of memory within an availability zone: 131,072 bytes at 19 Gbit/s.
+    /// Time to copy a token of memory within an availability zone, round trips included: 131,072
+    /// bytes at 19 Gbit/s are 55 us, and each generation is asked for twice.
     pub link_time: Duration,
     /// Cost of each request that runs beside, as time.
     pub beside_cost: Duration,
@@ -47,6 +51,7 @@
             read_rate: 7_000.0,
             headroom: 0.95,
             copy_headroom: 0.7,
+            move_headroom: 1.25,
             wait_part: 0.4,
             read_backlog: Duration::from_millis(1_200),
             zone_cost: Duration::from_millis(5),
@@ -54,7 +59,7 @@
             copy_cost: Duration::from_micros(110),
             far_copy_cost: Duration::from_micros(550),
             far_copy_limit: Duration::ZERO,
-            link_time: Duration::from_micros(55),
+            link_time: Duration::from_micros(75),
             beside_cost: Duration::from_millis(8),
             memory_cost: Duration::from_millis(150),
             plain_queue: 1.5,
--- a/crates/almondcroft-core/src/gateway/retry_share.rs
+++ b/crates/almondcroft-core/src/gateway/retry_share.rs
@@ -1,35 +1,67 @@
-//! This VM's share of the fleet's retry budget.
+//! The fleet's retry budget, as one VM may draw on it.
 
 use crate::Timestamp;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Part of the share that is used; the rest covers windows that the VMs see differently.
+/// Part of the budget that is used; the rest covers what other VMs did since they told.
 const USED_PART: f64 = 0.8;
 
+/// Counts requests and extra sends within the window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct SendCounts {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Sends beyond the first of each request.
+    pub extra: u32,
+}
+
+impl SendCounts {
+    /// Adds up the counts of two VMs.
+    #[must_use]
+    pub const fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_add(other.requests),
+            extra: self.extra.saturating_add(other.extra),
+        }
+    }
+}
+
 /// Permits sends beyond the first of each request within a sliding window.
 ///
-/// The budget is the fleet's: a ratio of all requests plus a fixed number. Each VM uses the ratio of
-/// its own requests and its part of the fixed number, so the sum keeps the bound without messages.
+/// The budget is the fleet's: a ratio of all requests plus a fixed number. Where the others' counts
+/// are known, the VM draws on what the fleet has left; else it keeps to its own part, so that the sum
+/// keeps the bound without messages.
+///
+/// ```
+/// use almondcroft_core::gateway::{RetryShare, SendCounts};
+/// use std::time::Duration;
+///
+/// let mut share = RetryShare::new(0.2, 10.0, Duration::from_secs(10));
+/// let now = Duration::from_secs(1);
+/// let others = SendCounts { requests: 0, extra: 7 };
+/// assert!(share.take(Some(others), 4, now));
+/// assert!(!share.take(Some(others), 4, now));
+/// ```
 #[derive(Debug)]
 pub struct RetryShare {
     ratio: f64,
     slack: f64,
     window: Duration,
     requests: VecDeque<Timestamp>,
-    sends: VecDeque<Timestamp>,
+    extra: VecDeque<Timestamp>,
 }
 
 impl RetryShare {
-    /// Creates a share of `slack / vms` extra sends and `ratio` of the requests per window.
+    /// Creates a budget of `slack` extra sends and `ratio` of the requests per window.
     #[must_use]
-    pub fn new(ratio: f64, slack: f64, vms: u32, window: Duration) -> Self {
+    pub const fn new(ratio: f64, slack: f64, window: Duration) -> Self {
         Self {
-            ratio: ratio * USED_PART,
-            slack: slack * USED_PART / f64::from(vms.max(1)),
+            ratio,
+            slack,
             window,
             requests: VecDeque::new(),
-            sends: VecDeque::new(),
+            extra: VecDeque::new(),
         }
     }
 
@@ -40,31 +72,41 @@
     }
 
     /// Takes one extra send; returns whether the budget permits it.
-    pub fn take(&mut self, now: Timestamp) -> bool {
+    ///
+    /// `others` are the counts of the other VMs, if they are known, and `vms` the number of all VMs.
+    pub fn take(&mut self, others: Option<SendCounts>, vms: u32, now: Timestamp) -> bool {
         self.expire(now);
-        if self.left() < 1.0 {
-            return false;
+        let own = self.counts(now);
+        let (counts, slack) = match others {
+            Some(others) => (own.add(others), self.slack),
+            None => (own, self.slack / f64::from(vms.max(1))),
+        };
+        let budget = (self.ratio * f64::from(counts.requests) + slack) * USED_PART;
+        let permitted = f64::from(counts.extra) + 1.0 <= budget;
+        if permitted {
+            self.extra.push_back(now);
         }
-        self.sends.push_back(now);
-        true
+        permitted
     }
 
-    /// Returns the extra sends that are left in the window.
+    /// Returns this VM's counts within the window.
     #[must_use]
-    pub fn left(&self) -> f64 {
-        self.slack + self.ratio * count(&self.requests) - count(&self.sends)
+    pub fn counts(&self, now: Timestamp) -> SendCounts {
+        let recent = |times: &VecDeque<Timestamp>| {
+            let count = times.iter().filter(|at| **at + self.window >= now).count();
+            u32::try_from(count).unwrap_or(u32::MAX)
+        };
+        SendCounts {
+            requests: recent(&self.requests),
+            extra: recent(&self.extra),
+        }
     }
 
     fn expire(&mut self, now: Timestamp) {
-        for times in [&mut self.requests, &mut self.sends] {
+        for times in [&mut self.requests, &mut self.extra] {
             while times.front().is_some_and(|at| *at + self.window < now) {
                 times.pop_front();
             }
         }
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "counts of a window are small")]
-fn count(times: &VecDeque<Timestamp>) -> f64 {
-    times.len() as f64
-}
--- a/crates/almondcroft-gateway/src/news.rs
+++ b/crates/almondcroft-gateway/src/news.rs
@@ -14,6 +14,7 @@
 use message::Message;
 use rand::seq::SliceRandom;
 use smol::Async;
+use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -105,20 +106,21 @@
 }
 
 async fn tell(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
-    let mut told = Vec::new();
+    let mut told = (HashMap::new(), Vec::new());
     let mut quiet = 0;
     loop {
         futures_lite::future::or(sleep(ROUND), gateway.urgent_news()).await;
         let now = clock::now();
-        let news = lock(&gateway.fleet).news(now);
+        let mut news = lock(&gateway.fleet).news(now);
+        news.sends = gateway.sends(now);
         let crashes = lock(&gateway.quarantine).counts(now);
-        let message = Message::new(gateway.settings.vm.clone(), &news, crashes);
-        let bytes = message.encode(MAX_DATAGRAM);
         quiet += 1;
-        if bytes == told && quiet < QUIET_ROUNDS {
+        if told == (news.loads.clone(), crashes.clone()) && quiet < QUIET_ROUNDS {
             continue;
         }
         quiet = 0;
+        let message = Message::new(gateway.settings.vm.clone(), &news, crashes.clone());
+        let bytes = message.encode(MAX_DATAGRAM);
         let mut others: Vec<SocketAddr> = lock(&gateway.vms).values().copied().collect();
         others.shuffle(&mut rand::rng());
         others.truncate(MAX_TOLD);
@@ -127,7 +129,7 @@
                 log::debug!(event = "news-lost", to:% = other, error:% = error; "");
             }
         }
-        told = bytes;
+        told = (news.loads, crashes);
     }
 }
 
--- a/crates/almondcroft-gateway/src/news/message.rs
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -1,8 +1,8 @@
 //! The datagram that one VM sends to another.
 
-use almondcroft_core::gateway::{PeerLoad, PeerNews};
+use almondcroft_core::gateway::{PeerLoad, PeerNews, SendCounts};
 use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::{TargetId, Timestamp, VmId};
+use almondcroft_core::{ServiceId, TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
 
 /// Holds what one VM has at the targets: requests, then tokens: expected, unread,
@@ -11,6 +11,7 @@
 pub(super) struct Message {
     pub(super) vm: VmId,
     loads: Vec<(TargetId, [u32; 5])>,
+    sends: Vec<(ServiceId, u32, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
 }
@@ -31,7 +32,17 @@
             })
             .collect();
         loads.sort_unstable();
-        Self { vm, loads, crashes }
+        let sends = news.sends.iter();
+        let mut sends: Vec<_> = sends
+            .map(|(service, counts)| (service.clone(), counts.requests, counts.extra))
+            .collect();
+        sends.sort_unstable();
+        Self {
+            vm,
+            loads,
+            sends,
+            crashes,
+        }
     }
 
     /// Encodes the message; leaves targets out until it fits.
@@ -62,9 +73,12 @@
             };
             (id, load)
         };
+        let sends = self.sends.into_iter();
+        let count = |(service, requests, extra)| (service, SendCounts { requests, extra });
         PeerNews {
             at,
             loads: loads.map(load).collect(),
+            sends: sends.map(count).collect(),
         }
     }
 }
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -7,7 +7,8 @@
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
 use almondcroft_core::gateway::{
-    Change, Demand, Directory, Fleet, FleetOptions, GatewayConfig, Placed, RetryShare, Vouch, Work,
+    Change, Demand, Directory, Fleet, FleetOptions, GatewayConfig, Placed, RetryShare, SendCounts,
+    Vouch, Work,
 };
 use almondcroft_core::quarantine::Quarantine;
 use almondcroft_core::{RequestId, ServiceId, Timestamp, VmId};
@@ -203,9 +204,27 @@
         self.retry_share(service, |share| share.note_request(now));
     }
 
-    /// Takes an extra send from the retry budget.
+    /// Takes an extra send from the fleet's retry budget.
     pub(crate) fn take_retry(&self, service: &ServiceId, now: Timestamp) -> bool {
-        self.retry_share(service, |share| share.take(now))
+        let fleet = lock(&self.fleet);
+        let heard = fleet.vms(now);
+        let others = fleet.sends_of_others(service, now);
+        drop(fleet);
+        let known = lock(&self.vms).len() + 1;
+        let expected = usize::try_from(self.settings.bounds.vms).unwrap_or(usize::MAX);
+        // Where a part of the fleet is out of hearing, each VM keeps to its own part.
+        let others = others.filter(|_| heard >= known);
+        let vms = u32::try_from(known.max(expected)).unwrap_or(u32::MAX);
+        self.retry_share(service, |share| share.take(others, vms, now))
+    }
+
+    /// Returns this VM's requests and extra sends by service.
+    pub(crate) fn sends(&self, now: Timestamp) -> HashMap<ServiceId, SendCounts> {
+        let retries = lock(&self.retries);
+        let counts = retries.iter();
+        counts
+            .map(|(service, share)| (service.clone(), share.counts(now)))
+            .collect()
     }
 
     fn retry_share<T>(&self, service: &ServiceId, use_it: impl FnOnce(&mut RetryShare) -> T) -> T {
@@ -213,7 +232,7 @@
         let mut retries = lock(&self.retries);
         let share = retries.entry(service.clone()).or_insert_with(|| {
             let window = Duration::from_secs_f64(bounds.retry_window_s);
-            RetryShare::new(bounds.retry_ratio, bounds.retry_slack, bounds.vms, window)
+            RetryShare::new(bounds.retry_ratio, bounds.retry_slack, window)
         });
         use_it(share)
     }
