fix(gateway): a VM that stops refuses what it cannot finish

Change: while stopping, a request is taken only if it can end in the time that is left, by its expected length at first, by its greatest one later; else it is refused at once, not run, with a short time to come back.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -9,6 +9,7 @@
 //! | [`Directory`] | which targets exist, and which of them leave? |
 //! | [`Fleet`] | which target runs a request, and who waits or is refused? |
 //! | [`RetryShare`] | may this VM send a request once more? |
+//! | [`takes_while_stopping`] | can a request still end before this VM stops? |
 //! | [`Vouch`] | is the configuration known to be recent? |
 
 mod config;
@@ -16,6 +17,7 @@
 mod fleet;
 mod retry_share;
 mod route;
+mod stop;
 mod target;
 mod vouch;
 
@@ -26,5 +28,6 @@
 };
 pub use retry_share::{RetryShare, SendCounts};
 pub use route::{CallKind, Cluster, RouteSpec, RouteTable};
+pub use stop::takes_while_stopping;
 pub use target::TargetEntry;
 pub use vouch::Vouch;
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -1,12 +1,13 @@
 //! Finds the route and the customer of a request, or the reason to turn it away.
 
+use super::expected;
 use crate::call::{Call, fingerprint};
 use crate::caller::Received;
 use crate::clock;
 use crate::reply::Reply;
 use crate::state::{Gateway, lock};
 use almondcroft_core::Revision;
-use almondcroft_core::gateway::{CustomerSpec, GatewayConfig, RouteSpec};
+use almondcroft_core::gateway::{CustomerSpec, GatewayConfig, RouteSpec, takes_while_stopping};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,9 @@
 /// VM may be asked at once.
 const CONFIG_RETRY: Duration = Duration::from_millis(300);
 
+/// Time after which a caller of a VM that stops may come back, to another VM.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+
 /// Longest time after which a caller of a request that crashes targets may come back.
 const QUARANTINE_RETRY: Duration = Duration::from_secs(10);
 
@@ -56,7 +60,7 @@
         let reply = Reply::refused("quarantined", left.min(QUARANTINE_RETRY));
         return Err(reject(reply));
     }
-    Ok(Call {
+    let call = Call {
         id: gateway.next_id(),
         head: received.head,
         meta,
@@ -66,7 +70,15 @@
         customer,
         arrived: received.arrived,
         fingerprint,
-    })
+    };
+    if let Some(passed) = gateway.lifecycle.draining_for(clock::now()) {
+        let most = call.meta.generation.as_ref().map_or(0, |g| g.most);
+        let grace = gateway.settings.bounds.grace();
+        if !takes_while_stopping(expected(&call), most, passed, grace) {
+            return Err(reject(Reply::refused("stopping", STOPPING_RETRY)));
+        }
+    }
+    Ok(call)
 }
 
 fn find_route(
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -1,24 +1,36 @@
 //! Requests and connections that are open, and how far a stop has come.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use almondcroft_core::Timestamp;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Tells what the process has open and whether it is stopping.
 #[derive(Debug, Default)]
 pub(crate) struct Lifecycle {
-    draining: AtomicBool,
+    drained: Mutex<Option<Timestamp>>,
     requests: AtomicUsize,
     connections: AtomicUsize,
     bodies: AtomicUsize,
 }
 
 impl Lifecycle {
-    pub(crate) fn start_drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+    pub(crate) fn start_drain(&self, now: Timestamp) {
+        self.drained().get_or_insert(now);
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.drained().is_some()
+    }
+
+    /// Returns the time since the stop began, if it did.
+    pub(crate) fn draining_for(&self, now: Timestamp) -> Option<Duration> {
+        let begun = *self.drained();
+        begun.map(|begun| now.saturating_sub(begun))
+    }
+
+    fn drained(&self) -> MutexGuard<'_, Option<Timestamp>> {
+        self.drained.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn requests(&self) -> usize {
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -96,7 +96,7 @@
     /// Stops in order: callers go elsewhere, what is in flight finishes.
     pub async fn stop(&self) {
         let lifecycle = &self.gateway.lifecycle;
-        lifecycle.start_drain();
+        lifecycle.start_drain(clock::now());
         log::info!(event = "stopping", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
         let begun = clock::now();
