perf(fleet): draw a few targets at size; scouts tell who leaves

Change: of more than 14 targets a request draws 14; three VMs drawn by name follow the targets without a pause and tell the others of departures, the rest lets changes gather for 1.4 s.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -21,6 +21,7 @@
 use queue::{Queue, Waiting};
 use state::{Flight, HeldCopy, TargetState};
 use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// Time after which news of another VM no longer counts.
@@ -185,6 +186,22 @@
         1 + self.fresh_peers(now).count()
     }
 
+    /// Returns whether this VM is among the first `count` ones by a draw over those heard of lately.
+    #[must_use]
+    pub fn is_drawn(&self, count: usize, now: Timestamp) -> bool {
+        let draw = |vm: &VmId| {
+            let mut hasher = DefaultHasher::new();
+            vm.hash(&mut hasher);
+            hasher.finish()
+        };
+        let own = draw(&self.vm);
+        let before = self
+            .peers
+            .iter()
+            .filter(|(vm, news)| news.at + NEWS_TIME > now && draw(vm) < own);
+        before.count() < count
+    }
+
     /// Takes a new request: places it, lets it wait or refuses it.
     pub fn submit(&mut self, demand: Demand, now: Timestamp) -> Vec<Work> {
         let service = demand.service.clone();
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -3,7 +3,8 @@
 use super::state::TargetState;
 use super::{Demand, Fleet, PeerLoad};
 use crate::gateway::EngineSpec;
-use crate::{TargetId, Timestamp};
+use crate::{RequestId, TargetId, Timestamp};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,12 +42,34 @@
             .pools
             .get(&demand.service)
             .and_then(|pool| pool.engine.as_ref());
-        let mut best: Option<(f64, &TargetState, f64)> = None;
-        for state in self.targets.values() {
-            let able = state.entry.service == demand.service && state.takes_work(now);
-            if !able || demand.avoid.contains(&state.entry.id) || self.too_far(state, demand) {
-                continue;
+        let able = |state: &&TargetState| {
+            state.entry.service == demand.service
+                && state.takes_work(now)
+                && !demand.avoid.contains(&state.entry.id)
+                && !self.too_far(state, demand)
+        };
+        let mut able: Vec<&TargetState> = self.targets.values().filter(able).collect();
+        let sample = self.options.sample;
+        if able.len() > sample && !demand.copied {
+            able.sort_by_cached_key(|state| draw(&demand.id, &state.entry.id));
+            let drawn = self.cheapest(&able[..sample], demand, engine, headroom, now);
+            if drawn.is_some() {
+                return drawn;
             }
+        }
+        self.cheapest(&able, demand, engine, headroom, now)
+    }
+
+    fn cheapest(
+        &self,
+        able: &[&TargetState],
+        demand: &Demand,
+        engine: Option<&EngineSpec>,
+        headroom: f64,
+        now: Timestamp,
+    ) -> Option<Choice> {
+        let mut best: Option<(f64, &TargetState, f64)> = None;
+        for state in able {
             let load = self.load(state, now);
             let work = match engine {
                 Some(engine) => self.engine_cost(engine, &load, demand, headroom),
@@ -164,6 +187,13 @@
     }
 }
 
+/// Draws a number for a request and a target; the same ones draw the same number.
+fn draw(request: &RequestId, target: &TargetId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (request, target).hash(&mut hasher);
+    hasher.finish()
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -21,6 +21,11 @@
     pub wait_part: f64,
     /// Most time that prompts waiting to be read at one engine may take.
     pub read_backlog: Duration,
+    /// Targets among which a request chooses where there are more.
+    ///
+    /// News of other VMs is late by more, the more of them there are; all would choose the same
+    /// target, so each request draws a few.
+    pub sample: usize,
     /// Cost of another availability zone, as time.
     pub zone_cost: Duration,
     /// Cost of another region, as time: a round trip and the price of its bytes.
@@ -54,6 +59,7 @@
             move_headroom: 1.25,
             wait_part: 0.4,
             read_backlog: Duration::from_millis(1_200),
+            sample: 14,
             zone_cost: Duration::from_millis(5),
             region_cost: Duration::from_millis(60),
             copy_cost: Duration::from_micros(110),
--- a/crates/almondcroft-gateway/src/news.rs
+++ b/crates/almondcroft-gateway/src/news.rs
@@ -27,7 +27,7 @@
 const QUIET_ROUNDS: u32 = 6;
 
 /// VMs that are told in one round; the others follow in later ones.
-const MAX_TOLD: usize = 12;
+const MAX_TOLD: usize = 20;
 
 /// Time between two looks at the list of VMs.
 const LIST_TIME: Duration = Duration::from_secs(8);
@@ -101,6 +101,9 @@
         quarantine.merge(*fingerprint, *count, now);
     }
     drop(quarantine);
+    for target in &message.departures {
+        gateway.leave_target(target, &message.vm);
+    }
     let vm = message.vm.clone();
     lock(&gateway.fleet).hear(vm, message.into_news(now));
 }
@@ -108,6 +111,7 @@
 async fn tell(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
     let mut told = (HashMap::new(), Vec::new());
     let mut quiet = 0;
+    let mut departed = Vec::new();
     loop {
         futures_lite::future::or(sleep(ROUND), gateway.urgent_news()).await;
         let now = clock::now();
@@ -115,15 +119,26 @@
         news.sends = gateway.sends(now);
         let crashes = lock(&gateway.quarantine).counts(now);
         quiet += 1;
-        if told == (news.loads.clone(), crashes.clone()) && quiet < QUIET_ROUNDS {
+        let departures = gateway.departures(now);
+        let urgent = departures.iter().any(|id| !departed.contains(id));
+        let same = told == (news.loads.clone(), crashes.clone());
+        if same && quiet < QUIET_ROUNDS && !urgent {
             continue;
         }
         quiet = 0;
-        let message = Message::new(gateway.settings.vm.clone(), &news, crashes.clone());
+        let message = Message::new(
+            gateway.settings.vm.clone(),
+            &news,
+            crashes.clone(),
+            departures.clone(),
+        );
+        departed = departures;
         let bytes = message.encode(MAX_DATAGRAM);
         let mut others: Vec<SocketAddr> = lock(&gateway.vms).values().copied().collect();
         others.shuffle(&mut rand::rng());
-        others.truncate(MAX_TOLD);
+        if !urgent {
+            others.truncate(MAX_TOLD);
+        }
         for other in others {
             if let Err(error) = socket.get_ref().send_to(&bytes, other) {
                 log::debug!(event = "news-lost", to:% = other, error:% = error; "");
--- a/crates/almondcroft-gateway/src/news/message.rs
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -12,12 +12,20 @@
     pub(super) vm: VmId,
     loads: Vec<(TargetId, [u32; 5])>,
     sends: Vec<(ServiceId, u32, u32)>,
+    /// Targets that were seen to leave lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) departures: Vec<TargetId>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
 }
 
 impl Message {
-    pub(super) fn new(vm: VmId, news: &PeerNews, crashes: Vec<(Fingerprint, u32)>) -> Self {
+    pub(super) fn new(
+        vm: VmId,
+        news: &PeerNews,
+        crashes: Vec<(Fingerprint, u32)>,
+        departures: Vec<TargetId>,
+    ) -> Self {
         let loads = news.loads.iter();
         let mut loads: Vec<_> = loads
             .map(|(id, load)| {
@@ -41,6 +49,7 @@
             vm,
             loads,
             sends,
+            departures,
             crashes,
         }
     }
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -11,14 +11,17 @@
     Vouch, Work,
 };
 use almondcroft_core::quarantine::Quarantine;
-use almondcroft_core::{RequestId, ServiceId, Timestamp, VmId};
+use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use async_channel::{Receiver, Sender, bounded};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Time for which the other VMs are told that a target leaves; well over a few rounds of news.
+const DEPARTURE_TIME: Duration = Duration::from_secs(2);
+
 /// Locks a part of the state.
 pub(crate) fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
     part.lock().unwrap_or_else(PoisonError::into_inner)
@@ -43,6 +46,7 @@
     retries: Mutex<HashMap<ServiceId, RetryShare>>,
     numbers: AtomicU64,
     urgent: (Sender<()>, Receiver<()>),
+    departures: Mutex<VecDeque<(Timestamp, TargetId)>>,
 }
 
 impl Gateway {
@@ -68,6 +72,7 @@
             retries: Mutex::default(),
             numbers: AtomicU64::new(1),
             urgent: bounded(1),
+            departures: Mutex::default(),
             settings,
         })
     }
@@ -135,11 +140,13 @@
                 self.deliver(works);
             }
             Change::Leaving(id) => {
-                let running = lock(&self.fleet).leave(&id);
-                log::info!(event = "target-leaving", target_id = id.as_str(), running = running.len(); "");
-                self.notify(&running);
+                lock(&self.departures).push_back((now, id.clone()));
+                self.tell_news();
+                self.leave_target(&id, "store");
             }
             Change::Gone(id) => {
+                lock(&self.departures).push_back((now, id.clone()));
+                self.tell_news();
                 let mut fleet = lock(&self.fleet);
                 if let Some(choice) = fleet.choice_of(&id) {
                     self.pool.forget(choice.address);
@@ -152,6 +159,31 @@
         }
     }
 
+    /// Takes no more work to a target, and has what runs there moved.
+    pub(crate) fn leave_target(&self, target: &TargetId, source: &str) {
+        let mut fleet = lock(&self.fleet);
+        if fleet.is_leaving(target) {
+            return;
+        }
+        let running = fleet.leave(target);
+        drop(fleet);
+        log::info!(event = "target-leaving", target_id = target.as_str(), source = source,
+            running = running.len(); "");
+        self.notify(&running);
+    }
+
+    /// Lists the targets that were seen to leave lately.
+    pub(crate) fn departures(&self, now: Timestamp) -> Vec<TargetId> {
+        let mut departures = lock(&self.departures);
+        while departures
+            .front()
+            .is_some_and(|(at, _)| *at + DEPARTURE_TIME < now)
+        {
+            departures.pop_front();
+        }
+        departures.iter().map(|(_, id)| id.clone()).collect()
+    }
+
     /// Tells requests that their target is about to go.
     fn notify(&self, requests: &[RequestId]) {
         let notices = lock(&self.notices);
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -3,7 +3,7 @@
 use crate::adapter::{Batch, Item, Kind};
 use crate::clock;
 use crate::runtime::{sleep, spawn};
-use crate::state::Gateway;
+use crate::state::{Gateway, lock};
 use crate::store::{StoreClient, StoreError};
 use almondcroft_core::gateway::EntryEvent;
 use almondcroft_core::{Revision, Timestamp};
@@ -14,6 +14,13 @@
 /// Longest wait of a watch; what it vouches for is at most this old, and calls are priced.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// VMs that follow the targets without a pause, in case one of them is cut off.
+const SCOUTS: usize = 3;
+
+/// Pause of the other VMs after a change of the targets, in which more of them gather; with the way
+/// of a call it stays under the time after which a target that leaves must get no work.
+const CHANGE_PAUSE: Duration = Duration::from_millis(1_400);
+
 /// Time beyond its wait after which an answer of a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
 
@@ -125,10 +132,19 @@
         let Batch {
             items, revision, ..
         } = batch;
+        let changed = !items.is_empty();
         self.take_changes(items, vouched);
+        if changed && self.kind == Kind::Targets && !self.is_scout() {
+            sleep(CHANGE_PAUSE).await;
+        }
         Ok(revision.max(since))
     }
 
+    /// Returns whether this VM is one of those that see targets change at once and tell the others.
+    fn is_scout(&self) -> bool {
+        lock(&self.gateway.fleet).is_drawn(SCOUTS, clock::now())
+    }
+
     fn take_list(&self, items: Vec<Item>, vouched: Timestamp) {
         if self.kind == Kind::Targets {
             let present = items.into_iter().filter_map(|item| match item {
