perf(gateway): fewer store calls, more room against preemption

Cause: on grown sites 262 preemptions; kept copies filled what growing outputs needed. Store calls: each change of targets cost each VM a call.

Change: copies are kept up to 0.35 of an engine, requests placed up to 0.88; changes of targets gather for 0.65 of the drain time; config watch 2 s.

--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -54,8 +54,8 @@
     fn default() -> Self {
         Self {
             read_rate: 7_000.0,
-            headroom: 0.95,
-            copy_headroom: 0.7,
+            headroom: 0.88,
+            copy_headroom: 0.35,
             move_headroom: 1.25,
             wait_part: 0.4,
             read_backlog: Duration::from_millis(1_200),
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -73,6 +73,8 @@
 pub struct Bounds {
     /// Longest time for which an accepted key may be out of date, in milliseconds; `null` for any.
     pub revoke_ms: Option<u64>,
+    /// Time after which a target that leaves must get no work, in milliseconds.
+    pub drain_ms: u64,
     /// Time for a planned stop, in seconds.
     pub grace_s: f64,
     /// Extra sends as a part of the requests.
@@ -89,6 +91,7 @@
     fn default() -> Self {
         Self {
             revoke_ms: None,
+            drain_ms: 2_500,
             grace_s: 8.0,
             retry_ratio: 0.1,
             retry_slack: 10.0,
@@ -99,6 +102,12 @@
 }
 
 impl Bounds {
+    /// Returns the time after which a target that leaves must get no work.
+    #[must_use]
+    pub const fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
     /// Returns the time for a planned stop.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -11,15 +11,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait of a watch; what it vouches for is at most this old, and calls are priced.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of a watch of the configuration; what it vouches for is at most this old, and a VM
+/// that loses the store should go on serving for a while.
+const CONFIG_WAIT: Duration = Duration::from_secs(2);
+
+/// Longest wait of any other watch; a connection that fell silent is found out after it.
+const OTHER_WAIT: Duration = Duration::from_secs(3);
 
 /// VMs that follow the targets without a pause, in case one of them is cut off.
 const SCOUTS: usize = 3;
 
-/// Pause of the other VMs after a change of the targets, in which more of them gather; with the way
-/// of a call it stays under the time after which a target that leaves must get no work.
-const CHANGE_PAUSE: Duration = Duration::from_millis(1_400);
+/// Part of the time after which a target that leaves must get no work, for which the other VMs let
+/// changes gather; the rest is for the way of a call.
+const PAUSE_PART: f64 = 0.65;
 
 /// Time beyond its wait after which an answer of a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
@@ -115,17 +119,21 @@
     /// Waits for changes; returns the revision from which to go on.
     async fn watch(&mut self, since: Revision) -> Result<Revision, StoreError> {
         let sent = clock::now();
-        let call = self.gateway.registry.watch(self.kind, since, WATCH_WAIT);
-        let body = self.client.call(&call, WATCH_WAIT + WATCH_SLACK).await?;
+        let wait = match self.kind {
+            Kind::Config => CONFIG_WAIT,
+            Kind::Targets | Kind::Vms => OTHER_WAIT,
+        };
+        let call = self.gateway.registry.watch(self.kind, since, wait);
+        let body = self.client.call(&call, wait + WATCH_SLACK).await?;
         let batch = self
             .gateway
             .registry
             .read_changes(self.kind, &body, clock::now())
             .map_err(StoreError::Unreadable)?;
         self.answered();
-        let waited = clock::now().saturating_sub(sent) >= WATCH_WAIT;
+        let waited = clock::now().saturating_sub(sent) >= wait;
         let vouched = if batch.items.is_empty() && waited {
-            sent + WATCH_WAIT
+            sent + wait
         } else {
             sent
         };
@@ -135,7 +143,7 @@
         let changed = !items.is_empty();
         self.take_changes(items, vouched);
         if changed && self.kind == Kind::Targets && !self.is_scout() {
-            sleep(CHANGE_PAUSE).await;
+            sleep(self.gateway.settings.bounds.drain().mul_f64(PAUSE_PART)).await;
         }
         Ok(revision.max(since))
     }
