--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -152,3 +152,6 @@
         vec![Change::Gone(id.clone())]
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -1,1 +1,335 @@
+use super::*;
+use crate::gateway::EngineSpec;
 
+const SECOND: Duration = Duration::from_secs(1);
+
+fn entry(id: &str, service: &str, zone: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: service.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.into(),
+        region: zone.split('-').next().unwrap().into(),
+        slots: 6,
+        draining: false,
+        cold_until: Timestamp::ZERO,
+        born: 1,
+    }
+}
+
+fn fleet(engines: &[(&str, &str)]) -> Fleet {
+    let engine = EngineSpec {
+        slots: 24,
+        kv_tokens: 34_000,
+        stride: 4,
+        moves: true,
+        backups: true,
+        handle_time: SECOND * 5,
+    };
+    let pool = |id: &str, engine| PoolSpec {
+        id: id.into(),
+        connections: 100,
+        engine,
+    };
+    let pools = [pool("menus", Some(engine)), pool("orders", None)];
+    let mut fleet = Fleet::new("vm-1".into(), FleetOptions::default());
+    fleet.set_pools(pools.into_iter().map(|p| (p.id.clone(), p)).collect());
+    for (id, zone) in engines {
+        fleet.join(entry(id, "menus", zone), SECOND);
+    }
+    fleet
+}
+
+fn draft(id: &str) -> Demand {
+    Demand {
+        id: id.into(),
+        service: "menus".into(),
+        priority: 1,
+        need: Need {
+            prompt: 3_000,
+            output: 900,
+            read: false,
+        },
+        patience: SECOND * 7,
+        deadline: SECOND * 40,
+        zone: "q-a".into(),
+        region: "q".into(),
+        copied: false,
+        avoid: vec![],
+    }
+}
+
+fn sent_to(works: &[Work]) -> Vec<&str> {
+    let sent = works.iter().filter_map(|work| match &work.placed {
+        Placed::Send(choice) => Some(choice.target.as_str()),
+        Placed::Refused { .. } => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn submit_spreads_prompts() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a"), ("c", "q-a")]);
+    let mut targets = Vec::new();
+    for id in ["1", "2", "3"] {
+        let works = fleet.submit(draft(id), SECOND);
+        targets.extend(sent_to(&works).into_iter().map(str::to_owned));
+    }
+    targets.sort_unstable();
+    assert_eq!(targets, ["a", "b", "c"]);
+}
+
+#[test]
+fn submit_heeds_news() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+    let load = PeerLoad {
+        count: 3,
+        tokens: 12_000,
+        unread: 9_000,
+        ..PeerLoad::default()
+    };
+    let news = PeerNews {
+        at: SECOND,
+        loads: HashMap::from([("a".into(), load)]),
+        ..PeerNews::default()
+    };
+    fleet.hear("vm-2".into(), news);
+    assert_eq!(sent_to(&fleet.submit(draft("1"), SECOND)), ["b"]);
+}
+
+#[test]
+fn submit_fills_engines_then_waits() {
+    // Seven or eight drafts fit an engine; the burst's rest waits, and is told when to come back.
+    let mut fleet = fleet(&[("a", "q-a")]);
+    let mut sent = 0;
+    let mut now = SECOND;
+    for number in 0..12 {
+        let id: RequestId = format!("{number}").into();
+        sent += sent_to(&fleet.submit(draft(&id), now)).len();
+        fleet.started(&id, now);
+        now += Duration::from_millis(10);
+    }
+    assert_eq!(sent, 7);
+    assert_eq!(fleet.waiting(), 5);
+    let works = fleet.tick(now + SECOND * 3);
+    assert_eq!(works.len(), 5);
+    assert!(works.iter().all(|work| matches!(
+        work.placed,
+        Placed::Refused { reason: Refusal::Overload, retry_after } if retry_after > Duration::ZERO
+    )));
+}
+
+#[test]
+fn finished_places_waiting() {
+    let mut fleet = fleet(&[("a", "q-a")]);
+    for number in 0..8 {
+        let id: RequestId = format!("{number}").into();
+        fleet.submit(draft(&id), SECOND);
+        fleet.started(&id, SECOND);
+    }
+    assert_eq!(fleet.waiting(), 1);
+    let works = fleet.finished(&"0".into(), SECOND * 2);
+    assert_eq!(works.len(), 1);
+    assert_eq!(works[0].request, "7");
+}
+
+#[test]
+fn queue_prefers_priority() {
+    let mut fleet = fleet(&[("a", "q-a")]);
+    for number in 0..8 {
+        let id: RequestId = format!("{number}").into();
+        fleet.submit(draft(&id), SECOND);
+        fleet.started(&id, SECOND);
+    }
+    let question = Demand {
+        priority: 0,
+        ..draft("question")
+    };
+    fleet.submit(question, SECOND);
+    let works = fleet.finished(&"0".into(), SECOND * 2);
+    assert_eq!(works[0].request, "question");
+}
+
+#[test]
+fn leave_gets_no_work() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "r-a")]);
+    fleet.submit(draft("1"), SECOND);
+    assert_eq!(fleet.leave("a"), ["1"]);
+    assert_eq!(sent_to(&fleet.submit(draft("2"), SECOND)), ["b"]);
+    fleet.leave("b");
+    let works = fleet.submit(draft("3"), SECOND);
+    assert!(matches!(
+        works[0].placed,
+        Placed::Refused {
+            reason: Refusal::NoTarget,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn destination_stays_in_region() {
+    // A copy to another region takes ten times as long and holds up all others of its source.
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "r-a")]);
+    fleet.submit(draft("1"), SECOND);
+    assert_eq!(fleet.destination(&"1".into(), SECOND), None);
+    fleet.join(entry("c", "menus", "q-a"), SECOND);
+    let choice = fleet.destination(&"1".into(), SECOND).unwrap();
+    assert_eq!(choice.target, "c");
+}
+
+#[test]
+fn destination_avoids_arriving_copies() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a"), ("c", "q-a")]);
+    let load = PeerLoad {
+        arriving: 8_000,
+        ..PeerLoad::default()
+    };
+    let news = PeerNews {
+        at: SECOND,
+        loads: HashMap::from([("b".into(), load)]),
+        ..PeerNews::default()
+    };
+    fleet.hear("vm-2".into(), news);
+    fleet.submit(draft("1"), SECOND);
+    assert_eq!(fleet.target_of(&"1".into()).unwrap().id, "a");
+    let choice = fleet.destination(&"1".into(), SECOND).unwrap();
+    assert_eq!(choice.target, "c");
+}
+
+#[test]
+fn move_delay_takes_turns() {
+    let mut fleet = fleet(&[("a", "q-a")]);
+    for (id, output) in [("long", 900), ("longer", 1_200)] {
+        let mut demand = draft(id);
+        demand.need.output = output;
+        fleet.submit(demand, SECOND);
+        fleet.started(&id.into(), SECOND);
+    }
+    let first = fleet.move_delay(&"longer".into(), SECOND);
+    let second = fleet.move_delay(&"long".into(), SECOND);
+    assert_eq!(first, Duration::ZERO);
+    assert_eq!(second, FleetOptions::default().link_time * 3_000);
+    let load = PeerLoad {
+        movable: 4_000,
+        ..PeerLoad::default()
+    };
+    let news = PeerNews {
+        at: SECOND,
+        loads: HashMap::from([("a".into(), load)]),
+        ..PeerNews::default()
+    };
+    fleet.hear("vm-0".into(), news.clone());
+    fleet.hear("vm-2".into(), news);
+    let later = fleet.move_delay(&"longer".into(), SECOND);
+    assert_eq!(later, FleetOptions::default().link_time * 4_000);
+}
+
+#[test]
+fn kept_copy_counts_as_memory() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+    fleet.submit(draft("1"), SECOND);
+    let source = fleet.target_of(&"1".into()).unwrap().id.clone();
+    let keeper = fleet.keeper(&"1".into(), SECOND).unwrap();
+    assert_ne!(keeper.target, source);
+    fleet.set_copy(&"1".into(), Some(&keeper.target));
+    fleet.progress(&"1".into(), 400);
+    let news = fleet.news(SECOND);
+    assert_eq!(news.loads[&keeper.target].tokens, 3_400);
+    assert_eq!(news.loads[&source].movable, 0);
+    fleet.finished(&"1".into(), SECOND);
+    assert!(fleet.news(SECOND).loads.is_empty());
+}
+
+#[test]
+fn moved_follows_the_generation() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+    fleet.submit(draft("1"), SECOND);
+    let source = fleet.target_of(&"1".into()).unwrap().id.clone();
+    let target: TargetId = if source == "a" {
+        "b".into()
+    } else {
+        "a".into()
+    };
+    fleet.moved(&"1".into(), &target, SECOND);
+    assert_eq!(fleet.target_of(&"1".into()).unwrap().id, target);
+    assert!(fleet.remove(&source).is_empty());
+}
+
+#[test]
+fn failed_target_rests() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "r-a")]);
+    fleet.failed("a", true, SECOND);
+    fleet.failed("a", true, SECOND);
+    assert_eq!(sent_to(&fleet.submit(draft("1"), SECOND)), ["b"]);
+    let soft = |fleet: &mut Fleet| fleet.failed("b", false, SECOND);
+    for _ in 0..5 {
+        soft(&mut fleet);
+    }
+    assert_eq!(fleet.usable(SECOND), 1);
+    assert_eq!(fleet.usable(SECOND * 3), 2);
+}
+
+#[test]
+fn plain_calls_stay_near_until_it_is_full() {
+    let mut fleet = fleet(&[]);
+    fleet.join(entry("near", "orders", "q-a"), SECOND);
+    fleet.join(entry("far", "orders", "r-a"), SECOND);
+    let mut targets = Vec::new();
+    for number in 0..14 {
+        let demand = Demand {
+            service: "orders".into(),
+            need: Need::default(),
+            ..draft(&format!("{number}"))
+        };
+        let works = fleet.submit(demand, SECOND);
+        targets.extend(sent_to(&works).into_iter().map(str::to_owned));
+    }
+    assert_eq!(&targets[..3], ["near", "near", "near"]);
+    assert!(targets.contains(&"far".to_owned()));
+}
+
+#[test]
+fn sample_spreads_a_herd() {
+    // Seventy VMs with the same late news must not all choose the newest engine.
+    let ids: Vec<String> = (0..48).map(|number| format!("e{number}")).collect();
+    let load = PeerLoad {
+        count: 4,
+        tokens: 14_000,
+        ..PeerLoad::default()
+    };
+    let loads: HashMap<TargetId, PeerLoad> = ids[1..]
+        .iter()
+        .map(|id| (id.as_str().into(), load))
+        .collect();
+    let mut newest = 0;
+    for number in 0..70 {
+        let engines: Vec<(&str, &str)> = ids.iter().map(|id| (id.as_str(), "q-a")).collect();
+        let mut fleet = fleet(&engines);
+        let news = PeerNews {
+            at: SECOND,
+            loads: loads.clone(),
+            ..PeerNews::default()
+        };
+        fleet.hear("vm-0".into(), news);
+        let works = fleet.submit(draft(&format!("r{number}")), SECOND);
+        newest += usize::from(sent_to(&works) == ["e0"]);
+    }
+    assert!(newest < 35, "{newest} of 70");
+    assert!(newest > 7, "{newest} of 70");
+}
+
+#[test]
+fn is_drawn_some_vms() {
+    let mut fleet = fleet(&[]);
+    assert!(fleet.is_drawn(1, SECOND));
+    for number in 0..200 {
+        let news = PeerNews {
+            at: SECOND,
+            ..PeerNews::default()
+        };
+        fleet.hear(format!("vm-{number}").into(), news);
+    }
+    assert!(!fleet.is_drawn(1, SECOND));
+    assert!(fleet.is_drawn(1, SECOND * 10));
+}
--- a/crates/almondcroft-core/src/gateway/retry_share.rs
+++ b/crates/almondcroft-core/src/gateway/retry_share.rs
@@ -110,3 +110,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroft-core/src/gateway/route.rs
+++ b/crates/almondcroft-core/src/gateway/route.rs
@@ -114,3 +114,6 @@
             .find_map(|(at, _)| routes.get(&path[..=at]))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroft-core/src/gateway/stop.rs
+++ b/crates/almondcroft-core/src/gateway/stop.rs
@@ -40,3 +40,6 @@
     };
     FIRST_TIME + TOKEN_TIME * tokens <= left
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroft-core/src/gateway/vouch.rs
+++ b/crates/almondcroft-core/src/gateway/vouch.rs
@@ -55,3 +55,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
