--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -50,4 +50,5 @@
 mod sync;
 
 pub use program::{Program, run};
+pub use runtime::block_on;
 pub use settings::{Bounds, GatewaySettings, SettingsError};
--- a/crates/almondcroft-gateway/src/runtime.rs
+++ b/crates/almondcroft-gateway/src/runtime.rs
@@ -10,7 +10,7 @@
 /// Runs a future to its end on this thread, beside all tasks.
 ///
 /// Further threads may call it with a pending future to share the tasks.
-pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
     smol::block_on(EXECUTOR.run(future))
 }
 
