feat(gateway): settings that change while it runs; checked numbers

SIGHUP and a poll every two seconds read the settings again; bounds come into force at once, anything else is logged as needing a restart. Numbers may be whole or fractions and are checked.

--- a/crates/almondcroft-core/src/gateway/retry_share.rs
+++ b/crates/almondcroft-core/src/gateway/retry_share.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Changes the budget; what was counted stays counted.
+    pub const fn set_budget(&mut self, ratio: f64, slack: f64, window: Duration) {
+        self.ratio = ratio;
+        self.slack = slack;
+        self.window = window;
+    }
+
     /// Notes a caller's request.
     pub fn note_request(&mut self, now: Timestamp) {
         self.requests.push_back(now);
--- a/crates/almondcroft-core/src/gateway/vouch.rs
+++ b/crates/almondcroft-core/src/gateway/vouch.rs
@@ -34,6 +34,11 @@
         Self { bound, at: None }
     }
 
+    /// Changes the bound.
+    pub const fn set_bound(&mut self, bound: Option<Duration>) {
+        self.bound = bound;
+    }
+
     /// Notes that the configuration held was the newest one at a time.
     pub fn confirm(&mut self, at: Timestamp) {
         self.at = self.at.max(Some(at));
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -88,7 +88,8 @@
             let id = rejection.id.clone();
             log::info!(event = "rejected", request = id.as_deref().unwrap_or("-"),
                 status = rejection.reply.status, reason = rejection.reply.kind,
-                revision = rejection.revision; "");
+                revision = rejection.revision,
+                config_age_ms = gateway.config_age(clock::now()).map_or(-1, millis); "");
             gateway.metrics.count_outcome(rejection.reply.kind);
             let sent = caller.reply(gateway, &rejection.reply, id.as_ref()).await;
             sent.is_ok()
@@ -190,7 +191,7 @@
                 self.take_answer(ticket, choice, backup, exchange, now)
                     .await
             }
-            Err(error) => self.take_fault(&choice, error, limit < left),
+            Err(error) => self.take_fault(&choice, error),
         }
     }
 
@@ -274,9 +275,8 @@
                 Some(Ok(false)) => break,
                 Some(Err(error)) => {
                     self.strike(&choice.target, true);
-                    let _ = error;
-                    self.record
-                        .fault(&choice.target, "truncated", Verdict::MayHaveRun);
+                    let kind = error.kind();
+                    self.record.fault(&choice.target, kind, Verdict::MayHaveRun);
                     return Attempt::Unknown("truncated");
                 }
                 None => {
@@ -325,7 +325,7 @@
     }
 
     /// Judges a send that brought no answer.
-    fn take_fault(&mut self, choice: &Choice, error: SendError, early: bool) -> Attempt {
+    fn take_fault(&mut self, choice: &Choice, error: SendError) -> Attempt {
         let target = &choice.target;
         self.record.fault(target, error.kind, error.verdict);
         self.strike(target, true);
@@ -336,7 +336,6 @@
                     check_crash(self.gateway, &self.call, choice);
                     return Attempt::Unknown(error.kind);
                 }
-                let _ = early;
                 Attempt::Unknown("timeout")
             }
         }
@@ -453,3 +452,8 @@
         log::info!(event = "crash", request = call.name(), target_id = target.as_str(), count = count; "");
     });
 }
+
+/// Returns whole milliseconds for a log line.
+fn millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -73,7 +73,7 @@
     };
     if let Some(passed) = gateway.lifecycle.draining_for(clock::now()) {
         let most = call.meta.generation.as_ref().map_or(0, |g| g.most);
-        let grace = gateway.settings.bounds.grace();
+        let grace = gateway.bounds().grace();
         if !takes_while_stopping(expected(&call), most, passed, grace) {
             return Err(reject(Reply::refused("stopping", STOPPING_RETRY)));
         }
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -160,12 +160,7 @@
 }
 
 fn fault(error: &LinkError) -> SendError {
-    SendError::unknown(match error {
-        LinkError::Closed => "closed",
-        LinkError::Io { .. } => "reset",
-        LinkError::Frame { .. } => "garbled",
-        LinkError::Timeout => "timeout",
-    })
+    SendError::unknown(error.kind())
 }
 
 async fn skip_body(link: &mut Link, decoder: &mut BodyDecoder) -> Result<(), SendError> {
--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -20,7 +20,7 @@
 //!
 //! # fn main() -> Result<(), Box<dyn std::error::Error>> {
 //! let settings = GatewaySettings::read("gateway.json".as_ref())?;
-//! run(settings, dialect(), registry());
+//! let _code = run("gateway.json".as_ref(), settings, dialect(), registry());
 //! # Ok(())
 //! # }
 //! ```
--- a/crates/almondcroft-gateway/src/link.rs
+++ b/crates/almondcroft-gateway/src/link.rs
@@ -49,6 +49,18 @@
     Timeout,
 }
 
+impl LinkError {
+    /// Returns the form used in logs.
+    pub(crate) const fn kind(&self) -> &'static str {
+        match self {
+            Self::Closed => "closed",
+            Self::Io { .. } => "reset",
+            Self::Frame { .. } => "garbled",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
 /// Sends on a connection; can be used while another task reads from it.
 #[derive(Debug, Clone)]
 pub(crate) struct Sender(Arc<Async<TcpStream>>);
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -12,6 +12,7 @@
 use futures_lite::StreamExt;
 use std::io;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,9 @@
 /// Time before the end of the grace period at which the process ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time between two looks at the settings file.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
 /// Time between two looks at what is still open during a stop.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -100,7 +104,7 @@
         log::info!(event = "stopping", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
         let begun = clock::now();
-        let grace = self.gateway.settings.bounds.grace();
+        let grace = self.gateway.bounds().grace();
         loop {
             let passed = clock::now().saturating_sub(begun);
             let idle = lifecycle.requests() == 0 && lifecycle.connections() == 0;
@@ -124,9 +128,54 @@
     }
 }
 
-/// Runs a gateway until SIGTERM or SIGINT.
+/// Reads the settings file again and puts in force what can change while requests run.
+///
+/// Only bounds can: addresses and names belong to the process. A file that cannot be read changes
+/// nothing.
+fn reload(gateway: &Gateway, path: &Path, signalled: bool) {
+    let settings = match GatewaySettings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            log::warn!(event = "reload", outcome = "unreadable", error:% = error; "");
+            return;
+        }
+    };
+    let changed = settings.bounds != gateway.bounds();
+    if changed {
+        gateway.set_bounds(settings.bounds);
+    }
+    let fixed = GatewaySettings {
+        bounds: gateway.settings.bounds,
+        ..settings
+    };
+    let restart = fixed != gateway.settings;
+    if changed || restart || signalled {
+        let outcome = match (changed, restart) {
+            (_, true) => "needs-restart",
+            (true, false) => "changed",
+            (false, false) => "unchanged",
+        };
+        log::info!(event = "reload", outcome = outcome, signalled = signalled; "");
+    }
+}
+
+/// Follows the settings file, which may change without a signal.
+async fn watch_settings(gateway: Arc<Gateway>, path: PathBuf) {
+    let mut seen = std::fs::read(&path).ok();
+    loop {
+        sleep(SETTINGS_POLL).await;
+        let read = std::fs::read(&path).ok();
+        if read.is_some() && read != seen {
+            reload(&gateway, &path, false);
+            seen = read;
+        }
+    }
+}
+
+/// Runs a gateway until SIGTERM or SIGINT; SIGHUP reads the settings file again.
 #[must_use]
 pub fn run(
+    path: &Path,
     settings: GatewaySettings,
     dialect: Box<dyn Dialect>,
     registry: Box<dyn Registry>,
@@ -148,11 +197,15 @@
                 return ExitCode::FAILURE;
             }
         };
+        spawn(watch_settings(
+            Arc::clone(&program.gateway),
+            path.to_owned(),
+        ));
         while let Some(Ok(signal)) = signals.next().await {
             if signal != Signal::Hup {
                 break;
             }
-            log::info!(event = "reload"; "");
+            reload(&program.gateway, path, true);
         }
         program.stop().await;
         sleep(STOP_POLL).await;
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -120,7 +120,7 @@
                 }
                 Step::Whole if self.is_stopping() && self.ends_with_connection() => Some("ended"),
                 Step::Whole => return self.finish(caller, record).await,
-                Step::Broken(error) => Some(fault(&error)),
+                Step::Broken(error) => Some(error.kind()),
                 Step::Silent => self.look(record).await,
                 Step::Leaving => {
                     self.leave(record).await;
@@ -407,11 +407,3 @@
         true
     }
 }
-
-const fn fault(error: &LinkError) -> &'static str {
-    match error {
-        LinkError::Closed => "closed",
-        LinkError::Frame { .. } => "garbled",
-        LinkError::Io { .. } | LinkError::Timeout => "reset",
-    }
-}
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -5,11 +5,14 @@
 use smol_str::SmolStr;
 use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use std::{fs, io};
 
+/// Greatest number that makes sense in any unit of the settings.
+const MAX_NUMBER: f64 = 1.0e9;
+
 /// Tells why settings cannot be used.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -61,7 +64,7 @@
     pub threads: usize,
     /// Memory of the VM, in megabytes.
     #[serde(default = "default_memory")]
-    pub memory_mb: u64,
+    pub memory_mb: f64,
     /// Bounds.
     #[serde(default)]
     pub bounds: Bounds,
@@ -72,9 +75,9 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Bounds {
     /// Longest time for which an accepted key may be out of date, in milliseconds; `null` for any.
-    pub revoke_ms: Option<u64>,
+    pub revoke_ms: Option<f64>,
     /// Time after which a target that leaves must get no work, in milliseconds.
-    pub drain_ms: u64,
+    pub drain_ms: f64,
     /// Time for a planned stop, in seconds.
     pub grace_s: f64,
     /// Extra sends as a part of the requests.
@@ -91,7 +94,7 @@
     fn default() -> Self {
         Self {
             revoke_ms: None,
-            drain_ms: 2_500,
+            drain_ms: 2_500.0,
             grace_s: 8.0,
             retry_ratio: 0.1,
             retry_slack: 10.0,
@@ -104,8 +107,8 @@
 impl Bounds {
     /// Returns the time after which a target that leaves must get no work.
     #[must_use]
-    pub const fn drain(&self) -> Duration {
-        Duration::from_millis(self.drain_ms)
+    pub fn drain(&self) -> Duration {
+        Duration::from_secs_f64(self.drain_ms / 1_000.0)
     }
 
     /// Returns the time for a planned stop.
@@ -114,10 +117,17 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// Returns the window of the retry budget.
+    #[must_use]
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_secs_f64(self.retry_window_s)
+    }
+
     /// Returns the longest time for which an accepted key may be out of date.
     #[must_use]
     pub fn revoke(&self) -> Option<Duration> {
-        self.revoke_ms.map(Duration::from_millis)
+        self.revoke_ms
+            .map(|time| Duration::from_secs_f64(time / 1_000.0))
     }
 }
 
@@ -125,8 +135,8 @@
     1
 }
 
-const fn default_memory() -> u64 {
-    128
+const fn default_memory() -> f64 {
+    128.0
 }
 
 impl GatewaySettings {
@@ -147,10 +157,37 @@
     /// Returns [`SettingsError`] with the path of the field at fault.
     pub fn from_json(bytes: &[u8]) -> Result<Self, SettingsError> {
         let mut json = serde_json::Deserializer::from_slice(bytes);
-        serde_path_to_error::deserialize(&mut json).map_err(|error| SettingsError::Field {
-            field: error.path().to_string(),
-            reason: error.inner().to_string(),
-        })
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut json).map_err(|error| SettingsError::Field {
+                field: error.path().to_string(),
+                reason: error.inner().to_string(),
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the numbers, which would otherwise fail where they are used.
+    fn check(&self) -> Result<(), SettingsError> {
+        let bounds = &self.bounds;
+        let numbers = [
+            ("memory_mb", self.memory_mb),
+            ("bounds.revoke_ms", bounds.revoke_ms.unwrap_or_default()),
+            ("bounds.drain_ms", bounds.drain_ms),
+            ("bounds.grace_s", bounds.grace_s),
+            ("bounds.retry_ratio", bounds.retry_ratio),
+            ("bounds.retry_slack", bounds.retry_slack),
+            ("bounds.retry_window_s", bounds.retry_window_s),
+        ];
+        let wrong = numbers
+            .into_iter()
+            .find(|(_, number)| !(0.0..=MAX_NUMBER).contains(number));
+        match wrong {
+            Some((field, number)) => Err(SettingsError::Field {
+                field: field.to_owned(),
+                reason: format!("{number} is not between 0 and {MAX_NUMBER}"),
+            }),
+            None => Ok(()),
+        }
     }
 
     /// Returns the region of an availability zone.
@@ -162,13 +199,15 @@
 
     /// Returns the most bytes of bodies that are held at once: an eighth of the memory.
     #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the memory of a VM is positive and fits the address space"
+    )]
     pub const fn body_budget(&self) -> usize {
-        (self.memory_mb * 1024 * 1024 / 8) as usize
-    }
-
-    /// Returns the address of this VM for the others.
-    #[must_use]
-    pub fn ip(&self) -> IpAddr {
-        self.listen.ip()
+        (self.memory_mb * 1024.0 * 1024.0 / 8.0) as usize
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -5,7 +5,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::settings::GatewaySettings;
+use crate::settings::{Bounds, GatewaySettings};
 use almondcroft_core::gateway::{
     Change, Demand, Directory, Fleet, FleetOptions, GatewayConfig, Placed, RetryShare, SendCounts,
     Vouch, Work,
@@ -38,6 +38,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) vms: Mutex<HashMap<VmId, SocketAddr>>,
+    bounds: Mutex<Bounds>,
     config: Mutex<Option<Arc<GatewayConfig>>>,
     vouch: Mutex<Vouch>,
     directory: Mutex<Directory>,
@@ -64,6 +65,7 @@
             fleet: Mutex::new(Fleet::new(settings.vm.clone(), FleetOptions::default())),
             quarantine: Mutex::default(),
             vms: Mutex::default(),
+            bounds: Mutex::new(settings.bounds),
             config: Mutex::default(),
             vouch: Mutex::new(Vouch::new(settings.bounds.revoke())),
             directory: Mutex::default(),
@@ -77,6 +79,24 @@
         })
     }
 
+    /// Returns the bounds in force.
+    pub(crate) fn bounds(&self) -> Bounds {
+        *lock(&self.bounds)
+    }
+
+    /// Puts other bounds in force; what is in flight goes on.
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        *lock(&self.bounds) = bounds;
+        lock(&self.vouch).set_bound(bounds.revoke());
+        for share in lock(&self.retries).values_mut() {
+            share.set_budget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window(),
+            );
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<GatewayConfig>> {
         lock(&self.config).clone()
@@ -243,7 +263,7 @@
         let others = fleet.sends_of_others(service, now);
         drop(fleet);
         let known = lock(&self.vms).len() + 1;
-        let expected = usize::try_from(self.settings.bounds.vms).unwrap_or(usize::MAX);
+        let expected = usize::try_from(self.bounds().vms).unwrap_or(usize::MAX);
         // Where a part of the fleet is out of hearing, each VM keeps to its own part.
         let others = others.filter(|_| heard >= known);
         let vms = u32::try_from(known.max(expected)).unwrap_or(u32::MAX);
@@ -260,11 +280,14 @@
     }
 
     fn retry_share<T>(&self, service: &ServiceId, use_it: impl FnOnce(&mut RetryShare) -> T) -> T {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds();
         let mut retries = lock(&self.retries);
         let share = retries.entry(service.clone()).or_insert_with(|| {
-            let window = Duration::from_secs_f64(bounds.retry_window_s);
-            RetryShare::new(bounds.retry_ratio, bounds.retry_slack, window)
+            RetryShare::new(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window(),
+            )
         });
         use_it(share)
     }
--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::adapter::PlainCall;
 use crate::exchange::round_trip;
-use crate::link::{Link, LinkError};
+use crate::link::Link;
 use crate::runtime::within;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -59,12 +59,12 @@
             Some(link) => link,
             None => Link::connect(self.address, CONNECT_TIME)
                 .await
-                .map_err(|error| StoreError::Unreachable(kind(&error)))?,
+                .map_err(|error| StoreError::Unreachable(error.kind()))?,
         };
         let answer = within(limit, round_trip(&mut link, self.address, call, MAX_ANSWER)).await;
         let (head, body) = answer
             .ok_or(StoreError::Unreachable("timeout"))?
-            .map_err(|error| StoreError::Unreachable(kind(&error)))?;
+            .map_err(|error| StoreError::Unreachable(error.kind()))?;
         if head.keeps_alive() {
             self.link = Some(link);
         }
@@ -74,12 +74,3 @@
         }
     }
 }
-
-const fn kind(error: &LinkError) -> &'static str {
-    match error {
-        LinkError::Closed => "closed",
-        LinkError::Io { .. } => "reset",
-        LinkError::Frame { .. } => "garbled",
-        LinkError::Timeout => "timeout",
-    }
-}
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -143,7 +143,7 @@
         let changed = !items.is_empty();
         self.take_changes(items, vouched);
         if changed && self.kind == Kind::Targets && !self.is_scout() {
-            sleep(self.gateway.settings.bounds.drain().mul_f64(PAUSE_PART)).await;
+            sleep(self.gateway.bounds().drain().mul_f64(PAUSE_PART)).await;
         }
         Ok(revision.max(since))
     }
