fix(gateway): departures name the incarnation; bodies stay counted

Cause, found by reading: a departure told by another VM could mark a target that had started anew under its id; a target that vanished while requests ran there was never forgotten; a body was counted only while it was read; the end of a stop waited for the store; idle connections were not bounded by the VM's part of a target's connections.

Change: each of these; tests for the first two.

--- a/crates/almondcroft-core/src/gateway/config.rs
+++ b/crates/almondcroft-core/src/gateway/config.rs
@@ -44,8 +44,6 @@
     pub moves: bool,
     /// Whether an engine keeps a copy at another one while it runs.
     pub backups: bool,
-    /// Time for which an unused copy is kept.
-    pub handle_time: Duration,
 }
 
 /// Describes a service.
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -147,10 +147,19 @@
         let running = self.leave(target);
         if running.is_empty() {
             self.targets.remove(target);
+        } else if let Some(state) = self.targets.get_mut(target) {
+            // Nothing more will be heard of it, so the end of its last request is its end.
+            state.entry.draining = false;
         }
         running
     }
 
+    /// Returns the start of the incarnation that is known of a target.
+    #[must_use]
+    pub fn born(&self, target: &str) -> Option<u64> {
+        self.targets.get(target).map(|state| state.entry.born)
+    }
+
     /// Takes in what another VM has at the targets.
     pub fn hear(&mut self, vm: VmId, news: PeerNews) {
         self.peers.insert(vm, news);
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -24,7 +24,6 @@
         stride: 4,
         moves: true,
         backups: true,
-        handle_time: SECOND * 5,
     };
     let pool = |id: &str, engine| PoolSpec {
         id: id.into(),
@@ -167,6 +166,36 @@
     ));
 }
 
+#[test]
+fn remove_forgets_after_the_last_request() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+    fleet.submit(draft("1"), SECOND);
+    let leaving = TargetEntry {
+        draining: true,
+        ..entry("a", "menus", "q-a")
+    };
+    fleet.join(leaving, SECOND);
+    assert_eq!(fleet.remove("a"), ["1"]);
+    fleet.finished(&"1".into(), SECOND);
+    fleet.tick(SECOND);
+    assert_eq!(fleet.born("a"), None);
+    assert_eq!(fleet.born("b"), Some(1));
+}
+
+#[test]
+fn join_after_leave_takes_work_again() {
+    // A target that starts anew under its id is another one.
+    let mut fleet = fleet(&[("a", "q-a")]);
+    fleet.leave("a");
+    let reborn = TargetEntry {
+        born: 2,
+        ..entry("a", "menus", "q-a")
+    };
+    fleet.join(reborn, SECOND);
+    assert_eq!(fleet.born("a"), Some(2));
+    assert_eq!(sent_to(&fleet.submit(draft("1"), SECOND)), ["a"]);
+}
+
 #[test]
 fn destination_stays_in_region() {
     // A copy to another region takes ten times as long and holds up all others of its source.
--- a/crates/almondcroft-gateway/src/call.rs
+++ b/crates/almondcroft-gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! One caller's request, with all that was found out about it.
 
 use crate::adapter::CallMeta;
+use crate::lifecycle::Guard;
 use almondcroft_core::gateway::{CallKind, CustomerSpec, RouteSpec};
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{RequestId, ServiceId, Timestamp};
@@ -22,6 +23,8 @@
     pub(crate) customer: Option<Arc<CustomerSpec>>,
     pub(crate) arrived: Timestamp,
     pub(crate) fingerprint: Fingerprint,
+    /// Counts the body as long as it is kept.
+    pub(crate) _held: Guard,
 }
 
 impl Call {
--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::dispatch;
+use crate::lifecycle::Guard;
 use crate::link::{Link, LinkError, Sender};
 use crate::reply::{Reply, reason};
 use crate::runtime::within;
@@ -22,6 +23,9 @@
 /// Time for which a connection that is closed early is read, so that its answer is not lost.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Time after which a caller whose body found no memory may come back.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// Time for a caller to take a piece of an answer.
 const WRITE_TIME: Duration = Duration::from_secs(10);
 
@@ -31,6 +35,8 @@
     pub(crate) head: RequestHead,
     pub(crate) body: Vec<u8>,
     pub(crate) arrived: Timestamp,
+    /// Counts the body against the memory for bodies while the request is handled.
+    pub(crate) held: Guard,
 }
 
 /// Tells how the body of an answer is framed.
@@ -242,10 +248,9 @@
         return Err(too_large());
     }
     let budget = gateway.settings.body_budget();
-    let Some(_held) = gateway.lifecycle.hold_body(length, budget) else {
-        let reply = Reply::refused("memory", Duration::from_secs(1));
-        return Err(Unread::Bad(reply));
-    };
+    let full = || Unread::Bad(Reply::refused("memory", MEMORY_RETRY));
+    let early = gateway.lifecycle.hold_body(length, budget);
+    let early = early.ok_or_else(full)?;
     if head.headers.lists("expect", "100-continue") {
         let sent = link.sender().send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|source| Unread::from(LinkError::Io { source }))?;
@@ -262,10 +267,13 @@
             return Err(too_large());
         }
     }
+    drop(early);
+    let guard = gateway.lifecycle.hold_body(body.len(), budget);
     Ok(Received {
         head,
         body,
         arrived,
+        held: guard.ok_or_else(full)?,
     })
 }
 
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -70,6 +70,7 @@
         customer,
         arrived: received.arrived,
         fingerprint,
+        _held: received.held,
     };
     if let Some(passed) = gateway.lifecycle.draining_for(clock::now()) {
         let most = call.meta.generation.as_ref().map_or(0, |g| g.most);
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::link::{Link, LinkError};
 use crate::runtime::within;
 use crate::state::Gateway;
-use almondcroft_core::Verdict;
+use almondcroft_core::{ServiceId, Verdict};
 use almondcroft_proto::http1::{BodyDecoder, BodyKind, Headers, ResponseHead};
 use std::future::pending;
 use std::net::SocketAddr;
@@ -55,6 +55,7 @@
     pub(crate) meta: AnswerMeta,
     pub(crate) decoder: BodyDecoder,
     address: SocketAddr,
+    service: ServiceId,
     link: Link,
     whole: bool,
 }
@@ -103,6 +104,7 @@
             meta,
             decoder,
             address,
+            service: call.service.clone(),
             link,
             whole: whole.into_inner(),
         })
@@ -148,9 +150,11 @@
     /// Keeps the connection if the answer was whole and the target agrees.
     pub(crate) fn finish(self, gateway: &Gateway) {
         if self.whole && self.decoder.is_done() && self.head.keeps_alive() {
+            let most = gateway.idle_share(&self.service);
+            let (link, keep) = (self.link, self.meta.keep);
             gateway
                 .pool
-                .put(self.address, self.link, self.meta.keep, clock::now());
+                .put(self.address, link, keep, most, clock::now());
         }
     }
 }
--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -158,9 +158,10 @@
             .ok()?;
         if head.keeps_alive() {
             let meta = self.gateway.dialect.read_answer(&head);
+            let most = self.gateway.idle_share(&self.call.service);
             self.gateway
                 .pool
-                .put(address, link, meta.keep, clock::now());
+                .put(address, link, meta.keep, most, clock::now());
         }
         Some((head.status, body))
     }
--- a/crates/almondcroft-gateway/src/news.rs
+++ b/crates/almondcroft-gateway/src/news.rs
@@ -57,7 +57,7 @@
 }
 
 /// Takes this VM off the list, so that others stop telling it.
-pub(crate) async fn unregister(gateway: &Gateway) {
+pub(crate) async fn unregister(gateway: Arc<Gateway>) {
     if gateway.settings.peers.is_none() {
         return;
     }
@@ -101,8 +101,8 @@
         quarantine.merge(*fingerprint, *count, now);
     }
     drop(quarantine);
-    for target in &message.departures {
-        gateway.leave_target(target, &message.vm);
+    for departure in &message.departures {
+        gateway.hear_departure(departure, &message.vm);
     }
     let vm = message.vm.clone();
     lock(&gateway.fleet).hear(vm, message.into_news(now));
--- a/crates/almondcroft-gateway/src/news/message.rs
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -1,5 +1,6 @@
 //! The datagram that one VM sends to another.
 
+use crate::state::Departure;
 use almondcroft_core::gateway::{PeerLoad, PeerNews, SendCounts};
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{ServiceId, TargetId, Timestamp, VmId};
@@ -14,7 +15,7 @@
     sends: Vec<(ServiceId, u32, u32)>,
     /// Targets that were seen to leave lately.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub(super) departures: Vec<TargetId>,
+    pub(super) departures: Vec<Departure>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
 }
@@ -24,7 +25,7 @@
         vm: VmId,
         news: &PeerNews,
         crashes: Vec<(Fingerprint, u32)>,
-        departures: Vec<TargetId>,
+        departures: Vec<Departure>,
     ) -> Self {
         let loads = news.loads.iter();
         let mut loads: Vec<_> = loads
@@ -91,3 +92,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/almondcroft-gateway/src/news/message/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+use std::collections::HashMap;
+
+fn news(targets: usize) -> PeerNews {
+    let load = PeerLoad {
+        count: 2,
+        tokens: 7_000,
+        unread: 3_000,
+        movable: 4_000,
+        arriving: 500,
+    };
+    let loads = (0..targets).map(|number| (format!("i-{number:010}").into(), load));
+    let counts = SendCounts {
+        requests: 40,
+        extra: 3,
+    };
+    PeerNews {
+        at: Timestamp::ZERO,
+        loads: loads.collect(),
+        sends: HashMap::from([("menus".into(), counts)]),
+    }
+}
+
+#[test]
+fn decode_encoded() {
+    let message = Message::new(
+        "vm-1".into(),
+        &news(9),
+        vec![(5, 1)],
+        vec![("i-1".into(), 7)],
+    );
+    let decoded = Message::decode(&message.clone().encode(8_192)).unwrap();
+    assert_eq!(decoded, message);
+    assert_eq!(decoded.into_news(Timestamp::ZERO), news(9));
+}
+
+#[test]
+fn encode_fits_a_datagram() {
+    let message = Message::new("vm-1".into(), &news(740), vec![], vec![]);
+    assert!(message.encode(8_192).len() <= 8_192);
+}
+
+#[test]
+fn decode_rubbish() {
+    for bytes in [&b""[..], b"{}", b"\xff\xfe", br#"{"vm": 1}"#] {
+        assert!(Message::decode(bytes).is_err());
+    }
+}
--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -57,6 +57,7 @@
         address: SocketAddr,
         link: Link,
         keep: Option<Duration>,
+        most: usize,
         now: Timestamp,
     ) {
         let keep = keep.map_or(DEFAULT_KEEP, |keep| keep.saturating_sub(KEEP_MARGIN));
@@ -65,7 +66,7 @@
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let links = idle.entry(address).or_default();
-        if links.len() < MAX_IDLE {
+        if links.len() < most.min(MAX_IDLE) {
             links.push(Idle {
                 link,
                 since: now,
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -103,6 +103,7 @@
         lifecycle.start_drain(clock::now());
         log::info!(event = "stopping", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
+        spawn(news::unregister(Arc::clone(&self.gateway)));
         let begun = clock::now();
         let grace = self.gateway.bounds().grace();
         loop {
@@ -113,7 +114,6 @@
             }
             sleep(STOP_POLL).await;
         }
-        news::unregister(&self.gateway).await;
         log::info!(event = "stopped", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
     }
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -22,6 +22,9 @@
 /// Time for which the other VMs are told that a target leaves; well over a few rounds of news.
 const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 
+/// Names a target that leaves and the start of the incarnation that does.
+pub(crate) type Departure = (TargetId, u64);
+
 /// Locks a part of the state.
 pub(crate) fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
     part.lock().unwrap_or_else(PoisonError::into_inner)
@@ -47,7 +50,7 @@
     retries: Mutex<HashMap<ServiceId, RetryShare>>,
     numbers: AtomicU64,
     urgent: (Sender<()>, Receiver<()>),
-    departures: Mutex<VecDeque<(Timestamp, TargetId)>>,
+    departures: Mutex<VecDeque<(Timestamp, Departure)>>,
 }
 
 impl Gateway {
@@ -160,13 +163,11 @@
                 self.deliver(works);
             }
             Change::Leaving(id) => {
-                lock(&self.departures).push_back((now, id.clone()));
-                self.tell_news();
+                self.note_departure(&id, now);
                 self.leave_target(&id, "store");
             }
             Change::Gone(id) => {
-                lock(&self.departures).push_back((now, id.clone()));
-                self.tell_news();
+                self.note_departure(&id, now);
                 let mut fleet = lock(&self.fleet);
                 if let Some(choice) = fleet.choice_of(&id) {
                     self.pool.forget(choice.address);
@@ -192,8 +193,22 @@
         self.notify(&running);
     }
 
+    /// Leaves a target that another VM saw leave, unless it has started anew since.
+    pub(crate) fn hear_departure(&self, (target, born): &Departure, vm: &str) {
+        if lock(&self.fleet).born(target) == Some(*born) {
+            self.leave_target(target, vm);
+        }
+    }
+
+    fn note_departure(&self, target: &TargetId, now: Timestamp) {
+        if let Some(born) = lock(&self.fleet).born(target) {
+            lock(&self.departures).push_back((now, (target.clone(), born)));
+            self.tell_news();
+        }
+    }
+
     /// Lists the targets that were seen to leave lately.
-    pub(crate) fn departures(&self, now: Timestamp) -> Vec<TargetId> {
+    pub(crate) fn departures(&self, now: Timestamp) -> Vec<Departure> {
         let mut departures = lock(&self.departures);
         while departures
             .front()
@@ -201,7 +216,7 @@
         {
             departures.pop_front();
         }
-        departures.iter().map(|(_, id)| id.clone()).collect()
+        departures.iter().map(|(_, gone)| gone.clone()).collect()
     }
 
     /// Tells requests that their target is about to go.
@@ -251,6 +266,19 @@
         (ticket, placed)
     }
 
+    /// Returns the idle connections that this VM may keep to one target of a service.
+    ///
+    /// A target takes connections up to a number over all VMs; half of this VM's part is left for
+    /// those in use.
+    pub(crate) fn idle_share(&self, service: &ServiceId) -> usize {
+        let vms = lock(&self.vms).len() + 1;
+        let connections = self.config().and_then(|config| {
+            let pool = config.pools.get(service)?;
+            usize::try_from(pool.connections).ok()
+        });
+        (connections.unwrap_or_default() / vms / 2).max(1)
+    }
+
     /// Notes a caller's request in the retry budget.
     pub(crate) fn note_request(&self, service: &ServiceId, now: Timestamp) {
         self.retry_share(service, |share| share.note_request(now));
