--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::exchange::{Exchange, SendError};
 use crate::link::Link;
+use crate::logging::millis;
 use crate::relay::Relay;
 use crate::reply::Reply;
 use crate::runtime::{spawn, within};
@@ -452,8 +453,3 @@
         log::info!(event = "crash", request = call.name(), target_id = target.as_str(), count = count; "");
     });
 }
-
-/// Returns whole milliseconds for a log line.
-fn millis(time: Duration) -> i64 {
-    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
-}
--- a/crates/almondcroft-gateway/src/dispatch/record.rs
+++ b/crates/almondcroft-gateway/src/dispatch/record.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::clock;
+use crate::logging::millis;
 use crate::metrics::Times;
 use crate::state::Gateway;
 use almondcroft_core::gateway::Choice;
@@ -113,7 +114,3 @@
         self.end(0, "caller-gone");
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/almondcroft-gateway/src/logging.rs
+++ b/crates/almondcroft-gateway/src/logging.rs
@@ -10,7 +10,7 @@
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 2_048;
@@ -107,6 +107,11 @@
     }
 }
 
+/// Returns a time as whole milliseconds.
+pub(crate) fn millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
+
 /// Sends log records to standard output, once per process.
 pub(crate) fn init() {
     let output = match BoundedStdout::start() {
--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::exchange::round_trip;
 use crate::link::Link;
+use crate::logging::millis;
 use crate::runtime::{sleep, spawn, within};
 use crate::state::{Gateway, lock};
 use almondcroft_core::RequestId;
@@ -172,7 +173,7 @@
             from = self.source.target.as_str(),
             target_id = target.map_or("-", |choice| choice.target.as_str()), part = part, outcome = outcome,
             tokens = self.tokens(), beside = target.map_or(0, |choice| choice.beside),
-            took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX); "");
+            took_ms = millis(took); "");
     }
 }
 
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -6,8 +6,8 @@
 use crate::clock;
 use crate::dispatch::{Record, check_crash, rank};
 use crate::exchange::Exchange;
-use crate::link::Link;
-use crate::link::LinkError;
+use crate::link::{Link, LinkError};
+use crate::logging::millis;
 use crate::mover::{self, Moved};
 use crate::runtime::{sleep, within};
 use crate::state::{Gateway, Ticket, lock};
@@ -121,7 +121,10 @@
                 Step::Whole if self.is_stopping() && self.ends_with_connection() => Some("ended"),
                 Step::Whole => return self.finish(caller, record).await,
                 Step::Broken(error) => Some(error.kind()),
-                Step::Silent => self.look(record).await,
+                Step::Silent => {
+                    self.look(record).await;
+                    None
+                }
                 Step::Leaving => {
                     self.leave(record).await;
                     None
@@ -184,17 +187,21 @@
         self.moving.is_some() || self.moved.is_some()
     }
 
-    /// Looks at a target that sends nothing; returns the reason to go on elsewhere, if it is gone.
+    /// Looks at a target that sends nothing.
     ///
-    /// A generation that waits for memory is silent as well, and ending it would lose it; so only a
-    /// target that takes no connection counts as gone. One that does is asked to move it.
-    async fn look(&mut self, record: &Record) -> Option<&'static str> {
-        if Link::connect(self.choice.address, LOOK_TIME).await.is_err() {
-            return Some("dark");
-        }
+    /// A generation that waits for memory is silent as well, and ending it would lose it. So the
+    /// stream is kept: a target that takes a connection is asked to move it, and one that does not is
+    /// left only for an engine that takes over.
+    async fn look(&mut self, record: &mut Record) {
         record.fault(&self.choice.target, "silent", Verdict::MayHaveRun);
-        self.start_move();
-        None
+        let reached = Link::connect(self.choice.address, LOOK_TIME).await.is_ok();
+        if reached {
+            self.start_move();
+        } else if let Some((choice, copy)) = self.keeper()
+            && self.resume(&choice, copy, SWITCH_TIME, record).await
+        {
+            self.gateway.metrics.count_move("switched");
+        }
     }
 
     async fn step(&mut self) -> Step {
@@ -386,11 +393,12 @@
                 return false;
             }
         };
+        let took = clock::now().saturating_sub(now);
         log::info!(event = "moved", request = self.call.name(),
             from = self.choice.target.as_str(), target_id = choice.target.as_str(),
-            after = self.last, took_ms = u64::try_from(clock::now().saturating_sub(now).as_millis()).unwrap_or(u64::MAX); "");
+            after = self.last, took_ms = millis(took); "");
         let mut fleet = lock(&self.gateway.fleet);
-        let works = fleet.moved(&self.ticket.request, &choice.target, now);
+        let works = fleet.moved(&self.ticket.request, &choice.target, now + took);
         fleet.set_copy(
             &self.ticket.request,
             backup.as_ref().map(|choice| &choice.target),
