fix(gateway): not ready before the targets were listed

Cause: tests of the gateway failed beside busy processes (load 12: three of 23, each with 503): configuration and targets are followed apart, and a VM that knew the configuration first said that it was ready and refused calls with no-target. Traced by the answer's kind; load only changed the order.

Change: readiness waits for the first list of targets.

--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -15,7 +15,7 @@
 use async_channel::{Receiver, Sender, bounded};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -45,6 +45,7 @@
     config: Mutex<Option<Arc<GatewayConfig>>>,
     vouch: Mutex<Vouch>,
     directory: Mutex<Directory>,
+    listed: AtomicBool,
     waiters: Mutex<HashMap<RequestId, Sender<Placed>>>,
     notices: Mutex<HashMap<RequestId, Sender<()>>>,
     retries: Mutex<HashMap<ServiceId, RetryShare>>,
@@ -72,6 +73,7 @@
             config: Mutex::default(),
             vouch: Mutex::new(Vouch::new(settings.bounds.revoke())),
             directory: Mutex::default(),
+            listed: AtomicBool::new(false),
             waiters: Mutex::default(),
             notices: Mutex::default(),
             retries: Mutex::default(),
@@ -135,7 +137,13 @@
 
     /// Returns whether callers are better sent here than elsewhere.
     pub(crate) fn is_ready(&self, now: Timestamp) -> bool {
-        !self.lifecycle.is_draining() && self.config().is_some() && self.is_fresh(now)
+        let listed = self.listed.load(Ordering::Relaxed);
+        !self.lifecycle.is_draining() && listed && self.config().is_some() && self.is_fresh(now)
+    }
+
+    /// Notes that the targets were listed once; before that every service seems to have none.
+    pub(crate) fn note_listed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
     }
 
     /// Returns a number that no other request of this process has.
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -166,6 +166,7 @@
             let now = clock::now();
             self.gateway
                 .change_targets(|directory| directory.replace(entries, now));
+            self.gateway.note_listed();
         } else {
             self.take_changes(items, vouched);
         }
