fix(sync): an unreadable configuration vouches for nothing

Cause, found by reading: a new configuration that could not be decoded was skipped, and the next empty watch vouched for the old one as the newest, so a key that it took away would have been accepted for good.

Change: nothing is vouched for until a readable configuration comes.

--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -49,6 +49,7 @@
             client: StoreClient::new(gateway.settings.store),
             pause: FIRST_PAUSE,
             lost: false,
+            outdated: false,
         };
         spawn(async move { follower.run().await });
     }
@@ -60,6 +61,8 @@
     client: StoreClient,
     pause: Duration,
     lost: bool,
+    /// Whether the newest configuration could not be read, so that the one in force is outdated.
+    outdated: bool,
 }
 
 impl Follower {
@@ -153,7 +156,7 @@
         lock(&self.gateway.fleet).is_drawn(SCOUTS, clock::now())
     }
 
-    fn take_list(&self, items: Vec<Item>, vouched: Timestamp) {
+    fn take_list(&mut self, items: Vec<Item>, vouched: Timestamp) {
         if self.kind == Kind::Targets {
             let present = items.into_iter().filter_map(|item| match item {
                 Item::Target(EntryEvent::Present(entry)) => Some(entry),
@@ -172,12 +175,13 @@
         }
     }
 
-    fn take_changes(&self, items: Vec<Item>, vouched: Timestamp) {
+    fn take_changes(&mut self, items: Vec<Item>, vouched: Timestamp) {
         let now = clock::now();
         for item in items {
             match item {
                 Item::Config(config) => {
                     let revision = config.revision;
+                    self.outdated = false;
                     if self.gateway.offer_config(*config) {
                         log::info!(event = "config", revision = revision; "");
                         let shown = i64::try_from(revision).unwrap_or(i64::MAX);
@@ -187,10 +191,14 @@
                 Item::Target(event) => self
                     .gateway
                     .change_targets(|directory| directory.apply(event, now)),
-                item => self.skip(&item),
+                item => {
+                    self.outdated |= matches!(item, Item::Unreadable(..));
+                    self.skip(&item);
+                }
             }
         }
-        if self.kind == Kind::Config && self.gateway.config().is_some() {
+        let known = self.gateway.config().is_some() && !self.outdated;
+        if self.kind == Kind::Config && known {
             self.gateway.confirm_config(vouched);
         }
     }
