refactor(gateway): one piece of code where the change had written two

Found in the last reading: the draw by hash and the test of fresh news stood twice in the fleet, the set of what goes with a send twice (first send and resume), the time to connect twice, and Record::first was another name for progress. Two items of caller.rs were visible beyond it for nobody.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -186,7 +186,7 @@
     pub fn sends_of_others(&self, service: &str, now: Timestamp) -> Option<SendCounts> {
         let counts = self
             .fresh_peers(now)
-            .map(|news| news.sends.get(service).copied().unwrap_or_default());
+            .map(|(_, news)| news.sends.get(service).copied().unwrap_or_default());
         counts.reduce(SendCounts::add)
     }
 
@@ -199,16 +199,8 @@
     /// Returns whether this VM is among the first `count` ones by a draw over those heard of lately.
     #[must_use]
     pub fn is_drawn(&self, count: usize, now: Timestamp) -> bool {
-        let draw = |vm: &VmId| {
-            let mut hasher = DefaultHasher::new();
-            vm.hash(&mut hasher);
-            hasher.finish()
-        };
         let own = draw(&self.vm);
-        let before = self
-            .peers
-            .iter()
-            .filter(|(vm, news)| news.at + NEWS_TIME > now && draw(vm) < own);
+        let before = self.fresh_peers(now).filter(|(vm, _)| draw(vm) < own);
         before.count() < count
     }
 
@@ -374,10 +366,10 @@
         self.targets.get_mut(&self.flights.get(request)?.target)
     }
 
-    fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerNews> {
+    fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerNews)> {
         self.peers
-            .values()
-            .filter(move |news| news.at + NEWS_TIME > now)
+            .iter()
+            .filter(move |(_, news)| news.at + NEWS_TIME > now)
     }
 
     /// Returns the refusal of a request that need not wait, if it need not.
@@ -449,6 +441,13 @@
     }
 }
 
+/// Draws a number for a key; the same key draws the same number at every VM.
+fn draw(key: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn refusal(reason: Refusal, retry_after: Duration) -> Placed {
     Placed::Refused {
         reason,
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -1,10 +1,9 @@
 //! Chooses among targets by the time that they are expected to cost.
 
 use super::state::TargetState;
-use super::{Demand, Fleet, PeerLoad};
+use super::{Demand, Fleet, PeerLoad, draw};
 use crate::gateway::EngineSpec;
-use crate::{RequestId, TargetId, Timestamp};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use crate::{TargetId, Timestamp};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -51,7 +50,7 @@
         let mut able: Vec<&TargetState> = self.targets.values().filter(able).collect();
         let sample = self.options.sample;
         if able.len() > sample && !demand.copied {
-            able.sort_by_cached_key(|state| draw(&demand.id, &state.entry.id));
+            able.sort_by_cached_key(|state| draw((&demand.id, &state.entry.id)));
             let drawn = self.cheapest(&able[..sample], demand, engine, headroom, now);
             if drawn.is_some() {
                 return drawn;
@@ -96,7 +95,7 @@
         let own = state.own_load();
         let mut heard = false;
         let mut peers = PeerLoad::default();
-        for news in self.fresh_peers(now) {
+        for (_, news) in self.fresh_peers(now) {
             heard = true;
             if let Some(load) = news.loads.get(&state.entry.id) {
                 peers = peers.add(*load);
@@ -187,13 +186,6 @@
     }
 }
 
-/// Draws a number for a request and a target; the same ones draw the same number.
-fn draw(request: &RequestId, target: &TargetId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (request, target).hash(&mut hasher);
-    hasher.finish()
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/almondcroft-core/src/gateway/fleet/moves.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/moves.rs
@@ -1,7 +1,7 @@
 //! Copies of generations: who keeps one, where one can move, and in which order.
 
 use super::state::{Flight, HeldCopy, TargetState};
-use super::{Choice, Demand, Fleet, NEWS_TIME, Need};
+use super::{Choice, Demand, Fleet, Need};
 use crate::{RequestId, TargetId, Timestamp};
 use std::time::Duration;
 
@@ -63,11 +63,8 @@
         else {
             return Duration::ZERO;
         };
-        let peers = self
-            .peers
-            .iter()
-            .filter(|(vm, news)| **vm < self.vm && news.at + NEWS_TIME > now);
-        let others: u32 = peers
+        let before = self.fresh_peers(now).filter(|(vm, _)| **vm < self.vm);
+        let others: u32 = before
             .filter_map(|(_, news)| news.loads.get(&source.entry.id))
             .map(|load| load.movable)
             .sum();
--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -41,7 +41,7 @@
 
 /// Tells how the body of an answer is framed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Framing {
+enum Framing {
     /// By its length.
     Length(usize),
     /// In chunks.
@@ -301,7 +301,7 @@
 }
 
 /// Returns headers for an answer without any of a target's.
-pub(crate) fn plain_head(status: u16, media: &str) -> ResponseHead {
+fn plain_head(status: u16, media: &str) -> ResponseHead {
     let mut headers = Headers::default();
     headers.push("content-type", media.as_bytes());
     ResponseHead {
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -172,14 +172,7 @@
         let left = self.call.left(now);
         let limit = self.attempt_time(left);
         let backup = self.backup(&ticket, now);
-        let send = SendMeta {
-            left,
-            target: choice.target.clone(),
-            customer: self.call.customer.as_ref().map(|c| c.id.clone()),
-            rank: rank(&self.call),
-            backup: backup.as_ref().map(|choice| choice.address),
-            resume: None,
-        };
+        let send = send_meta(&self.call, &choice, backup.as_ref(), now);
         lock(&self.gateway.fleet).set_copy(
             &ticket.request,
             backup.as_ref().map(|choice| &choice.target),
@@ -302,7 +295,7 @@
     /// Sends a long answer on as it comes.
     async fn pass_on(&mut self, mut exchange: Exchange, first: Vec<u8>) -> Attempt {
         let mut sent = self.caller.begin(&exchange.head, &first).await.is_ok();
-        self.record.first();
+        self.record.progress();
         let mut piece = Vec::new();
         while sent {
             piece.clear();
@@ -385,7 +378,7 @@
     }
 
     async fn answer(&mut self, head: &ResponseHead, body: &[u8]) -> bool {
-        self.record.first();
+        self.record.progress();
         let sent = self.caller.answer(head, body).await;
         self.record.end(
             head.status,
@@ -416,6 +409,23 @@
     }
 }
 
+/// Returns what is set on a request to a target that begins it.
+pub(crate) fn send_meta(
+    call: &Call,
+    choice: &Choice,
+    keeper: Option<&Choice>,
+    now: Timestamp,
+) -> SendMeta {
+    SendMeta {
+        left: call.left(now),
+        target: choice.target.clone(),
+        customer: call.customer.as_ref().map(|c| c.id.clone()),
+        rank: rank(call),
+        backup: keeper.map(|keeper| keeper.address),
+        resume: None,
+    }
+}
+
 /// Returns what a generation is expected to take.
 pub(crate) fn expected(call: &Call) -> Need {
     let Some(generation) = &call.meta.generation else {
@@ -430,7 +440,7 @@
 }
 
 /// Returns the rank at an engine: by priority, short outputs before long ones.
-pub(crate) fn rank(call: &Call) -> Option<u8> {
+fn rank(call: &Call) -> Option<u8> {
     call.meta.generation.as_ref()?;
     let long = u8::from(expected(call).output >= LONG_OUTPUT);
     Some((call.priority().saturating_mul(2) + long).min(9))
--- a/crates/almondcroft-gateway/src/dispatch/record.rs
+++ b/crates/almondcroft-gateway/src/dispatch/record.rs
@@ -69,11 +69,6 @@
             events = self.events; "");
     }
 
-    /// Notes that the first byte goes to the caller.
-    pub(crate) fn first(&mut self) {
-        self.progress();
-    }
-
     /// Notes that bytes go to the caller.
     pub(crate) fn progress(&mut self) {
         let now = clock::now();
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Time to open a connection; several round trips between regions.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIME: Duration = Duration::from_millis(400);
 
 /// Longest head of an answer, in bytes.
 const MAX_ANSWER_HEAD: usize = 32 * 1024;
--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -6,7 +6,7 @@
 use crate::adapter::PlainCall;
 use crate::call::Call;
 use crate::clock;
-use crate::exchange::round_trip;
+use crate::exchange::{CONNECT_TIME, round_trip};
 use crate::link::Link;
 use crate::logging::millis;
 use crate::runtime::{sleep, spawn, within};
@@ -22,9 +22,6 @@
 /// Time for one copy; several generations queue on a link.
 const COPY_TIME: Duration = Duration::from_secs(3);
 
-/// Time to open a connection to the source.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
-
 /// Destinations that are tried; a notice of two seconds leaves time for about as many.
 const MAX_TRIES: u32 = 8;
 
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::call::Call;
 use crate::caller::Caller;
 use crate::clock;
-use crate::dispatch::{Record, check_crash, rank};
+use crate::dispatch::{Record, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::link::{Link, LinkError};
 use crate::logging::millis;
@@ -363,16 +363,12 @@
         let backup = lock(&self.gateway.fleet).keeper(&self.ticket.request, now);
         let backup = backup.filter(|other| other.target != choice.target);
         let send = SendMeta {
-            left: self.call.left(now),
-            target: choice.target.clone(),
-            customer: self.call.customer.as_ref().map(|c| c.id.clone()),
-            rank: rank(self.call),
-            backup: backup.as_ref().map(|choice| choice.address),
             resume: Some(Continuation {
                 holder: copy.0,
                 handle: copy.1.into(),
                 after: self.last,
             }),
+            ..send_meta(self.call, choice, backup.as_ref(), now)
         };
         record.sent(choice, backup.as_ref(), now);
         let limit = limit.min(send.left);
