feat(fleet): late drafts give way; the retry budget of those in hearing; the cause of each failure

Change: an engine's backlog of prompts is 0.8 s at most; a draft that would begin late anyway takes only room up to 0.6 of an engine, lets others pass, and is placed anywhere or refused at the end of its wait. Headroom 0.96 (was 0.88), for moves 1.05 (was 1.25). The retry budget fell to a VM's own part (194 / 77) as soon as one VM of the list was not heard. Change: VMs that hear each other share the part of those they hear; `retry-refused` logs it. Cause 3: the logs did not say which answers were late. Change: `late=` in the `request` line; `almondctl explain REQUEST` and `almondctl summary` tell causes.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -31,7 +31,7 @@
 pub use fleet::{
     Choice, Demand, Fleet, FleetOptions, Need, PeerLoad, PeerNews, Placed, Refusal, Work,
 };
-pub use retry_share::{RetryShare, SendCounts};
+pub use retry_share::{Heard, RetryShare, SendCounts};
 pub use route::{CallKind, Cluster, RouteSpec, RouteTable};
 pub use stop::takes_while_stopping;
 pub use target::TargetEntry;
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -195,13 +195,13 @@
         }
     }
 
-    /// Sums up the requests and extra sends of the other VMs, if any was heard of lately.
+    /// Sums up the requests and extra sends of the other VMs that were heard of lately.
     #[must_use]
-    pub fn sends_of_others(&self, service: &str, now: Timestamp) -> Option<SendCounts> {
+    pub fn sends_of_others(&self, service: &str, now: Timestamp) -> SendCounts {
         let counts = self
             .fresh_peers(now)
             .map(|(_, news)| news.sends.get(service).copied().unwrap_or_default());
-        counts.reduce(SendCounts::add)
+        counts.fold(SendCounts::default(), SendCounts::add)
     }
 
     /// Returns the number of VMs that were heard of lately, this one included.
@@ -422,7 +422,8 @@
         None
     }
 
-    /// Refuses what has waited longer than it is worth.
+    /// Ends the wait of what has waited longer than it is worth: it is placed wherever there is room,
+    /// or refused.
     fn expire(&mut self, service: &ServiceId, now: Timestamp) -> Vec<Work> {
         let part = self.options.wait_part;
         let Some(queue) = self.queues.get_mut(service) else {
@@ -430,37 +431,74 @@
         };
         let expired = queue.take_expired(now, part);
         let back = retry_after(queue.pace() * u32::try_from(queue.len()).unwrap_or(u32::MAX));
-        let works = expired.into_iter().map(|waiting| Work {
-            request: waiting.demand.id,
-            placed: refusal(Refusal::Overload, back),
-        });
-        works.collect()
+        let mut works = Vec::new();
+        for waiting in expired {
+            let demand = waiting.demand;
+            let choice = self.choose(&demand, self.options.headroom, now);
+            works.push(match choice {
+                Some(choice) if now < demand.deadline => self.send(demand, choice),
+                _ => Work {
+                    request: demand.id,
+                    placed: refusal(Refusal::Overload, back),
+                },
+            });
+        }
+        works
     }
 
     /// Places waiting requests in order, until the first one that has no room.
+    ///
+    /// One that will be late anyway takes only room that is not needed by those that can still be on
+    /// time; it lets them pass.
     fn drain(&mut self, service: &ServiceId, now: Timestamp) -> Vec<Work> {
         let mut works = Vec::new();
-        while let Some(waiting) = self.queues.get(service).and_then(Queue::first) {
-            let Some(choice) = self.choose(&waiting.demand, self.options.headroom, now) else {
-                break;
+        let (mut place, mut slack) = (0, true);
+        while let Some(waiting) = self.queues.get(service).and_then(|queue| queue.at(place)) {
+            let demand = &waiting.demand;
+            let choice = self.choose(demand, self.options.headroom, now);
+            let late = choice
+                .as_ref()
+                .is_some_and(|choice| Self::is_late(demand, choice, now));
+            let choice = match choice {
+                Some(_) if late && !slack => None,
+                Some(_) if late => self.choose(demand, self.options.late_headroom, now),
+                choice => choice,
             };
-            let Some(waiting) = self.queues.get_mut(service).and_then(Queue::pop) else {
+            let Some(choice) = choice else {
+                if !late {
+                    break;
+                }
+                slack = false;
+                place += 1;
+                continue;
+            };
+            let queue = self.queues.get_mut(service);
+            let Some(waiting) = queue.and_then(|queue| queue.take(place)) else {
                 break;
             };
-            let request = waiting.demand.id.clone();
-            if let Some(state) = self.targets.get_mut(&choice.target) {
-                self.changes += u64::from(waiting.demand.need.tokens() > 0);
-                state.begin(waiting.demand);
-                self.flights
-                    .insert(request.clone(), Seat::new(&choice.target));
-            }
-            works.push(Work {
-                request,
-                placed: Placed::Send(choice),
-            });
+            works.push(self.send(waiting.demand, choice));
         }
         works
     }
+
+    /// Returns whether a generation would begin too late at the target chosen for it.
+    fn is_late(demand: &Demand, choice: &Choice, now: Timestamp) -> bool {
+        demand.aim.is_some_and(|aim| now + choice.cost > aim)
+    }
+
+    fn send(&mut self, demand: Demand, choice: Choice) -> Work {
+        let request = demand.id.clone();
+        if let Some(state) = self.targets.get_mut(&choice.target) {
+            self.changes += u64::from(demand.need.tokens() > 0);
+            state.begin(demand);
+            self.flights
+                .insert(request.clone(), Seat::new(&choice.target));
+        }
+        Work {
+            request,
+            placed: Placed::Send(choice),
+        }
+    }
 }
 
 impl Seat {
--- a/crates/almondcroft-core/src/gateway/fleet/demand.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/demand.rs
@@ -41,6 +41,8 @@
     pub need: Need,
     /// Time within which its caller loses patience.
     pub patience: Duration,
+    /// Time until which its answer must begin to be on time; `None` where it is short anyway.
+    pub aim: Option<Timestamp>,
     /// Time after which its answer counts for nothing.
     pub deadline: Timestamp,
     /// Availability zone of this VM.
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -12,6 +12,9 @@
     pub read_rate: f64,
     /// Part of an engine's memory that requests may be expected to fill.
     pub headroom: f64,
+    /// The same for a generation that will be late anyway: what is left beyond is for those that can
+    /// still be on time.
+    pub late_headroom: f64,
     /// Part of an engine's memory up to which it is asked to keep copies for others.
     pub copy_headroom: f64,
     /// Part of an engine's memory that may be expected to fill when a generation is moved there: one
@@ -54,11 +57,12 @@
     fn default() -> Self {
         Self {
             read_rate: 7_000.0,
-            headroom: 0.88,
+            headroom: 0.96,
+            late_headroom: 0.6,
             copy_headroom: 0.35,
-            move_headroom: 1.25,
+            move_headroom: 1.05,
             wait_part: 0.4,
-            read_backlog: Duration::from_millis(1_200),
+            read_backlog: Duration::from_millis(800),
             sample: 14,
             zone_cost: Duration::from_millis(5),
             region_cost: Duration::from_millis(60),
--- a/crates/almondcroft-core/src/gateway/fleet/queue.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/queue.rs
@@ -48,12 +48,14 @@
         self.waiting.insert(at, waiting);
     }
 
-    pub(super) fn first(&self) -> Option<&Waiting> {
-        self.waiting.front()
+    /// Returns the request at a place in the order.
+    pub(super) fn at(&self, place: usize) -> Option<&Waiting> {
+        self.waiting.get(place)
     }
 
-    pub(super) fn pop(&mut self) -> Option<Waiting> {
-        self.waiting.pop_front()
+    /// Takes out the request at a place in the order.
+    pub(super) fn take(&mut self, place: usize) -> Option<Waiting> {
+        self.waiting.remove(place)
     }
 
     pub(super) fn remove(&mut self, request: &RequestId) {
--- a/crates/almondcroft-core/src/gateway/retry_share.rs
+++ b/crates/almondcroft-core/src/gateway/retry_share.rs
@@ -27,21 +27,33 @@
     }
 }
 
+/// Tells what a VM knows of the others' sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// Sums of the others that are heard.
+    pub others: SendCounts,
+    /// VMs that are heard, this one included.
+    pub vms: u32,
+    /// All VMs.
+    pub of: u32,
+}
+
 /// Permits sends beyond the first of each request within a sliding window.
 ///
-/// The budget is the fleet's: a ratio of all requests plus a fixed number. Where the others' counts
-/// are known, the VM draws on what the fleet has left; else it keeps to its own part, so that the sum
-/// keeps the bound without messages.
+/// The budget is the fleet's: a ratio of all requests plus a fixed number. VMs that hear of each other
+/// draw on what they have left together; of the fixed number, they have the part of those they hear,
+/// so that VMs that are cut off from each other keep the bound without messages.
 ///
 /// ```
-/// use almondcroft_core::gateway::{RetryShare, SendCounts};
+/// use almondcroft_core::gateway::{Heard, RetryShare, SendCounts};
 /// use std::time::Duration;
 ///
 /// let mut share = RetryShare::new(0.2, 10.0, Duration::from_secs(10));
 /// let now = Duration::from_secs(1);
 /// let others = SendCounts { requests: 0, extra: 7 };
-/// assert!(share.take(Some(others), 4, now));
-/// assert!(!share.take(Some(others), 4, now));
+/// let heard = Heard { others, vms: 4, of: 4 };
+/// assert!(share.take(heard, now));
+/// assert!(!share.take(heard, now));
 /// ```
 #[derive(Debug)]
 pub struct RetryShare {
@@ -79,16 +91,11 @@
     }
 
     /// Takes one extra send; returns whether the budget permits it.
-    ///
-    /// `others` are the counts of the other VMs, if they are known, and `vms` the number of all VMs.
-    pub fn take(&mut self, others: Option<SendCounts>, vms: u32, now: Timestamp) -> bool {
+    pub fn take(&mut self, heard: Heard, now: Timestamp) -> bool {
         self.expire(now);
-        let own = self.counts(now);
-        let (counts, slack) = match others {
-            Some(others) => (own.add(others), self.slack),
-            None => (own, self.slack / f64::from(vms.max(1))),
-        };
-        let budget = (self.ratio * f64::from(counts.requests) + slack) * USED_PART;
+        let counts = self.counts(now).add(heard.others);
+        let part = f64::from(heard.vms) / f64::from(heard.of.max(heard.vms).max(1));
+        let budget = (self.ratio * f64::from(counts.requests) + self.slack * part) * USED_PART;
         let permitted = f64::from(counts.extra) + 1.0 <= budget;
         if permitted {
             self.extra.push_back(now);
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -353,7 +353,9 @@
         let may = self.sends < MAX_SENDS
             && !quarantined
             && !self.call.left(now).is_zero()
-            && self.gateway.take_retry(&self.call.service, now);
+            && self
+                .gateway
+                .take_retry(&self.call.service, self.call.name(), now);
         if may {
             self.avoid.push(target.clone());
         }
@@ -401,6 +403,7 @@
         priority: rank(call).unwrap_or_default(),
         need,
         patience: (call.route.aim * PATIENCE).max(MIN_PATIENCE),
+        aim: (need.tokens() > 0).then(|| call.arrived + call.route.aim),
         deadline: call.deadline(),
         zone: gateway.settings.zone.clone(),
         region: gateway.settings.region.clone(),
--- a/crates/almondcroft-gateway/src/dispatch/record.rs
+++ b/crates/almondcroft-gateway/src/dispatch/record.rs
@@ -19,6 +19,8 @@
     class: SmolStr,
     revision: Revision,
     arrived: Timestamp,
+    aim: Duration,
+    gap_aim: Option<Duration>,
     times: Times,
     last: Option<Timestamp>,
     target: Option<TargetId>,
@@ -36,6 +38,8 @@
             class: call.route.name.clone(),
             revision: gateway.config().map_or(0, |config| config.revision),
             arrived: call.arrived,
+            aim: call.route.aim,
+            gap_aim: call.route.gap_aim,
             times: Times::default(),
             last: None,
             target: None,
@@ -100,7 +104,23 @@
             sends = self.sends, events = self.events,
             wait_ms = millis(self.times.wait.unwrap_or_default()),
             first_ms = millis(self.times.first.unwrap_or_default()),
-            gap_ms = millis(self.times.gap.unwrap_or_default()), took_ms = millis(took); "");
+            gap_ms = millis(self.times.gap.unwrap_or_default()), took_ms = millis(took),
+            late = self.late(took); "");
+    }
+
+    /// Tells by what an answer missed its aim.
+    fn late(&self, took: Duration) -> &'static str {
+        if self.times.completion.is_none() {
+            return "-";
+        }
+        let first = self.times.first.unwrap_or(took) > self.aim;
+        let gap = self.times.gap.unwrap_or_default();
+        match (first, self.gap_aim.is_some_and(|aim| gap > aim)) {
+            (false, false) => "-",
+            (true, false) => "first",
+            (false, true) => "pause",
+            (true, true) => "both",
+        }
     }
 }
 
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -375,7 +375,10 @@
         record: &mut Record,
     ) -> bool {
         let now = clock::now();
-        if !self.gateway.take_retry(&self.call.service, now) {
+        if !self
+            .gateway
+            .take_retry(&self.call.service, self.call.name(), now)
+        {
             return false;
         }
         let backup = lock(&self.gateway.fleet).keeper(&self.ticket.request, now);
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -7,7 +7,7 @@
 use crate::pool::Pool;
 use crate::settings::{Bounds, GatewaySettings};
 use almondcroft_core::gateway::{
-    Asks, Change, Demand, Directory, EntryEvent, Fleet, FleetOptions, GatewayConfig, Placed,
+    Asks, Change, Demand, Directory, EntryEvent, Fleet, FleetOptions, GatewayConfig, Heard, Placed,
     RetryShare, SendCounts, Vouch, Work,
 };
 use almondcroft_core::quarantine::Quarantine;
@@ -407,18 +407,26 @@
         self.retry_share(service, |share| share.note_request(now));
     }
 
-    /// Takes an extra send from the fleet's retry budget.
-    pub(crate) fn take_retry(&self, service: &ServiceId, now: Timestamp) -> bool {
+    /// Takes an extra send of a request from the fleet's retry budget.
+    pub(crate) fn take_retry(&self, service: &ServiceId, request: &str, now: Timestamp) -> bool {
         let fleet = lock(&self.fleet);
-        let heard = fleet.vms(now);
-        let others = fleet.sends_of_others(service, now);
+        let (vms, others) = (fleet.vms(now), fleet.sends_of_others(service, now));
         drop(fleet);
         let known = lock(&self.vms).len() + 1;
         let expected = usize::try_from(self.bounds().vms).unwrap_or(usize::MAX);
-        // Where a part of the fleet is out of hearing, each VM keeps to its own part.
-        let others = others.filter(|_| heard >= known);
-        let vms = u32::try_from(known.max(expected)).unwrap_or(u32::MAX);
-        self.retry_share(service, |share| share.take(others, vms, now))
+        let heard = Heard {
+            others,
+            vms: u32::try_from(vms).unwrap_or(u32::MAX),
+            of: u32::try_from(known.max(expected)).unwrap_or(u32::MAX),
+        };
+        let (permitted, own) =
+            self.retry_share(service, |share| (share.take(heard, now), share.counts(now)));
+        if !permitted {
+            log::info!(event = "retry-refused", request = request, service = service.as_str(),
+                extra = own.extra, extra_of_others = others.extra,
+                requests = own.requests + others.requests, vms_heard = vms, vms = heard.of; "");
+        }
+        permitted
     }
 
     /// Returns this VM's requests and extra sends by service.
--- a/crates/almondctl/src/cli.rs
+++ b/crates/almondctl/src/cli.rs
@@ -52,6 +52,22 @@
                 .about("Replays a recorded trace; exits with 5 if a decision differs")
                 .arg(file()),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tells the story and the cause of one request from the logs of VMs")
+                .arg(
+                    Arg::new("request")
+                        .required(true)
+                        .value_name("REQUEST")
+                        .help("The caller's id of the request"),
+                )
+                .arg(logs()),
+        )
+        .subcommand(
+            Command::new("summary")
+                .about("Counts the requests in the logs of VMs by end and cause")
+                .arg(logs()),
+        )
         .subcommand(
             Command::new("token-hash")
                 .about("Reads a token from standard input and prints its SHA-256 for the sheet"),
@@ -115,6 +131,14 @@
         )
 }
 
+fn logs() -> Arg {
+    Arg::new("logs")
+        .num_args(0..)
+        .value_name("LOG")
+        .value_parser(value_parser!(PathBuf))
+        .help("Logs, one of each VM and named after it; standard input if there is none")
+}
+
 fn file() -> Arg {
     Arg::new("file")
         .required(true)
--- a/crates/almondctl/src/commands.rs
+++ b/crates/almondctl/src/commands.rs
@@ -1,5 +1,6 @@
 //! What each command does.
 
+mod logs;
 mod output;
 mod sheet;
 
@@ -23,6 +24,8 @@
         Some(("status", matches)) => show_status(matches, output).await,
         Some(("drain", matches)) => drain(matches, output).await,
         Some(("replay", matches)) => run_replay(matches, output),
+        Some(("explain", matches)) => logs::run_explain(matches, output),
+        Some(("summary", matches)) => logs::run_summary(matches, output),
         Some(("token-hash", _)) => token_hash(),
         Some(("completions", matches)) => completions(matches),
         _ => {
--- /dev/null
+++ b/crates/almondctl/src/commands/logs.rs
@@ -0,0 +1,83 @@
+//! Reading logs.
+
+use super::fail;
+use super::output::Output;
+use almondctl::logs::{LogLine, explain, read_lines, summarize};
+use clap::ArgMatches;
+use serde_json::json;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Reads the files that the arguments name, or standard input.
+fn read(matches: &ArgMatches) -> io::Result<Vec<LogLine>> {
+    let files = matches.get_many::<PathBuf>("logs").unwrap_or_default();
+    let mut lines = Vec::new();
+    for path in files {
+        let vm = path.file_stem().unwrap_or_default().to_string_lossy();
+        let file = File::open(path).map_err(|error| {
+            io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+        })?;
+        lines.extend(read_lines(BufReader::new(file), &vm)?);
+    }
+    if matches.get_many::<PathBuf>("logs").is_none() {
+        lines = read_lines(io::stdin().lock(), "-")?;
+    }
+    lines.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Ok(lines)
+}
+
+/// Prints the story of one request.
+pub(super) fn run_explain(matches: &ArgMatches, output: Output) -> ExitCode {
+    let lines = match read(matches) {
+        Ok(lines) => lines,
+        Err(error) => return fail(&error),
+    };
+    let request = matches.get_one::<String>("request");
+    let request = request.expect("the argument is required");
+    let Some(story) = explain(&lines, request) else {
+        return fail(&format!("no line names request {request}"));
+    };
+    if output == Output::Json {
+        let lines = story.lines.iter().map(|line| (&line.vm, &line.text));
+        let lines: Vec<_> = lines.collect();
+        let story = json!({"request": request, "cause": story.cause, "lines": lines});
+        println!("{story}");
+        return ExitCode::SUCCESS;
+    }
+    for line in &story.lines {
+        println!("{:<24} {}", line.vm, line.text);
+    }
+    println!("\n{}", story.cause);
+    ExitCode::SUCCESS
+}
+
+/// Prints counts of all requests.
+pub(super) fn run_summary(matches: &ArgMatches, output: Output) -> ExitCode {
+    let lines = match read(matches) {
+        Ok(lines) => lines,
+        Err(error) => return fail(&error),
+    };
+    let summary = summarize(&lines);
+    let header = ["class", "status", "requests", "cause", "example"];
+    output.print(&summary, &header, |summary| {
+        let row = |row: &almondctl::logs::SummaryRow| {
+            vec![
+                row.class.clone(),
+                row.status.clone(),
+                row.count.to_string(),
+                row.cause.to_string(),
+                row.example.clone(),
+            ]
+        };
+        summary.rows.iter().map(row).collect()
+    });
+    if output == Output::Table {
+        println!(
+            "\n{} failed or late, {} of them explained; {} lines left out",
+            summary.failed, summary.explained, summary.dropped
+        );
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/almondctl/src/lib.rs
+++ b/crates/almondctl/src/lib.rs
@@ -1,4 +1,4 @@
-//! Operators' work on a deployment: applying sheets, looking at VMs, replaying traces.
+//! Operators' work on a deployment: applying sheets, looking at VMs, replaying traces, reading logs.
 //!
 //! The library holds what the program `almondctl` does, for other tools to call.
 //!
@@ -18,6 +18,7 @@
 //! ```
 
 mod apply;
+pub mod logs;
 mod replay;
 mod status;
 
