--- /dev/null
+++ b/crates/almondcroft-core/benches/place.rs
@@ -0,0 +1,110 @@
+//! Cost of placing one generation by news of other VMs.
+
+use almondcroft_core::gateway::{
+    Demand, EngineSpec, Fleet, FleetOptions, Need, PeerLoad, PeerNews, PoolSpec, TargetEntry,
+};
+use almondcroft_core::{TargetId, Timestamp};
+use criterion::{BenchmarkId, Criterion};
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::time::Duration;
+
+const NOW: Timestamp = Duration::from_secs(1_000);
+
+fn entry(number: u32) -> TargetEntry {
+    TargetEntry {
+        id: format!("i-{number:010}").into(),
+        service: "menus".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: format!("z-{}", number % 4).into(),
+        region: format!("r-{}", number % 2).into(),
+        slots: 24,
+        draining: false,
+        cold_until: Timestamp::ZERO,
+        born: 1,
+    }
+}
+
+/// Builds a fleet in which each VM has two generations at each of a few targets.
+fn fleet(targets: u32, vms: u32) -> Fleet {
+    let engine = EngineSpec {
+        slots: 24,
+        kv_tokens: 26_825,
+        stride: 4,
+        moves: true,
+        backups: true,
+    };
+    let pool = PoolSpec {
+        id: "menus".into(),
+        connections: 632,
+        engine: Some(engine),
+    };
+    let mut fleet = Fleet::new("vm-0".into(), FleetOptions::default());
+    fleet.set_pools([(pool.id.clone(), pool)].into());
+    for number in 0..targets {
+        fleet.join(entry(number), NOW);
+    }
+    let each = targets * 2 / vms + 1;
+    for vm in 1..vms {
+        let load = PeerLoad {
+            count: 2,
+            tokens: 7_000,
+            unread: 500,
+            ..PeerLoad::default()
+        };
+        let ids = (0..each).map(|step| entry((vm * 7 + step * 13) % targets).id);
+        let loads: HashMap<TargetId, PeerLoad> = ids.map(|id| (id, load)).collect();
+        let news = PeerNews {
+            at: NOW,
+            loads,
+            ..PeerNews::default()
+        };
+        fleet.hear(format!("vm-{vm}").into(), news);
+    }
+    fleet
+}
+
+fn demand(number: u32) -> Demand {
+    Demand {
+        id: format!("{number:x}").into(),
+        service: "menus".into(),
+        priority: 1,
+        need: Need {
+            prompt: 3_000,
+            output: 750,
+            read: false,
+        },
+        patience: Duration::from_secs(7),
+        aim: Some(NOW + Duration::from_secs(2)),
+        deadline: NOW + Duration::from_secs(39),
+        zone: "z-0".into(),
+        region: "r-0".into(),
+        copied: false,
+        avoid: Vec::new(),
+    }
+}
+
+fn place(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("place");
+    for (targets, vms) in [(13, 6), (54, 77), (740, 360)] {
+        let mut fleet = fleet(targets, vms);
+        let mut number = 0;
+        let name = BenchmarkId::from_parameter(format!("{targets}-targets-{vms}-vms"));
+        group.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                number += 1;
+                let demand = demand(number);
+                let id = demand.id.clone();
+                black_box(fleet.submit(demand, NOW));
+                fleet.finished(&id, NOW);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    place(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -105,6 +105,8 @@
     targets: BTreeMap<TargetId, TargetState>,
     flights: HashMap<RequestId, Seat>,
     peers: HashMap<VmId, PeerNews>,
+    /// Sums of what the other VMs have at each target; kept, as each decision asks for many.
+    sums: HashMap<TargetId, PeerLoad>,
     queues: BTreeMap<ServiceId, Queue>,
     changes: u64,
 }
@@ -120,6 +122,7 @@
             targets: BTreeMap::new(),
             flights: HashMap::new(),
             peers: HashMap::new(),
+            sums: HashMap::new(),
             queues: BTreeMap::new(),
             changes: 0,
         }
@@ -177,7 +180,40 @@
 
     /// Takes in what another VM has at the targets.
     pub fn hear(&mut self, vm: VmId, news: PeerNews) {
-        self.peers.insert(vm, news);
+        for (target, load) in &news.loads {
+            let sum = self.sums.entry(target.clone()).or_default();
+            *sum = sum.add(*load);
+        }
+        if let Some(before) = self.peers.insert(vm, news) {
+            self.subtract(&before);
+        }
+    }
+
+    /// Takes what a VM had off the sums.
+    fn subtract(&mut self, news: &PeerNews) {
+        for (target, load) in &news.loads {
+            if let Some(sum) = self.sums.get_mut(target) {
+                *sum = sum.without(*load);
+                if *sum == PeerLoad::default() {
+                    self.sums.remove(target);
+                }
+            }
+        }
+    }
+
+    /// Forgets VMs of which nothing was heard for long.
+    fn forget_peers(&mut self, now: Timestamp) {
+        let silent: Vec<VmId> = self
+            .peers
+            .iter()
+            .filter(|(_, news)| news.at + LOAD_TIME <= now)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in silent {
+            if let Some(news) = self.peers.remove(&vm) {
+                self.subtract(&news);
+            }
+        }
     }
 
     /// Returns what this VM has at the targets, for the others.
@@ -352,7 +388,7 @@
 
     /// Notes that time passed: places what has room and refuses what waited too long.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Work> {
-        self.peers.retain(|_, news| news.at + LOAD_TIME > now);
+        self.forget_peers(now);
         let gone = |state: &TargetState| state.leaving && state.flights.is_empty();
         self.targets
             .retain(|_, state| !gone(state) || state.entry.draining);
@@ -395,13 +431,6 @@
             .filter(move |(_, news)| news.at + NEWS_TIME > now)
     }
 
-    /// Returns the news that counts for the load of targets.
-    fn loading_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerNews)> {
-        self.peers
-            .iter()
-            .filter(move |(_, news)| news.at + LOAD_TIME > now)
-    }
-
     /// Returns the refusal of a request that need not wait, if it need not.
     fn unplaceable(&self, demand: &Demand, now: Timestamp) -> Option<Placed> {
         let known = self
@@ -510,6 +539,14 @@
     }
 }
 
+/// Draws the number of a place in a sequence that a seed begins.
+const fn draw_next(seed: u64, place: u64) -> u64 {
+    let mut number = seed.wrapping_add(place.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
+
 /// Draws a number for a key; the same key draws the same number at every VM.
 fn draw(key: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -1,7 +1,7 @@
 //! Chooses among targets by the time that they are expected to cost.
 
 use super::state::TargetState;
-use super::{Demand, Fleet, PeerLoad, draw};
+use super::{Demand, Fleet, draw, draw_next};
 use crate::gateway::EngineSpec;
 use crate::{TargetId, Timestamp};
 use std::net::SocketAddr;
@@ -47,11 +47,18 @@
                 && !demand.avoid.contains(&state.entry.id)
                 && !self.too_far(state, demand)
         };
-        let mut able: Vec<&TargetState> = self.targets.values().filter(able).collect();
+        let able: Vec<&TargetState> = self.targets.values().filter(able).collect();
         let sample = self.options.sample;
         if able.len() > sample && !demand.copied {
-            able.sort_by_cached_key(|state| draw((&demand.id, &state.entry.id)));
-            let drawn = self.cheapest(&able[..sample], demand, engine, headroom, now);
+            let seed = draw(&demand.id);
+            let mut places: Vec<(u64, usize)> = (0..able.len())
+                .zip(0..)
+                .map(|(place, number)| (draw_next(seed, number), place))
+                .collect();
+            places.select_nth_unstable(sample);
+            let drawn = places[..sample].iter().map(|(_, place)| able[*place]);
+            let drawn: Vec<&TargetState> = drawn.collect();
+            let drawn = self.cheapest(&drawn, demand, engine, headroom, now);
             if drawn.is_some() {
                 return drawn;
             }
@@ -93,16 +100,13 @@
     /// Sums up own requests and what is known of others'.
     fn load(&self, state: &TargetState, now: Timestamp) -> Load {
         let own = state.own_load();
-        let mut heard = false;
-        let mut peers = PeerLoad::default();
-        for (_, news) in self.loading_peers(now) {
-            heard = true;
-            if let Some(load) = news.loads.get(&state.entry.id) {
-                peers = peers.add(*load);
-            }
-        }
+        let peers = self.sums.get(&state.entry.id).copied().unwrap_or_default();
         // What the target tells counts only requests; the other VMs know their sizes.
-        let told = if heard { 0.0 } else { state.told_count(now) };
+        let told = if self.peers.is_empty() {
+            state.told_count(now)
+        } else {
+            0.0
+        };
         Load {
             count: f64::from(own.count + peers.count) + told,
             tokens: f64::from(own.tokens) + f64::from(peers.tokens) + told * UNKNOWN_TOKENS,
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -22,13 +22,23 @@
 impl PeerLoad {
     pub(super) const fn add(self, other: Self) -> Self {
         Self {
-            count: self.count + other.count,
+            count: self.count.saturating_add(other.count),
             tokens: self.tokens.saturating_add(other.tokens),
             unread: self.unread.saturating_add(other.unread),
             movable: self.movable.saturating_add(other.movable),
             arriving: self.arriving.saturating_add(other.arriving),
         }
     }
+
+    pub(super) const fn without(self, other: Self) -> Self {
+        Self {
+            count: self.count.saturating_sub(other.count),
+            tokens: self.tokens.saturating_sub(other.tokens),
+            unread: self.unread.saturating_sub(other.unread),
+            movable: self.movable.saturating_sub(other.movable),
+            arriving: self.arriving.saturating_sub(other.arriving),
+        }
+    }
 }
 
 /// Holds the requests of one VM at all targets.
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -396,6 +396,7 @@
         1,
         "it is out of hearing all the same"
     );
+    fleet.tick(SECOND * 12);
     assert_eq!(sent_to(&fleet.submit(draft("4"), SECOND * 12)), ["a"]);
 }
 
@@ -422,3 +423,32 @@
     fleet.finished(&"1".into(), SECOND);
     assert_eq!(fleet.changes(), 3);
 }
+
+#[test]
+fn hear_replaces_what_was_told_before() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+    let news = |at: u32, loads: &[(&str, u32)]| PeerNews {
+        at: SECOND * at,
+        loads: loads
+            .iter()
+            .map(|(id, tokens)| {
+                let load = PeerLoad {
+                    count: 1,
+                    tokens: *tokens,
+                    ..PeerLoad::default()
+                };
+                ((*id).into(), load)
+            })
+            .collect(),
+        ..PeerNews::default()
+    };
+    fleet.hear("vm-2".into(), news(1, &[("a", 9_000), ("b", 100)]));
+    fleet.hear("vm-3".into(), news(1, &[("a", 500)]));
+    fleet.hear("vm-2".into(), news(2, &[("b", 7_000)]));
+    let sum = |fleet: &Fleet, id: &str| fleet.sums.get(id).map_or(0, |load| load.tokens);
+    assert_eq!((sum(&fleet, "a"), sum(&fleet, "b")), (500, 7_000));
+    fleet.tick(SECOND * 11);
+    assert_eq!((sum(&fleet, "a"), sum(&fleet, "b")), (0, 7_000));
+    fleet.tick(SECOND * 12);
+    assert!(fleet.sums.is_empty());
+}
--- a/crates/almondcroft-gateway/src/news/message.rs
+++ b/crates/almondcroft-gateway/src/news/message.rs
@@ -10,6 +10,9 @@
 use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
 
+/// Greatest number that is believed of one VM at one target; a thousand VMs' sum is still exact.
+const MAX_NUMBER: u32 = 4_000_000;
+
 /// Holds one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -110,7 +113,9 @@
 
     pub(super) fn into_news(self, at: Timestamp) -> PeerNews {
         let loads = self.loads.into_iter();
-        let load = |(id, [count, tokens, unread, movable, arriving]): (TargetId, [u32; 5])| {
+        let load = |(id, numbers): (TargetId, [u32; 5])| {
+            let numbers = numbers.map(|number| number.min(MAX_NUMBER));
+            let [count, tokens, unread, movable, arriving] = numbers;
             let load = PeerLoad {
                 count,
                 tokens,
--- a/crates/almondcroft-gateway/src/news/message/tests.rs
+++ b/crates/almondcroft-gateway/src/news/message/tests.rs
@@ -53,3 +53,11 @@
         assert!(Datagram::decode(bytes).is_err());
     }
 }
+
+#[test]
+fn into_news_caps_numbers() {
+    let bytes = br#"{"news":{"vm":"vm-1","loads":[["i-1",[4294967295,1,2,3,4]]],"sends":[]}}"#;
+    let news = decode(bytes).unwrap().into_news(Timestamp::ZERO);
+    assert_eq!(news.loads["i-1"].count, MAX_NUMBER);
+    assert_eq!(news.loads["i-1"].tokens, 1);
+}
--- a/crates/almondctl/src/logs/story.rs
+++ b/crates/almondctl/src/logs/story.rs
@@ -40,10 +40,16 @@
         .collect();
     let near = |line: &LogLine| line.at > begun - BEFORE && line.at <= ended + BEFORE;
     let mut seen = BTreeSet::new();
+    let lost = lines.iter().rfind(|line| {
+        let config = line.event == "store-lost" && line.get("kind") == "config";
+        config && line.vm == vm && line.at <= begun
+    });
+    let lost = lost.filter(|_| cause == Cause::ConfigStale);
     let beside = lines.iter().filter(|line| {
         let event = line.event.as_str();
         match event {
-            "store-lost" | "store-regained" | "log-dropped" => line.vm == vm && near(line),
+            "store-lost" => line.vm == vm && (near(line) || lost.is_some_and(|lost| lost == *line)),
+            "store-regained" | "log-dropped" => line.vm == vm && near(line),
             // Each VM tells of each target; the first one suffices.
             "target-leaving" | "target-gone" => {
                 let target = line.get("target_id");
