refactor(gateway): news of others, word of scouts and stream tests in files of their own

Mended on the way: a target that was missing after an outage was told to askers as present between the end of the grace and the next tick (100 ms), and never as gone after (`since_is_unknown_around_ outage` now asks before the tick; it failed before); two VMs drew the same targets for requests with the same number; a long queue of late drafts cost a decision each whenever room was looked for, now eight at most.

--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -131,8 +131,8 @@
         }
         let changed = self.changed.iter().filter(|(_, at)| **at > revision);
         let event = |(id, _): (&TargetId, &Revision)| match self.known.get(id) {
-            Some(known) => EntryEvent::Present(known.entry.clone()),
-            None => EntryEvent::Absent(id.clone()),
+            Some(known) if !known.missing => EntryEvent::Present(known.entry.clone()),
+            _ => EntryEvent::Absent(id.clone()),
         };
         Some(changed.map(event).collect())
     }
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -124,8 +124,10 @@
     directory.apply(EntryEvent::Absent("a".into()), SECOND * 9);
     directory.reach(12, SECOND * 9);
     assert_eq!(directory.since(10, SECOND * 10), None);
-    directory.tick(SECOND * 12);
+    // The same before and after the tick that lets go of it.
     let gone = EntryEvent::Absent("a".into());
+    assert_eq!(directory.since(10, SECOND * 12), Some(vec![gone.clone()]));
+    directory.tick(SECOND * 12);
     assert_eq!(directory.since(10, SECOND * 12), Some(vec![gone]));
 }
 
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 mod load;
 mod moves;
 mod options;
+mod peers;
 mod queue;
 mod state;
 
@@ -17,7 +18,7 @@
 pub use load::{PeerLoad, PeerNews};
 pub use options::FleetOptions;
 
-use super::{PoolSpec, SendCounts, TargetEntry};
+use super::{PoolSpec, TargetEntry};
 use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use queue::{Queue, Waiting};
 use state::TargetState;
@@ -25,18 +26,12 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-/// Time after which a VM that tells no news counts as out of hearing.
-const NEWS_TIME: Duration = Duration::from_secs(3);
-
-/// Time for which a VM that is out of hearing is taken to have what it told last.
-///
-/// A VM that is cut off from the others goes on sending to the targets, and a cut lasts for seconds;
-/// one that is gone leaves generations behind, which end within about this time.
-const LOAD_TIME: Duration = Duration::from_secs(10);
-
 /// Weight of the newest time between two departures.
 const PACE_WEIGHT: f64 = 0.1;
 
+/// Late requests that others pass at most; each one costs a decision whenever room is looked for.
+const MAX_PASSED: usize = 8;
+
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -178,85 +173,6 @@
         self.targets.get(target).map(|state| state.entry.born)
     }
 
-    /// Takes in what another VM has at the targets.
-    pub fn hear(&mut self, vm: VmId, news: PeerNews) {
-        for (target, load) in &news.loads {
-            let sum = self.sums.entry(target.clone()).or_default();
-            *sum = sum.add(*load);
-        }
-        if let Some(before) = self.peers.insert(vm, news) {
-            self.subtract(&before);
-        }
-    }
-
-    /// Takes what a VM had off the sums.
-    fn subtract(&mut self, news: &PeerNews) {
-        for (target, load) in &news.loads {
-            if let Some(sum) = self.sums.get_mut(target) {
-                *sum = sum.without(*load);
-                if *sum == PeerLoad::default() {
-                    self.sums.remove(target);
-                }
-            }
-        }
-    }
-
-    /// Forgets VMs of which nothing was heard for long.
-    fn forget_peers(&mut self, now: Timestamp) {
-        let silent: Vec<VmId> = self
-            .peers
-            .iter()
-            .filter(|(_, news)| news.at + LOAD_TIME <= now)
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        for vm in silent {
-            if let Some(news) = self.peers.remove(&vm) {
-                self.subtract(&news);
-            }
-        }
-    }
-
-    /// Returns what this VM has at the targets, for the others.
-    #[must_use]
-    pub fn news(&self, now: Timestamp) -> PeerNews {
-        let loads = self
-            .targets
-            .iter()
-            .filter(|(_, state)| !state.is_idle())
-            .map(|(id, state)| (id.clone(), state.own_load()));
-        PeerNews {
-            at: now,
-            loads: loads.collect(),
-            sends: HashMap::new(),
-        }
-    }
-
-    /// Sums up the requests and extra sends of the other VMs that were heard of lately.
-    #[must_use]
-    pub fn sends_of_others(&self, service: &str, now: Timestamp) -> SendCounts {
-        let counts = self
-            .fresh_peers(now)
-            .map(|(_, news)| news.sends.get(service).copied().unwrap_or_default());
-        counts.fold(SendCounts::default(), SendCounts::add)
-    }
-
-    /// Returns the number of VMs that were heard of lately, this one included.
-    #[must_use]
-    pub fn vms(&self, now: Timestamp) -> usize {
-        1 + self.fresh_peers(now).count()
-    }
-
-    /// Returns the first `count` VMs by a draw over those heard of lately and this one.
-    ///
-    /// VMs that hear of the same others draw the same ones.
-    #[must_use]
-    pub fn drawn(&self, count: usize, now: Timestamp) -> Vec<VmId> {
-        let heard = self.fresh_peers(now).map(|(vm, _)| vm);
-        let mut vms: Vec<&VmId> = heard.chain([&self.vm]).collect();
-        vms.sort_by_cached_key(|vm| draw(vm));
-        vms.into_iter().take(count).cloned().collect()
-    }
-
     /// Takes a new request: places it, lets it wait or refuses it.
     pub fn submit(&mut self, demand: Demand, now: Timestamp) -> Vec<Work> {
         let service = demand.service.clone();
@@ -275,10 +191,10 @@
 
     /// Notes that a target began to answer a request.
     pub fn started(&mut self, request: &RequestId, now: Timestamp) -> Vec<Work> {
-        let Some(state) = self.flights.get(request) else {
+        let Some(seat) = self.flights.get(request) else {
             return Vec::new();
         };
-        let Some(state) = self.targets.get_mut(&state.target) else {
+        let Some(state) = self.targets.get_mut(&seat.target) else {
             return Vec::new();
         };
         self.changes += u64::from(state.start(request));
@@ -425,12 +341,6 @@
         self.targets.get_mut(&self.flights.get(request)?.target)
     }
 
-    fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerNews)> {
-        self.peers
-            .iter()
-            .filter(move |(_, news)| news.at + NEWS_TIME > now)
-    }
-
     /// Returns the refusal of a request that need not wait, if it need not.
     fn unplaceable(&self, demand: &Demand, now: Timestamp) -> Option<Placed> {
         let known = self
@@ -482,7 +392,9 @@
     fn drain(&mut self, service: &ServiceId, now: Timestamp) -> Vec<Work> {
         let mut works = Vec::new();
         let (mut place, mut slack) = (0, true);
-        while let Some(waiting) = self.queues.get(service).and_then(|queue| queue.at(place)) {
+        while place < MAX_PASSED
+            && let Some(waiting) = self.queues.get(service).and_then(|queue| queue.at(place))
+        {
             let demand = &waiting.demand;
             let choice = self.choose(demand, self.options.headroom, now);
             let late = choice
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -50,7 +50,7 @@
         let able: Vec<&TargetState> = self.targets.values().filter(able).collect();
         let sample = self.options.sample;
         if able.len() > sample && !demand.copied {
-            let seed = draw(&demand.id);
+            let seed = draw((&self.vm, &demand.id));
             let mut places: Vec<(u64, usize)> = (0..able.len())
                 .zip(0..)
                 .map(|(place, number)| (draw_next(seed, number), place))
