refactor: one piece of code where the change had written two

Found in reading the whole change again; no behaviour of the gateway changes. - The time for a call to the store stood in `news` and `sync`: now beside the client. - Keeping a connection within a target's share stood in `exchange`, `mover` and `pool`: `pool::keep`. - `Asks` dated an answer with an age that its only caller set to zero, and the caller took the ages off itself; now `Asked::date`, which the tests play, is what dates. - Rounding counts stood three times: one in the core; the log summary reads a whole number instead. - `explain` and `summary` of logs each had their own rule for a VM that ended: a start within 60 s, and a start at any time. `Fleet::target_of` and `Directory::entries` served tests only: gone, the tests look themselves. Left: the arguments of the two programs and the set-up of metrics in daemon and gateway, which need a crate of their own or the single data path.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -18,6 +18,7 @@
 mod config;
 mod directory;
 mod fleet;
+mod number;
 mod retry_share;
 mod route;
 mod stop;
@@ -25,7 +26,7 @@
 mod tell_plan;
 mod vouch;
 
-pub use asks::Asks;
+pub use asks::{Asked, Asks};
 pub use config::{CallerLimits, CustomerSpec, EngineSpec, GatewayConfig, PoolSpec};
 pub use directory::{Change, Directory, EntryEvent};
 pub use fleet::{
--- a/crates/almondcroft-core/src/gateway/asks.rs
+++ b/crates/almondcroft-core/src/gateway/asks.rs
@@ -21,8 +21,9 @@
 /// let second = Duration::from_secs(1);
 /// let mut asks = Asks::default();
 /// let nonce = asks.ask(second * 10, &mut rand::rng());
-/// assert_eq!(asks.date(nonce, second * 2), Some(second * 8));
-/// assert_eq!(asks.date(nonce, second * 2), None, "an answer counts once");
+/// let asked = asks.answered(nonce).unwrap();
+/// assert_eq!(asked.date(second * 2), second * 8);
+/// assert!(asks.answered(nonce).is_none(), "an answer counts once");
 /// ```
 #[derive(Debug, Default)]
 pub struct Asks {
@@ -40,11 +41,25 @@
         nonce
     }
 
-    /// Returns a time at which what an answer says was true, if its question is open.
-    pub fn date(&mut self, nonce: u64, age: Duration) -> Option<Timestamp> {
+    /// Closes the question of an answer, if it is open.
+    pub fn answered(&mut self, nonce: u64) -> Option<Asked> {
         let at = self.open.iter().position(|(open, _)| *open == nonce)?;
         let (_, sent) = self.open.remove(at)?;
-        Some(sent.saturating_sub(age))
+        Some(Asked { sent })
+    }
+}
+
+/// Dates what the answer to one question says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    sent: Timestamp,
+}
+
+impl Asked {
+    /// Returns a time at which what had this age in the answer was true.
+    #[must_use]
+    pub const fn date(self, age: Duration) -> Timestamp {
+        self.sent.saturating_sub(age)
     }
 }
 
--- a/crates/almondcroft-core/src/gateway/asks/tests.rs
+++ b/crates/almondcroft-core/src/gateway/asks/tests.rs
@@ -10,7 +10,8 @@
     let mut asks = Asks::default();
     let nonce = asks.ask(SECOND * 100, &mut random);
     // Read at 104 s, after a suspension: it says nothing of the time since.
-    assert_eq!(asks.date(nonce, SECOND), Some(SECOND * 99));
+    let asked = asks.answered(nonce).unwrap();
+    assert_eq!(asked.date(SECOND), SECOND * 99);
 }
 
 #[test]
@@ -18,9 +19,9 @@
     let mut random = StdRng::seed_from_u64(1);
     let mut asks = Asks::default();
     let nonce = asks.ask(SECOND, &mut random);
-    assert_eq!(asks.date(nonce.wrapping_add(1), Duration::ZERO), None);
-    assert!(asks.date(nonce, Duration::ZERO).is_some());
-    assert_eq!(asks.date(nonce, Duration::ZERO), None);
+    assert_eq!(asks.answered(nonce.wrapping_add(1)), None);
+    assert!(asks.answered(nonce).is_some());
+    assert_eq!(asks.answered(nonce), None);
 }
 
 #[test]
@@ -31,5 +32,5 @@
     for _ in 0..MAX_OPEN {
         asks.ask(SECOND * 2, &mut random);
     }
-    assert_eq!(asks.date(first, Duration::ZERO), None);
+    assert_eq!(asks.answered(first), None);
 }
--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -251,11 +251,6 @@
             .collect()
     }
 
-    /// Returns the entries that hold, missing ones included.
-    pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> {
-        self.known.values().map(|known| &known.entry)
-    }
-
     /// Returns whether entries may be missing although their targets run.
     #[must_use]
     pub fn is_in_grace(&self, now: Timestamp) -> bool {
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -48,7 +48,7 @@
     directory.replace(vec![], SECOND * 10);
     directory.apply(EntryEvent::Present(entry("a")), SECOND * 11);
     assert_eq!(directory.tick(SECOND * 20), []);
-    assert_eq!(directory.entries().count(), 1);
+    assert_eq!(directory.known.len(), 1);
 }
 
 #[test]
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -191,14 +191,12 @@
 
     /// Notes that a target began to answer a request.
     pub fn started(&mut self, request: &RequestId, now: Timestamp) -> Vec<Work> {
-        let Some(seat) = self.flights.get(request) else {
-            return Vec::new();
-        };
-        let Some(state) = self.targets.get_mut(&seat.target) else {
+        let Some(state) = self.state_of(request) else {
             return Vec::new();
         };
-        self.changes += u64::from(state.start(request));
+        let was_unread = state.start(request);
         let service = state.entry.service.clone();
+        self.changes += u64::from(was_unread);
         self.drain(&service, now)
     }
 
@@ -317,13 +315,6 @@
         works
     }
 
-    /// Returns the target at which a request runs.
-    #[must_use]
-    pub fn target_of(&self, request: &RequestId) -> Option<&TargetEntry> {
-        let state = self.targets.get(&self.flights.get(request)?.target)?;
-        Some(&state.entry)
-    }
-
     /// Returns the number of requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -3,6 +3,7 @@
 use super::state::TargetState;
 use super::{Demand, Fleet, draw, draw_next};
 use crate::gateway::EngineSpec;
+use crate::gateway::number::whole;
 use crate::{TargetId, Timestamp};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -92,7 +93,7 @@
         best.map(|(cost, state, count)| Choice {
             target: state.entry.id.clone(),
             address: state.entry.address,
-            beside: whole(count),
+            beside: u32::try_from(whole(count)).unwrap_or(u32::MAX),
             cost: Duration::from_secs_f64(cost.max(0.0)),
         })
     }
@@ -189,12 +190,3 @@
         cost.as_secs_f64()
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "counts of requests are small and not negative"
-)]
-const fn whole(count: f64) -> u32 {
-    count as u32
-}
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -69,6 +69,21 @@
     sent.collect()
 }
 
+/// Returns the target at which a request runs.
+fn target_of(fleet: &Fleet, request: &str) -> TargetId {
+    fleet.flights[request].target.clone()
+}
+
+/// Returns what another VM tells at a time.
+fn news(at: Timestamp, loads: &[(&str, PeerLoad)]) -> PeerNews {
+    let loads = loads.iter().map(|(id, load)| ((*id).into(), *load));
+    PeerNews {
+        at,
+        loads: loads.collect(),
+        ..PeerNews::default()
+    }
+}
+
 #[test]
 fn submit_spreads_prompts() {
     let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a"), ("c", "q-a")]);
@@ -90,12 +105,7 @@
         unread: 9_000,
         ..PeerLoad::default()
     };
-    let news = PeerNews {
-        at: SECOND,
-        loads: HashMap::from([("a".into(), load)]),
-        ..PeerNews::default()
-    };
-    fleet.hear("vm-2".into(), news);
+    fleet.hear("vm-2".into(), news(SECOND, &[("a", load)]));
     assert_eq!(sent_to(&fleet.submit(draft("1"), SECOND)), ["b"]);
 }
 
@@ -217,14 +227,9 @@
         arriving: 8_000,
         ..PeerLoad::default()
     };
-    let news = PeerNews {
-        at: SECOND,
-        loads: HashMap::from([("b".into(), load)]),
-        ..PeerNews::default()
-    };
-    fleet.hear("vm-2".into(), news);
+    fleet.hear("vm-2".into(), news(SECOND, &[("b", load)]));
     fleet.submit(draft("1"), SECOND);
-    assert_eq!(fleet.target_of(&"1".into()).unwrap().id, "a");
+    assert_eq!(target_of(&fleet, "1"), "a");
     let choice = fleet.destination(&"1".into(), SECOND).unwrap();
     assert_eq!(choice.target, "c");
 }
@@ -261,7 +266,7 @@
 fn kept_copy_counts_as_memory() {
     let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
     fleet.submit(draft("1"), SECOND);
-    let source = fleet.target_of(&"1".into()).unwrap().id.clone();
+    let source = target_of(&fleet, "1");
     let keeper = fleet.keeper(&"1".into(), SECOND).unwrap();
     assert_ne!(keeper.target, source);
     fleet.set_copy(&"1".into(), Some(&keeper.target));
@@ -277,14 +282,14 @@
 fn moved_follows_the_generation() {
     let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
     fleet.submit(draft("1"), SECOND);
-    let source = fleet.target_of(&"1".into()).unwrap().id.clone();
+    let source = target_of(&fleet, "1");
     let target: TargetId = if source == "a" {
         "b".into()
     } else {
         "a".into()
     };
     fleet.moved(&"1".into(), &target, SECOND);
-    assert_eq!(fleet.target_of(&"1".into()).unwrap().id, target);
+    assert_eq!(target_of(&fleet, "1"), target);
     assert!(fleet.remove(&source).is_empty());
 }
 
@@ -381,12 +386,7 @@
         tokens: 28_000,
         ..PeerLoad::default()
     };
-    let news = PeerNews {
-        at: SECOND,
-        loads: HashMap::from([("a".into(), load)]),
-        ..PeerNews::default()
-    };
-    fleet.hear("vm-2".into(), news);
+    fleet.hear("vm-2".into(), news(SECOND, &[("a", load)]));
     for (id, after) in [("1", 2), ("2", 6), ("3", 8)] {
         assert_eq!(sent_to(&fleet.submit(draft(id), SECOND * after)), ["b"]);
         fleet.finished(&id.into(), SECOND * after);
--- a/crates/almondcroft-core/src/gateway/tell_plan.rs
+++ b/crates/almondcroft-core/src/gateway/tell_plan.rs
@@ -1,5 +1,6 @@
 //! Which VMs are told news, and when.
 
+use super::number::whole;
 use crate::Timestamp;
 use std::time::Duration;
 
@@ -73,14 +74,5 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "numbers of VMs are small and not negative"
-)]
-const fn whole(number: f64) -> usize {
-    number as usize
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -19,7 +19,6 @@
 use almondcroft_core::gateway::{Choice, Demand, Need, Placed};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::ResponseHead;
-
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -2,9 +2,8 @@
 
 use crate::adapter::{AnswerMeta, PlainCall, SendMeta};
 use crate::call::Call;
-use crate::clock;
 use crate::link::{Link, LinkError};
-use crate::pool::connect;
+use crate::pool;
 use crate::runtime::within;
 use crate::state::Gateway;
 use almondcroft_core::{ServiceId, Verdict};
@@ -71,7 +70,7 @@
         limit: Duration,
     ) -> Result<Self, SendError> {
         let once = !call.repeats();
-        let (mut link, fresh) = connect(gateway, address, once, limit)
+        let (mut link, fresh) = pool::connect(gateway, address, once, limit)
             .await
             .map_err(|_| SendError::not_run("connect"))?;
         let mut bytes = write_head(
@@ -146,11 +145,13 @@
     /// Keeps the connection if the answer was whole and the target agrees.
     pub(crate) fn finish(self, gateway: &Gateway) {
         if self.whole && self.decoder.is_done() && self.head.keeps_alive() {
-            let most = gateway.idle_share(&self.service);
-            let (link, keep) = (self.link, self.meta.keep);
-            gateway
-                .pool
-                .put(self.address, link, keep, most, clock::now());
+            pool::keep(
+                gateway,
+                self.address,
+                &self.service,
+                self.link,
+                self.meta.keep,
+            );
         }
     }
 }
--- a/crates/almondcroft-gateway/src/mover.rs
+++ b/crates/almondcroft-gateway/src/mover.rs
@@ -179,11 +179,8 @@
             .await
             .ok()?;
         if head.keeps_alive() {
-            let meta = self.gateway.dialect.read_answer(&head);
-            let most = self.gateway.idle_share(&self.call.service);
-            self.gateway
-                .pool
-                .put(address, link, meta.keep, most, clock::now());
+            let time = self.gateway.dialect.read_answer(&head).keep;
+            pool::keep(&self.gateway, address, &self.call.service, link, time);
         } else if !last {
             // A target that leaves closes each connection, and the next copy follows at once.
             pool::warm(&self.gateway, address, &self.call.service);
--- a/crates/almondcroft-gateway/src/news.rs
+++ b/crates/almondcroft-gateway/src/news.rs
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::runtime::{sleep, spawn};
 use crate::state::{Departure, Gateway, lock};
-use crate::store::{StoreClient, StoreError};
+use crate::store::{CALL_TIME, StoreClient, StoreError};
 use almondcroft_core::gateway::TellPlan;
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{Revision, Timestamp};
@@ -36,9 +36,6 @@
 /// Time between such looks while no other VM is known.
 const FIRST_LIST_TIME: Duration = Duration::from_secs(1);
 
-/// Time for a call to the store.
-const CALL_TIME: Duration = Duration::from_millis(1_500);
-
 /// Longest datagram, in bytes; more than a few hundred targets do not fit and are left out.
 const MAX_DATAGRAM: usize = 8 * 1024;
 
--- a/crates/almondcroft-gateway/src/news/scouts.rs
+++ b/crates/almondcroft-gateway/src/news/scouts.rs
@@ -71,12 +71,11 @@
 
 /// Takes in an answer.
 pub(super) fn take(gateway: &Gateway, answer: Answer) {
-    // Ages are relative to the question, so it is dated once and each age is taken off.
-    let Some(asked) = lock(&gateway.asks).date(answer.nonce, Duration::ZERO) else {
+    let Some(asked) = lock(&gateway.asks).answered(answer.nonce) else {
         return;
     };
     let now = clock::now();
-    let dated = |age| asked.saturating_sub(Duration::from_millis(age));
+    let dated = |age| asked.date(Duration::from_millis(age));
     if let Some((revision, age)) = answer.config {
         gateway.hear_config(revision, dated(age));
     }
--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -64,7 +64,7 @@
     }
 
     /// Keeps a connection whose answer was read whole.
-    pub(crate) fn put(
+    fn put(
         &self,
         address: SocketAddr,
         link: Link,
@@ -116,6 +116,18 @@
     }
 }
 
+/// Keeps a connection for the next request, within this VM's part of those that a target takes.
+pub(crate) fn keep(
+    gateway: &Gateway,
+    address: SocketAddr,
+    service: &ServiceId,
+    link: Link,
+    time: Option<Duration>,
+) {
+    let most = gateway.idle_share(service);
+    gateway.pool.put(address, link, time, most, clock::now());
+}
+
 /// Opens a connection that will be needed soon, so that a generation that stands still meanwhile
 /// does not wait for two round trips to another region.
 pub(crate) fn warm(gateway: &Arc<Gateway>, address: SocketAddr, service: &ServiceId) {
@@ -126,8 +138,7 @@
     spawn(async move {
         // Whoever needs it opens one and sees the failure.
         if let Ok(link) = Link::connect(address, CONNECT_TIME).await {
-            let most = gateway.idle_share(&service);
-            gateway.pool.put(address, link, None, most, clock::now());
+            keep(&gateway, address, &service, link, None);
         }
     });
 }
--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -10,6 +10,9 @@
 /// Time to open a connection to the store.
 const CONNECT_TIME: Duration = Duration::from_millis(800);
 
+/// Time for a call that does not wait for changes.
+pub(crate) const CALL_TIME: Duration = Duration::from_millis(1_500);
+
 /// Longest answer of the store, in bytes: a page of values of a megabyte, with room for their frame.
 const MAX_ANSWER: usize = 4 * 1024 * 1024;
 
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::runtime::{sleep, spawn};
 use crate::state::Gateway;
-use crate::store::{StoreClient, StoreError};
+use crate::store::{CALL_TIME, StoreClient, StoreError};
 use almondcroft_core::gateway::EntryEvent;
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
@@ -31,9 +31,6 @@
 /// Time beyond its wait after which an answer of a watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
 
-/// Time for any other call.
-const CALL_TIME: Duration = Duration::from_millis(1_500);
-
 /// Pause after the first failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -228,9 +225,9 @@
             });
             let entries = present.collect();
             let now = clock::now();
-            let (at, list) = ((revision, vouched), entries);
+            let at = (revision, vouched);
             self.gateway
-                .change_targets(|directory| directory.take_list(list, at, now));
+                .change_targets(|directory| directory.take_list(entries, at, now));
             self.gateway.note_listed();
         } else {
             self.take_changes(items, revision, vouched);
--- a/crates/almondctl/src/logs/story.rs
+++ b/crates/almondctl/src/logs/story.rs
@@ -28,11 +28,12 @@
     let first = own.first()?;
     let (vm, begun) = (first.vm.as_str(), first.at);
     let ended = own.last().map_or(begun, |line| line.at);
-    let restarted = lines
+    let starts: Vec<&LogLine> = lines
         .iter()
-        .find(|line| line.event == "started" && line.vm == vm && line.at > ended);
-    let restarted = restarted.filter(|line| line.at < ended + AFTER);
-    let cause = cause(&own, restarted.is_some());
+        .filter(|line| line.event == "started")
+        .collect();
+    let restarted = restart(&starts, &own);
+    let cause = cause(&own, || restarted.is_some());
     let targets: BTreeSet<&str> = own
         .iter()
         .flat_map(|line| [line.get("target_id"), line.get("from")])
@@ -64,8 +65,17 @@
     Some(Story { lines, cause })
 }
 
+/// Finds the start of a request's VM by which the request was lost, if it had no end.
+pub(super) fn restart<'a>(starts: &[&'a LogLine], own: &[&LogLine]) -> Option<&'a LogLine> {
+    let last = own.last()?;
+    starts.iter().copied().find(|start| {
+        let passed = start.at - last.at;
+        start.vm == last.vm && passed > 0.0 && passed < AFTER
+    })
+}
+
 /// Finds the cause in the lines of one request.
-pub(super) fn cause(own: &[&LogLine], restarted: bool) -> Cause {
+pub(super) fn cause(own: &[&LogLine], restarted: impl FnOnce() -> bool) -> Cause {
     let end = own.iter().rev();
     let end = end
         .copied()
@@ -73,7 +83,7 @@
     match end {
         Some(end) if end.event == "rejected" => refused(end.get("reason")),
         Some(end) => ended(own, end),
-        None if restarted => Cause::VmEnded,
+        None if restarted() => Cause::VmEnded,
         None => Cause::Unknown,
     }
 }
--- a/crates/almondctl/src/logs/summary.rs
+++ b/crates/almondctl/src/logs/summary.rs
@@ -1,6 +1,6 @@
 //! Counts of requests by end and cause.
 
-use super::story::cause;
+use super::story::{cause, restart};
 use super::{Cause, LogLine};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
@@ -37,15 +37,14 @@
 #[must_use]
 pub fn summarize(lines: &[LogLine]) -> Summary {
     let mut requests: HashMap<&str, Vec<&LogLine>> = HashMap::new();
-    let mut starts: HashMap<&str, f64> = HashMap::new();
-    let mut dropped = 0.0;
+    let mut dropped = 0;
+    let starts: Vec<&LogLine> = lines
+        .iter()
+        .filter(|line| line.event == "started")
+        .collect();
     for line in lines {
         match line.event.as_str() {
-            "started" => {
-                let last = starts.entry(&line.vm).or_insert(line.at);
-                *last = last.max(line.at);
-            }
-            "log-dropped" => dropped += line.number("count"),
+            "log-dropped" => dropped += line.get("count").parse().unwrap_or(0),
             _ if !line.get("request").is_empty() => {
                 requests.entry(line.get("request")).or_default().push(line);
             }
@@ -54,11 +53,7 @@
     }
     let mut counts: BTreeMap<(String, String, Cause), (usize, &str)> = BTreeMap::new();
     for (request, own) in &requests {
-        let restarted = own.last().is_some_and(|line| {
-            let start = starts.get(line.vm.as_str());
-            start.is_some_and(|start| *start > line.at)
-        });
-        let cause = cause(own, restarted);
+        let cause = cause(own, || restart(&starts, own).is_some());
         let field = |key: &str| {
             let values = own.iter().rev().map(|line| line.get(key));
             values.into_iter().find(|value| !value.is_empty())
@@ -73,7 +68,7 @@
 }
 
 impl Summary {
-    fn new(counts: BTreeMap<(String, String, Cause), (usize, &str)>, dropped: f64) -> Self {
+    fn new(counts: BTreeMap<(String, String, Cause), (usize, &str)>, dropped: u64) -> Self {
         let rows = counts.into_iter();
         let mut rows: Vec<SummaryRow> = rows
             .map(|((class, status, cause), (count, example))| SummaryRow {
@@ -93,16 +88,7 @@
             rows,
             failed,
             explained,
-            dropped: whole(dropped),
+            dropped,
         }
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a count of lines is small and not negative"
-)]
-const fn whole(count: f64) -> u64 {
-    count as u64
-}
