feat(migration): copy in turn, stop when the link is free

Delays were computed once, at the notice, and generations under way no longer counted for the peers.

Change: Fleet::copy_wait lets a first copy begin when few tokens are ahead of it and it can be complete in time; Fleet::stop_wait holds the last copy back until no first copies are left, at most until 1.15 s after the notice, whose time the fleet now records. Tokens count until their first copy is complete.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -150,17 +150,18 @@
     }
 
     /// Stops placing requests on a target; returns those that run there.
-    pub fn mark_leaving(&mut self, target: &str) -> Vec<RequestId> {
+    pub fn mark_leaving(&mut self, target: &str, now: Timestamp) -> Vec<RequestId> {
         let Some(state) = self.targets.get_mut(target) else {
             return Vec::new();
         };
         state.leaving = true;
+        state.noticed_at.get_or_insert(now);
         state.requests.keys().cloned().collect()
     }
 
     /// Removes a target as soon as no request runs there; returns the requests that still run there.
-    pub fn remove_target(&mut self, target: &str) -> Vec<RequestId> {
-        let running = self.mark_leaving(target);
+    pub fn remove_target(&mut self, target: &str, now: Timestamp) -> Vec<RequestId> {
+        let running = self.mark_leaving(target, now);
         if running.is_empty() {
             self.targets.remove(target);
         } else if let Some(state) = self.targets.get_mut(target) {
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -150,7 +150,7 @@
         let is_empty = load.count < 1.0 && !demand.is_copy;
         let has_room = filled <= capacity * headroom
             && load.count < f64::from(engine.slots)
-            && prefill <= options.prefill_backlog.as_secs_f64();
+            && (demand.is_copy || prefill <= options.prefill_backlog.as_secs_f64());
         if !has_room && !is_empty {
             return None;
         }
--- a/crates/almondcroft-core/src/gateway/fleet/migration.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/migration.rs
@@ -1,7 +1,7 @@
 //! Backups and migrations of running generations: their targets and the order of migrations.
 
 use super::target_state::{InFlightRequest, KvCopy, TargetState};
-use super::{Choice, Demand, Fleet, Need};
+use super::{Choice, Demand, Fleet, Need, PeerSnapshot};
 use crate::{RequestId, TargetId, Timestamp};
 use std::time::Duration;
 
@@ -14,6 +14,20 @@
 /// within the delay can still be migrated.
 const NEAR_END_DELAY: Duration = Duration::from_millis(700);
 
+/// Time after a leave notice at which generations are stopped at the latest; targets shut down 1.5 s
+/// after their notice or later.
+const STOP_DELAY: Duration = Duration::from_millis(1_150);
+
+/// Time for the last copies of all generations of a target.
+const STOP_TIME: Duration = Duration::from_millis(120);
+
+/// Longest queue on a target's link that a further copy may join; it keeps the link busy between two
+/// copies.
+const LINK_QUEUE: Duration = Duration::from_millis(250);
+
+/// Time after which a generation that waits for the source's link asks for it again.
+const LINK_POLL: Duration = Duration::from_millis(10);
+
 impl Fleet {
     /// Records which target holds a backup of a generation, or that none does.
     ///
@@ -41,7 +55,8 @@
         let Some(in_flight) = in_flight else {
             return;
         };
-        in_flight.has_copy = copy_target.is_some();
+        in_flight.has_backup = copy_target.is_some() && !in_transfer;
+        in_flight.off_link = false;
         let tokens = in_flight.resident_tokens();
         if let Some(assignment) = self.assignments.get_mut(request) {
             assignment.copy_target = copy_target.cloned();
@@ -69,59 +84,117 @@
         self.choose(&demand, self.options.backup_headroom, now)
     }
 
-    /// Returns how long to wait before a generation is migrated off a leaving target.
+    /// Records that a migration needs the source's link no longer for its first copy: that copy is
+    /// complete, or no destination has room.
+    pub fn release_link(&mut self, request: &RequestId) {
+        let state = self.assigned_state(request);
+        if let Some(in_flight) = state.and_then(|state| state.requests.get_mut(request)) {
+            in_flight.off_link = true;
+        }
+    }
+
+    /// Returns how long a generation must wait before its first copy off a leaving target may begin;
+    /// zero if it may begin now. After the wait, the caller asks again.
+    ///
+    /// Copies queue on the target's link, which can copy only a part of a full engine within the notice.
+    /// So VMs copy in the order of their names, each its own generations by remaining output, the
+    /// longest first, and a copy begins when few others are ahead of it: the link is always busy, and a
+    /// copy that would not be complete in time delays no other. VMs need no coordination, because each
+    /// learns from gossip how many tokens its peers have yet to copy.
     ///
-    /// Copies queue on the target's link, and the last part of each, during which its generation is
-    /// paused, waits for all others. VMs therefore migrate one after another, in the order of their
-    /// names. They need no coordination, because each VM learns from gossip roughly how many tokens its
-    /// peers have to migrate. A VM migrates its own generations by remaining output, the longest first.
-    /// A generation that is expected to end soon is delayed by at least a fixed time that the shutdown
-    /// notice allows for, so that it can end in place.
+    /// A generation that is expected to end soon is delayed by a fixed time that the notice allows for,
+    /// so that it can end in place.
     #[must_use]
-    pub fn migration_delay(&self, request: &RequestId, now: Timestamp) -> Duration {
-        let Some(source) = self
-            .assignments
-            .get(request)
-            .and_then(|assignment| self.targets.get(&assignment.target))
-        else {
+    pub fn copy_wait(
+        &self,
+        request: &RequestId,
+        started_at: Timestamp,
+        now: Timestamp,
+    ) -> Duration {
+        let Some((source, in_flight)) = self.running(request) else {
             return Duration::ZERO;
         };
-        let earlier_peers = self.reachable_peers(now).filter(|(vm, _)| **vm < self.vm);
-        let peer_tokens: u32 = earlier_peers
-            .filter_map(|(_, snapshot)| snapshot.loads.get(&source.entry.id))
-            .map(|load| load.migration_tokens)
-            .sum();
-        let remaining = source
-            .requests
-            .get(request)
-            .map_or(0, InFlightRequest::remaining_output);
-        let min_delay = if TYPICAL_TOKEN_TIME * remaining < NEAR_END_DELAY {
-            NEAR_END_DELAY
-        } else {
-            Duration::ZERO
+        let noticed_at = source.noticed_at.unwrap_or(started_at);
+        let end_delay = (noticed_at + NEAR_END_DELAY).saturating_sub(now);
+        if ends_soon(in_flight) && !end_delay.is_zero() {
+            return end_delay;
+        }
+        let queue_time =
+            self.options.link_time * self.earlier_tokens(source, request, in_flight, now);
+        let copy_time = self.options.link_time * in_flight.resident_tokens();
+        let stop_at = noticed_at + STOP_DELAY;
+        let last_chance = (stop_at + STOP_TIME).saturating_sub(now);
+        let is_next = queue_time <= LINK_QUEUE;
+        if is_next && now + queue_time + copy_time <= stop_at {
+            return Duration::ZERO;
+        }
+        last_chance.min(LINK_POLL)
+    }
+
+    /// Returns how long a generation whose first copy is complete must wait before its last copy, which
+    /// stops it, may begin; zero if it may begin now. After the wait, the caller asks again.
+    ///
+    /// The generation is paused until the last copy is complete. The copy is short but waits for all
+    /// others on the link, so it begins when no first copies are left or when the notice is nearly over.
+    #[must_use]
+    pub fn stop_wait(
+        &self,
+        request: &RequestId,
+        started_at: Timestamp,
+        now: Timestamp,
+    ) -> Duration {
+        let Some((source, _)) = self.running(request) else {
+            return Duration::ZERO;
         };
-        let own_tokens: u32 = source
+        let own = source.requests.values().any(uses_link);
+        let peers = self.reachable_peers(now);
+        let mut tokens = peers.map(|(_, snapshot)| tokens_to_copy(snapshot, source));
+        if own || tokens.any(|tokens| tokens > 0) {
+            let noticed_at = source.noticed_at.unwrap_or(started_at);
+            let remaining = (noticed_at + STOP_DELAY).saturating_sub(now);
+            return remaining.min(LINK_POLL);
+        }
+        Duration::ZERO
+    }
+
+    /// Returns the tokens that are copied before those of a generation.
+    fn earlier_tokens(
+        &self,
+        source: &TargetState,
+        request: &RequestId,
+        in_flight: &InFlightRequest,
+        now: Timestamp,
+    ) -> u32 {
+        let key = (in_flight.remaining_output(), request);
+        let own: u32 = source
             .requests
             .iter()
-            .filter(|(id, in_flight)| (in_flight.remaining_output(), *id) > (remaining, request))
-            .map(|(_, in_flight)| in_flight.migration_tokens())
+            .filter(|(id, other)| uses_link(other) && (other.remaining_output(), *id) > key)
+            .map(|(_, other)| other.migration_tokens())
+            .sum();
+        let earlier_peers = self.reachable_peers(now).filter(|(vm, _)| **vm < self.vm);
+        let peers: u32 = earlier_peers
+            .map(|(_, snapshot)| tokens_to_copy(snapshot, source))
             .sum();
-        min_delay.max(self.options.link_time * (peer_tokens + own_tokens))
+        own + peers
+    }
+
+    /// Returns the target that runs a request, and the request.
+    fn running(&self, request: &RequestId) -> Option<(&TargetState, &InFlightRequest)> {
+        let source = self.targets.get(&self.assignments.get(request)?.target)?;
+        Some((source, source.requests.get(request)?))
     }
 
     /// Returns the tokens that a generation holds in the KV cache now.
     #[must_use]
     pub fn resident_tokens(&self, request: &RequestId) -> u32 {
-        let assignment = self.assignments.get(request);
-        let state = assignment.and_then(|assignment| self.targets.get(&assignment.target));
-        let in_flight = state.and_then(|state| state.requests.get(request));
-        in_flight.map_or(0, InFlightRequest::resident_tokens)
+        self.running(request)
+            .map_or(0, |(_, in_flight)| in_flight.resident_tokens())
     }
 
     /// Describes the copy of a generation to another target.
     fn copy_demand(&self, request: &RequestId) -> Option<Demand> {
-        let source = self.targets.get(&self.assignments.get(request)?.target)?;
-        let in_flight = source.requests.get(request)?;
+        let (source, in_flight) = self.running(request)?;
         Some(Demand {
             // The copy includes the KV cache of the prompt, so no prefill is needed.
             need: Need {
@@ -149,3 +222,19 @@
         }
     }
 }
+
+/// Returns whether a generation is expected to end before its migration would have to begin.
+fn ends_soon(in_flight: &InFlightRequest) -> bool {
+    TYPICAL_TOKEN_TIME * in_flight.remaining_output() < NEAR_END_DELAY
+}
+
+/// Returns whether a generation uses the link of a leaving target, or will soon.
+fn uses_link(in_flight: &InFlightRequest) -> bool {
+    in_flight.migration_tokens() > 0 && !ends_soon(in_flight)
+}
+
+/// Returns the tokens that a peer has yet to copy off a target.
+fn tokens_to_copy(snapshot: &PeerSnapshot, source: &TargetState) -> u32 {
+    let load = snapshot.loads.get(&source.entry.id);
+    load.map_or(0, |load| load.migration_tokens)
+}
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -39,8 +39,11 @@
     pub(super) demand: Demand,
     produced: u32,
     started: bool,
-    /// Whether another target holds or receives a copy of its KV cache.
-    pub(super) has_copy: bool,
+    /// Whether another target keeps a backup of its KV cache.
+    pub(super) has_backup: bool,
+    /// Whether its migration needs the source's link no longer for the first copy: that copy is
+    /// complete, or no destination has room.
+    pub(super) off_link: bool,
 }
 
 impl InFlightRequest {
@@ -58,9 +61,10 @@
             .max(self.produced / 4)
     }
 
-    /// Returns the tokens that a migration would have to copy if the target left now.
+    /// Returns the tokens that a migration has yet to copy, or would have to if the target left now.
     pub(super) const fn migration_tokens(&self) -> u32 {
-        if self.has_copy || !self.started || self.demand.need.output < MIN_MIGRATED_OUTPUT {
+        let short = self.demand.need.output < MIN_MIGRATED_OUTPUT;
+        if self.has_backup || self.off_link || !self.started || short {
             0
         } else {
             self.resident_tokens()
@@ -90,6 +94,8 @@
 pub(super) struct TargetState {
     pub(super) entry: TargetEntry,
     pub(super) leaving: bool,
+    /// Time of the notice that the target is leaving.
+    pub(super) noticed_at: Option<Timestamp>,
     pub(super) requests: BTreeMap<RequestId, InFlightRequest>,
     /// KV cache copies held here for generations that run on other targets.
     pub(super) copies: BTreeMap<RequestId, KvCopy>,
@@ -105,6 +111,7 @@
     pub(super) const fn new(entry: TargetEntry) -> Self {
         Self {
             leaving: entry.draining,
+            noticed_at: None,
             entry,
             requests: BTreeMap::new(),
             copies: BTreeMap::new(),
@@ -118,6 +125,7 @@
 
     pub(super) fn update_entry(&mut self, entry: TargetEntry) {
         self.leaving = entry.draining;
+        self.noticed_at = self.noticed_at.filter(|_| entry.draining);
         self.entry = entry;
     }
 
@@ -166,7 +174,8 @@
             demand,
             produced: 0,
             started: false,
-            has_copy: false,
+            has_backup: false,
+            off_link: false,
         };
         self.requests.insert(in_flight.demand.id.clone(), in_flight);
     }
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -34,14 +34,6 @@
 /// capacity.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
-/// Maximum duration of a copy that did not queue behind others on the link.
-const UNQUEUED_COPY_TIME: Duration = Duration::from_millis(70);
-
-/// Time from the start of a migration by which the source is stopped, however busy its link is.
-///
-/// Targets announce a shutdown at least 1.5 s ahead.
-const STOP_DEADLINE: Duration = Duration::from_millis(1_100);
-
 /// Maximum size of a response to a copy call, in bytes.
 const MAX_RESPONSE_BODY: usize = 64 * 1024;
 
@@ -102,8 +94,7 @@
 impl Migration {
     async fn run(&self) -> Option<Migrated> {
         let started_at = clock::now();
-        let delay = lock(&self.gateway.fleet).migration_delay(&self.request, started_at);
-        sleep(delay).await;
+        self.wait_for_copy(started_at).await;
         for _ in 0..MAX_ATTEMPTS {
             let now = clock::now();
             if now > started_at + ATTEMPT_WINDOW {
@@ -112,49 +103,71 @@
             let target = lock(&self.gateway.fleet).choose_migration_target(&self.request, now);
             let Some(target) = target else {
                 self.log_copy("ahead", "no-destination", None, now);
+                self.release_link();
                 sleep(RETRY_DELAY).await;
                 continue;
             };
             match self.migrate_to(target, started_at).await {
                 MigrationAttempt::Migrated(migrated) => return Some(migrated),
                 MigrationAttempt::NoRoom => {}
-                MigrationAttempt::Failed => return None,
+                MigrationAttempt::Failed => break,
             }
         }
+        self.release_link();
         None
     }
 
+    /// Waits until the first copy may begin.
+    async fn wait_for_copy(&self, started_at: Timestamp) {
+        loop {
+            let now = clock::now();
+            let wait = lock(&self.gateway.fleet).copy_wait(&self.request, started_at, now);
+            if wait.is_zero() {
+                return;
+            }
+            sleep(wait).await;
+        }
+    }
+
+    /// Waits until the generation may be stopped.
+    async fn wait_for_stop(&self, started_at: Timestamp) {
+        loop {
+            let now = clock::now();
+            let wait = lock(&self.gateway.fleet).stop_wait(&self.request, started_at, now);
+            if wait.is_zero() {
+                return;
+            }
+            sleep(wait).await;
+        }
+    }
+
+    /// Leaves the source's link to other generations.
+    fn release_link(&self) {
+        lock(&self.gateway.fleet).release_link(&self.request);
+        self.gateway.request_gossip();
+    }
+
     /// Attempts to migrate the generation to one target.
     ///
-    /// The generation stalls during its last copy, which may queue behind other copies on the link.
-    /// So new tokens are copied repeatedly while it runs, until a copy does not queue or time is
-    /// short.
+    /// The generation is copied while it runs. The last copy, of the tokens produced since, stops it.
     async fn migrate_to(&self, target: Choice, started_at: Timestamp) -> MigrationAttempt {
         lock(&self.gateway.fleet).set_migration_target(&self.request, &target.target);
         self.gateway.request_gossip();
         pool::preconnect(&self.gateway, target.address, &self.call.service);
-        loop {
-            let copy_started_at = clock::now();
-            let copied = self.copy(target.address, false).await;
-            self.log_copy(
-                "ahead",
-                copy_outcome(copied.as_ref()),
-                Some(&target),
-                copy_started_at,
-            );
-            match copied {
-                Some((200, _)) => {}
-                Some((503 | 409, _)) => return self.record_no_room(&target),
-                Some(_) | None => return MigrationAttempt::Failed,
-            }
-            let now = clock::now();
-            let elapsed = now.saturating_sub(copy_started_at);
-            let is_last =
-                elapsed < UNQUEUED_COPY_TIME || now + elapsed > started_at + STOP_DEADLINE;
-            if is_last {
-                break;
-            }
+        let copy_started_at = clock::now();
+        let copied = self.copy(target.address, false).await;
+        self.log_copy(
+            "ahead",
+            copy_outcome(copied.as_ref()),
+            Some(&target),
+            copy_started_at,
+        );
+        match copied {
+            Some((200, _)) => self.release_link(),
+            Some((503 | 409, _)) => return self.record_no_room(&target),
+            Some(_) | None => return MigrationAttempt::Failed,
         }
+        self.wait_for_stop(started_at).await;
         let stop_started_at = clock::now();
         let stopped = self.copy(target.address, true).await;
         self.log_copy(
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -194,7 +194,7 @@
                 if let Some(choice) = fleet.choice_for(&id) {
                     self.pool.close_idle(choice.address);
                 }
-                let running = fleet.remove_target(&id);
+                let running = fleet.remove_target(&id, now);
                 drop(fleet);
                 log::info!(event = "target-gone", target_id = id.as_str(), running = running.len(); "");
                 self.notify(&running);
@@ -208,7 +208,7 @@
         if fleet.is_leaving(target) {
             return;
         }
-        let running = fleet.mark_leaving(target);
+        let running = fleet.mark_leaving(target, clock::now());
         drop(fleet);
         log::info!(event = "target-leaving", target_id = target.as_str(), source = source,
             running = running.len(); "");
