feat(placement): weigh decode time, interference and what a notice cannot move

Generations took 9.4 ms a token on engines that need 7.1: a third of the engines is slower by 1.3, and prefill of other prompts takes a fifth of the time.

Change: the fleet learns the decode time per token of each target from the progress of streams, with more weight on short samples, and adds to the cost of an engine the expected decode time (weight 0.6), the time for which the prompt delays what runs there (0.6), and the copy time of its generations beyond what a leave notice has room for (0.5). Short questions go to engines with few long generations. The estimate of when a request starts is unchanged. choose_shortens_generations plays the load and fails with the weights at 0; choose_limits_what_would_be_lost fails without the last term.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -215,11 +215,11 @@
     }
 
     /// Records how many tokens a generation has produced.
-    pub fn record_progress(&mut self, request: &RequestId, produced: u32) {
+    pub fn record_progress(&mut self, request: &RequestId, produced: u32, now: Timestamp) {
         let Some(state) = self.assigned_state(request) else {
             return;
         };
-        let resident = state.record_progress(request, produced);
+        let resident = state.record_progress(request, produced, now);
         if let Some(copy) = self.copy_state(request) {
             let copy = copy.copies.get_mut(request);
             if let Some(copy) = copy {
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -14,6 +14,9 @@
 /// Cost of a target that fails every request, as a fraction of the caller's timeout.
 const FAILURE_COST: f64 = 0.5;
 
+/// Time of a leave notice in which generations can be copied.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1_100);
+
 /// The target chosen for a request, with the estimates behind the choice.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
@@ -78,7 +81,8 @@
         headroom: f64,
         now: Timestamp,
     ) -> Option<Choice> {
-        let mut best: Option<(f64, &TargetState, f64)> = None;
+        let mut best: Option<(f64, f64, &TargetState, f64)> = None;
+        let token_time = mean_token_time(eligible);
         for state in eligible {
             let load = self.estimate_load(state, now);
             let load_cost = match engine {
@@ -89,11 +93,13 @@
                 continue;
             };
             let cost = load_cost + self.load_independent_cost(state, demand, now);
-            if best.is_none_or(|(lowest, _, _)| cost < lowest) {
-                best = Some((cost, state, load.count));
+            let token_time = state.token_time.unwrap_or(token_time);
+            let rank = cost + self.throughput_cost(&load, demand, token_time);
+            if best.is_none_or(|(lowest, ..)| rank < lowest) {
+                best = Some((rank, cost, state, load.count));
             }
         }
-        best.map(|(cost, state, count)| Choice {
+        best.map(|(_, cost, state, count)| Choice {
             target: state.entry.id.clone(),
             address: state.entry.address,
             request_count: u32::try_from(floor_to_usize(count)).unwrap_or(u32::MAX),
@@ -167,6 +173,19 @@
         Some(prefill + own_prefill + concurrency + fill + link_wait)
     }
 
+    /// Returns the cost of what follows the start of a generation, in seconds: its own decode time, and
+    /// the time for which its prompt delays the requests that run at the engine.
+    fn throughput_cost(&self, load: &LoadEstimate, demand: &Demand, token_time: Duration) -> f64 {
+        let decode = f64::from(demand.need.output) * token_time.as_secs_f64();
+        let prefill = f64::from(demand.need.prefill_tokens()) / self.options.prefill_rate;
+        let filled = load.tokens + f64::from(demand.need.tokens());
+        let copy_time = filled * self.options.link_time.as_secs_f64();
+        let stranded = (copy_time - LEAVE_NOTICE.as_secs_f64()).max(0.0);
+        decode * self.options.decode_weight
+            + prefill * load.count * self.options.interference_weight
+            + stranded * self.options.stranded_weight
+    }
+
     /// Returns the cost of a plain service's target in seconds, or `None` if it has no room.
     fn plain_cost(&self, state: &TargetState, load: &LoadEstimate) -> Option<f64> {
         let slots = f64::from(state.entry.slots.max(1));
@@ -205,3 +224,12 @@
         cost.as_secs_f64()
     }
 }
+
+/// Returns the mean decode time per token of the targets at which it is known.
+fn mean_token_time(targets: &[&TargetState]) -> Duration {
+    let known = targets.iter().filter_map(|state| state.token_time);
+    let (count, sum) = known.fold((0, Duration::ZERO), |(count, sum), time| {
+        (count + 1, sum + time)
+    });
+    sum.checked_div(count).unwrap_or_default()
+}
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -53,6 +53,16 @@
     pub link_time: Duration,
     /// Cost of each request that runs at the same engine, as time.
     pub concurrency_cost: Duration,
+    /// Weight of the expected decode time in the cost of an engine.
+    ///
+    /// A generation that ends sooner is less likely to lose its VM or its engine.
+    pub decode_weight: f64,
+    /// Weight in the cost of an engine of the time for which a prompt delays the requests that run
+    /// there.
+    pub interference_weight: f64,
+    /// Weight in the cost of an engine of the time that copies of its generations would take beyond a
+    /// leave notice.
+    pub stranded_weight: f64,
     /// Cost of an engine whose KV cache is full, as time; proportional to the expected fill.
     pub memory_cost: Duration,
     /// Requests beyond its slots that a plain service's target may hold, as a fraction of the slots.
@@ -77,6 +87,9 @@
             far_copy_limit: Duration::ZERO,
             link_time: Duration::from_micros(60),
             concurrency_cost: Duration::from_millis(8),
+            stranded_weight: 0.5,
+            decode_weight: 0.6,
+            interference_weight: 0.6,
             memory_cost: Duration::from_millis(150),
             plain_queue: 1.5,
         }
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -24,6 +24,12 @@
 /// Weight of the newest response time in the moving average.
 const RESPONSE_TIME_WEIGHT: f64 = 0.1;
 
+/// Weight in the moving average of a decode time per token that is shorter than the average.
+const SHORTER_SAMPLE_WEIGHT: f64 = 0.25;
+
+/// Weight in the moving average of a decode time per token that is longer than the average.
+const LONGER_SAMPLE_WEIGHT: f64 = 0.03;
+
 /// Response time assumed for a target before the first one is measured.
 const INITIAL_RESPONSE_TIME: Duration = Duration::from_millis(40);
 
@@ -38,6 +44,8 @@
 pub(super) struct InFlightRequest {
     pub(super) demand: Demand,
     produced: u32,
+    /// Time of the last report of progress.
+    reported_at: Option<Timestamp>,
     started: bool,
     /// Whether another target keeps a backup of its KV cache.
     pub(super) has_backup: bool,
@@ -101,6 +109,8 @@
     pub(super) copies: BTreeMap<RequestId, KvCopy>,
     pub(super) failure_rate: f64,
     pub(super) response_time: Duration,
+    /// Decode time per token while the target does little else; `None` before the first measurement.
+    pub(super) token_time: Option<Duration>,
     hard_failures: u32,
     backoff_until: Timestamp,
     /// Requests that do not belong to this VM, and when the target reported them.
@@ -117,6 +127,7 @@
             copies: BTreeMap::new(),
             failure_rate: 0.0,
             response_time: INITIAL_RESPONSE_TIME,
+            token_time: None,
             hard_failures: 0,
             backoff_until: Timestamp::ZERO,
             reported_load: None,
@@ -173,6 +184,7 @@
         let in_flight = InFlightRequest {
             demand,
             produced: 0,
+            reported_at: None,
             started: false,
             has_backup: false,
             off_link: false,
@@ -181,6 +193,11 @@
     }
 
     pub(super) fn add_migrated(&mut self, request: RequestId, in_flight: InFlightRequest) {
+        let in_flight = InFlightRequest {
+            reported_at: None,
+            off_link: false,
+            ..in_flight
+        };
         self.requests.insert(request, in_flight);
     }
 
@@ -195,12 +212,43 @@
     }
 
     /// Records the tokens produced so far; returns the tokens that the request holds in the KV cache.
-    pub(super) fn record_progress(&mut self, request: &RequestId, produced: u32) -> u32 {
+    pub(super) fn record_progress(
+        &mut self,
+        request: &RequestId,
+        produced: u32,
+        now: Timestamp,
+    ) -> u32 {
         let Some(in_flight) = self.requests.get_mut(request) else {
             return 0;
         };
+        let tokens = produced.saturating_sub(in_flight.produced);
         in_flight.produced = produced;
-        in_flight.resident_tokens()
+        let resident = in_flight.resident_tokens();
+        if let Some(reported_at) = in_flight.reported_at.replace(now)
+            && tokens > 0
+        {
+            self.record_token_time(now.saturating_sub(reported_at) / tokens);
+        }
+        resident
+    }
+
+    /// Updates the decode time per token.
+    ///
+    /// Prefill of other prompts and queues on links lengthen many samples, so shorter ones have more
+    /// weight.
+    fn record_token_time(&mut self, sample: Duration) {
+        let Some(known) = self.token_time else {
+            self.token_time = Some(sample);
+            return;
+        };
+        // Events that were held up on a link arrive together and seem to have taken no time.
+        let sample = sample.max(known / 2);
+        let weight = if sample < known {
+            SHORTER_SAMPLE_WEIGHT
+        } else {
+            LONGER_SAMPLE_WEIGHT
+        };
+        self.token_time = Some(known.mul_f64(1.0 - weight) + sample.mul_f64(weight));
     }
 
     pub(super) fn remove_request(&mut self, request: &RequestId) -> Option<InFlightRequest> {
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -1,5 +1,6 @@
 mod link;
 mod overload;
+mod throughput;
 
 use super::*;
 use crate::gateway::EngineSpec;
@@ -255,7 +256,7 @@
     let backup = fleet.choose_backup_target(&"1".into(), SECOND).unwrap();
     assert_ne!(backup.target, source);
     fleet.set_backup(&"1".into(), Some(&backup.target));
-    fleet.record_progress(&"1".into(), 400);
+    fleet.record_progress(&"1".into(), 400, SECOND);
     let snapshot = fleet.local_snapshot(SECOND);
     assert_eq!(snapshot.loads[&backup.target].tokens, 3_400);
     assert_eq!(snapshot.loads[&source].migration_tokens, 0);
@@ -420,7 +421,7 @@
     fleet.record_response_start(&"1".into(), SECOND);
     fleet.record_response_start(&"1".into(), SECOND);
     assert_eq!(fleet.change_count(), 2);
-    fleet.record_progress(&"1".into(), 40);
+    fleet.record_progress(&"1".into(), 40, SECOND);
     assert_eq!(fleet.change_count(), 2);
     fleet.finish(&"1".into(), SECOND);
     assert_eq!(fleet.change_count(), 3);
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -323,8 +323,11 @@
             engine.map_or(1, |engine| engine.event_tokens)
         });
         let tokens = u32::try_from(event_count).unwrap_or(u32::MAX);
-        lock(&self.gateway.fleet)
-            .record_progress(&self.placement_guard.request, tokens.saturating_mul(stride));
+        lock(&self.gateway.fleet).record_progress(
+            &self.placement_guard.request,
+            tokens.saturating_mul(stride),
+            clock::now(),
+        );
     }
 
     fn is_close_delimited(&self) -> bool {
