--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -150,17 +150,18 @@
     }
 
     /// Stops placing requests on a target; returns those that run there.
-    pub fn mark_leaving(&mut self, target: &str) -> Vec<RequestId> {
+    pub fn mark_leaving(&mut self, target: &str, now: Timestamp) -> Vec<RequestId> {
         let Some(state) = self.targets.get_mut(target) else {
             return Vec::new();
         };
         state.leaving = true;
+        state.noticed_at.get_or_insert(now);
         state.requests.keys().cloned().collect()
     }
 
     /// Removes a target as soon as no request runs there; returns the requests that still run there.
-    pub fn remove_target(&mut self, target: &str) -> Vec<RequestId> {
-        let running = self.mark_leaving(target);
+    pub fn remove_target(&mut self, target: &str, now: Timestamp) -> Vec<RequestId> {
+        let running = self.mark_leaving(target, now);
         if running.is_empty() {
             self.targets.remove(target);
         } else if let Some(state) = self.targets.get_mut(target) {
@@ -214,11 +215,11 @@
     }
 
     /// Records how many tokens a generation has produced.
-    pub fn record_progress(&mut self, request: &RequestId, produced: u32) {
+    pub fn record_progress(&mut self, request: &RequestId, produced: u32, now: Timestamp) {
         let Some(state) = self.assigned_state(request) else {
             return;
         };
-        let resident = state.record_progress(request, produced);
+        let resident = state.record_progress(request, produced, now);
         if let Some(copy) = self.copy_state(request) {
             let copy = copy.copies.get_mut(request);
             if let Some(copy) = copy {
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -53,6 +53,16 @@
     pub link_time: Duration,
     /// Cost of each request that runs at the same engine, as time.
     pub concurrency_cost: Duration,
+    /// Weight of the expected decode time in the cost of an engine.
+    ///
+    /// A generation that ends sooner is less likely to lose its VM or its engine.
+    pub decode_weight: f64,
+    /// Weight in the cost of an engine of the time for which a prompt delays the requests that run
+    /// there.
+    pub interference_weight: f64,
+    /// Weight in the cost of an engine of the time that copies of its generations would take beyond a
+    /// leave notice.
+    pub stranded_weight: f64,
     /// Cost of an engine whose KV cache is full, as time; proportional to the expected fill.
     pub memory_cost: Duration,
     /// Requests beyond its slots that a plain service's target may hold, as a fraction of the slots.
@@ -66,7 +76,7 @@
             headroom: 0.96,
             late_headroom: 0.6,
             backup_headroom: 0.35,
-            migration_headroom: 1.05,
+            migration_headroom: 1.3,
             wait_fraction: 0.4,
             prefill_backlog: Duration::from_millis(800),
             sample_size: 14,
@@ -75,8 +85,11 @@
             copy_cost: Duration::from_micros(110),
             far_copy_cost: Duration::from_micros(550),
             far_copy_limit: Duration::ZERO,
-            link_time: Duration::from_micros(75),
+            link_time: Duration::from_micros(60),
             concurrency_cost: Duration::from_millis(8),
+            stranded_weight: 0.5,
+            decode_weight: 0.6,
+            interference_weight: 0.6,
             memory_cost: Duration::from_millis(150),
             plain_queue: 1.5,
         }
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -24,6 +24,12 @@
 /// Weight of the newest response time in the moving average.
 const RESPONSE_TIME_WEIGHT: f64 = 0.1;
 
+/// Weight in the moving average of a decode time per token that is shorter than the average.
+const SHORTER_SAMPLE_WEIGHT: f64 = 0.25;
+
+/// Weight in the moving average of a decode time per token that is longer than the average.
+const LONGER_SAMPLE_WEIGHT: f64 = 0.03;
+
 /// Response time assumed for a target before the first one is measured.
 const INITIAL_RESPONSE_TIME: Duration = Duration::from_millis(40);
 
@@ -38,9 +44,14 @@
 pub(super) struct InFlightRequest {
     pub(super) demand: Demand,
     produced: u32,
+    /// Time of the last report of progress.
+    reported_at: Option<Timestamp>,
     started: bool,
-    /// Whether another target holds or receives a copy of its KV cache.
-    pub(super) has_copy: bool,
+    /// Whether another target keeps a backup of its KV cache.
+    pub(super) has_backup: bool,
+    /// Whether its migration needs the source's link no longer for the first copy: that copy is
+    /// complete, or no destination has room.
+    pub(super) off_link: bool,
 }
 
 impl InFlightRequest {
@@ -58,9 +69,10 @@
             .max(self.produced / 4)
     }
 
-    /// Returns the tokens that a migration would have to copy if the target left now.
+    /// Returns the tokens that a migration has yet to copy, or would have to if the target left now.
     pub(super) const fn migration_tokens(&self) -> u32 {
-        if self.has_copy || !self.started || self.demand.need.output < MIN_MIGRATED_OUTPUT {
+        let short = self.demand.need.output < MIN_MIGRATED_OUTPUT;
+        if self.has_backup || self.off_link || !self.started || short {
             0
         } else {
             self.resident_tokens()
@@ -90,11 +102,15 @@
 pub(super) struct TargetState {
     pub(super) entry: TargetEntry,
     pub(super) leaving: bool,
+    /// Time of the notice that the target is leaving.
+    pub(super) noticed_at: Option<Timestamp>,
     pub(super) requests: BTreeMap<RequestId, InFlightRequest>,
     /// KV cache copies held here for generations that run on other targets.
     pub(super) copies: BTreeMap<RequestId, KvCopy>,
     pub(super) failure_rate: f64,
     pub(super) response_time: Duration,
+    /// Decode time per token while the target does little else; `None` before the first measurement.
+    pub(super) token_time: Option<Duration>,
     hard_failures: u32,
     backoff_until: Timestamp,
     /// Requests that do not belong to this VM, and when the target reported them.
@@ -105,11 +121,13 @@
     pub(super) const fn new(entry: TargetEntry) -> Self {
         Self {
             leaving: entry.draining,
+            noticed_at: None,
             entry,
             requests: BTreeMap::new(),
             copies: BTreeMap::new(),
             failure_rate: 0.0,
             response_time: INITIAL_RESPONSE_TIME,
+            token_time: None,
             hard_failures: 0,
             backoff_until: Timestamp::ZERO,
             reported_load: None,
@@ -118,6 +136,7 @@
 
     pub(super) fn update_entry(&mut self, entry: TargetEntry) {
         self.leaving = entry.draining;
+        self.noticed_at = self.noticed_at.filter(|_| entry.draining);
         self.entry = entry;
     }
 
@@ -165,13 +184,20 @@
         let in_flight = InFlightRequest {
             demand,
             produced: 0,
+            reported_at: None,
             started: false,
-            has_copy: false,
+            has_backup: false,
+            off_link: false,
         };
         self.requests.insert(in_flight.demand.id.clone(), in_flight);
     }
 
     pub(super) fn add_migrated(&mut self, request: RequestId, in_flight: InFlightRequest) {
+        let in_flight = InFlightRequest {
+            reported_at: None,
+            off_link: false,
+            ..in_flight
+        };
         self.requests.insert(request, in_flight);
     }
 
@@ -186,12 +212,43 @@
     }
 
     /// Records the tokens produced so far; returns the tokens that the request holds in the KV cache.
-    pub(super) fn record_progress(&mut self, request: &RequestId, produced: u32) -> u32 {
+    pub(super) fn record_progress(
+        &mut self,
+        request: &RequestId,
+        produced: u32,
+        now: Timestamp,
+    ) -> u32 {
         let Some(in_flight) = self.requests.get_mut(request) else {
             return 0;
         };
+        let tokens = produced.saturating_sub(in_flight.produced);
         in_flight.produced = produced;
-        in_flight.resident_tokens()
+        let resident = in_flight.resident_tokens();
+        if let Some(reported_at) = in_flight.reported_at.replace(now)
+            && tokens > 0
+        {
+            self.record_token_time(now.saturating_sub(reported_at) / tokens);
+        }
+        resident
+    }
+
+    /// Updates the decode time per token.
+    ///
+    /// Prefill of other prompts and queues on links lengthen many samples, so shorter ones have more
+    /// weight.
+    fn record_token_time(&mut self, sample: Duration) {
+        let Some(known) = self.token_time else {
+            self.token_time = Some(sample);
+            return;
+        };
+        // Events that were held up on a link arrive together and seem to have taken no time.
+        let sample = sample.max(known / 2);
+        let weight = if sample < known {
+            SHORTER_SAMPLE_WEIGHT
+        } else {
+            LONGER_SAMPLE_WEIGHT
+        };
+        self.token_time = Some(known.mul_f64(1.0 - weight) + sample.mul_f64(weight));
     }
 
     pub(super) fn remove_request(&mut self, request: &RequestId) -> Option<InFlightRequest> {
