--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -76,7 +76,7 @@
             headroom: 0.96,
             late_headroom: 0.6,
             backup_headroom: 0.35,
-            migration_headroom: 1.3,
+            migration_headroom: 1.05,
             wait_fraction: 0.4,
             prefill_backlog: Duration::from_millis(800),
             sample_size: 14,
