feat(gossip): digests between regions, copies of the store between VMs

By cause (trial with a log line per call, 80 VMs): 1,242 watches of targets, 924 reads of the configuration (every VM after each change and at the start), 748 lists of VMs, 390 watches of the configuration, 160 lists of targets, 80 registrations; 880 of them within the start. Each VM sent its load to every other VM, at least once a second.

Departures and new configurations still go to all at once. (2) A VM reads a new configuration, and at its start the list of targets, from a relay of its region over TCP; relays read the configuration from the watchers. Each copy carries its age from before the request was sent. A VM that gets none within 0.5 s (3 s while the whole fleet starts) calls the store. (3) A VM that finds its entry in the list of VMs does not register again. Considered: digests per zone (copies of placements between the two zones of a region would be 100 ms old); a binary form (mixed builds could not read each other during a restart).

--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -138,6 +138,17 @@
         Some(changed.map(event).collect())
     }
 
+    /// Returns all entries, or `None` if they are not known for certain.
+    #[must_use]
+    pub fn entries(&self, now: Timestamp) -> Option<Vec<TargetEntry>> {
+        self.checkpoint?;
+        if self.is_uncertain(now) {
+            return None;
+        }
+        let present = self.known.values().filter(|known| !known.missing);
+        Some(present.map(|known| known.entry.clone()).collect())
+    }
+
     fn trim_history(&mut self) {
         while self.changed.len() > self.known.len() + MAX_REMOVED {
             let removed = self.changed.iter();
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -15,11 +15,12 @@
 
 pub use choice::Choice;
 pub use demand::{Demand, Need};
-pub use load::{PeerLoad, PeerSnapshot};
+pub use load::{PeerLoad, PeerSnapshot, RegionDigest};
 pub use options::FleetOptions;
+pub use peers::lowest_hashes;
 
 use super::{PoolSpec, TargetEntry};
-use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId};
+use crate::{RegionId, RequestId, ServiceId, TargetId, Timestamp, VmId};
 use queue::{AdmissionQueue, WaitingRequest};
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -97,11 +98,14 @@
 #[derive(Debug)]
 pub struct Fleet {
     vm: VmId,
+    region: RegionId,
     options: FleetOptions,
     pools: BTreeMap<ServiceId, PoolSpec>,
     targets: BTreeMap<TargetId, TargetState>,
     assignments: HashMap<RequestId, Assignment>,
     peers: HashMap<VmId, PeerSnapshot>,
+    /// Digests of the other regions.
+    regions: HashMap<RegionId, RegionDigest>,
     /// Load of all peers by target; cached because each decision reads many of them.
     peer_totals: HashMap<TargetId, PeerLoad>,
     queues: BTreeMap<ServiceId, AdmissionQueue>,
@@ -114,17 +118,26 @@
     pub fn new(vm: VmId, options: FleetOptions) -> Self {
         Self {
             vm,
+            region: RegionId::default(),
             options,
             pools: BTreeMap::new(),
             targets: BTreeMap::new(),
             assignments: HashMap::new(),
             peers: HashMap::new(),
+            regions: HashMap::new(),
             peer_totals: HashMap::new(),
             queues: BTreeMap::new(),
             change_count: 0,
         }
     }
 
+    /// Sets the region of this VM.
+    #[must_use]
+    pub fn region(mut self, region: RegionId) -> Self {
+        self.region = region;
+        self
+    }
+
     /// Returns how often this VM's load at engines has changed, not counting the progress of
     /// generations.
     #[must_use]
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -118,7 +118,7 @@
             .unwrap_or_default();
         // A target reports only how many requests it has. Peers also report their sizes, so their
         // snapshots take precedence.
-        let external = if self.peers.is_empty() {
+        let external = if self.peers.is_empty() && self.regions.is_empty() {
             state.external_requests(now)
         } else {
             0.0
--- a/crates/almondcroft-core/src/gateway/fleet/migration.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/migration.rs
@@ -97,7 +97,7 @@
     /// zero if it may begin now. After the wait, the caller asks again.
     ///
     /// Copies queue on the target's link, which can copy only a part of a full engine within the notice.
-    /// So VMs copy in the order of their names, each its own generations by remaining output, the
+    /// So VMs copy in the order of their regions and names, each its own generations by remaining output, the
     /// longest first, and a copy begins when few others are ahead of it: the link is always busy, and a
     /// copy that would not be complete in time delays no other. VMs need no coordination, because each
     /// learns from gossip how many tokens its peers have yet to copy.
@@ -147,8 +147,8 @@
             return Duration::ZERO;
         };
         let own = source.requests.values().any(uses_link);
-        let peers = self.reachable_peers(now);
-        let mut tokens = peers.map(|(_, snapshot)| tokens_to_copy(snapshot, source));
+        let peers = self.all_peers(now);
+        let mut tokens = peers.map(|snapshot| tokens_to_copy(snapshot, source));
         if own || tokens.any(|tokens| tokens > 0) {
             let noticed_at = source.noticed_at.unwrap_or(started_at);
             let remaining = (noticed_at + STOP_DELAY).saturating_sub(now);
@@ -172,9 +172,9 @@
             .filter(|(id, other)| uses_link(other) && (other.remaining_output(), *id) > key)
             .map(|(_, other)| other.migration_tokens())
             .sum();
-        let earlier_peers = self.reachable_peers(now).filter(|(vm, _)| **vm < self.vm);
-        let peers: u32 = earlier_peers
-            .map(|(_, snapshot)| tokens_to_copy(snapshot, source))
+        let peers: u32 = self
+            .earlier_peers(now)
+            .map(|snapshot| tokens_to_copy(snapshot, source))
             .sum();
         own + peers
     }
--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -1,30 +1,53 @@
-//! Load snapshots of peers, received by gossip.
+//! Load of peers, received by gossip: snapshots of single VMs, and digests of other regions.
 
-use super::{Fleet, PeerLoad, PeerSnapshot, stable_hash};
+use super::{Fleet, PeerLoad, PeerSnapshot, RegionDigest, stable_hash};
 use crate::gateway::SendCounts;
-use crate::{Timestamp, VmId};
+use crate::{RegionId, Timestamp, VmId};
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Time after its last snapshot at which a peer counts as unreachable.
+/// Time after its last message at which a peer or a region counts as unreachable.
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time for which the last snapshot of a peer counts towards the load of targets.
+/// Time for which the last message of a peer or a region counts towards the load of targets.
 ///
 /// It exceeds [`PEER_TIMEOUT`]: a VM that is partitioned from its peers for seconds keeps sending
 /// requests to the targets, and a VM that has stopped leaves generations behind, which end within
 /// about this time.
 const PEER_LOAD_RETENTION: Duration = Duration::from_secs(10);
 
+/// Number of candidates in a digest; the largest number of VMs that are selected over the fleet.
+const CANDIDATES: usize = 3;
+
 impl Fleet {
     /// Replaces the snapshot of a peer's load.
+    ///
+    /// A snapshot from another region is ignored while digests of that region arrive, because they
+    /// contain it.
     pub fn apply_snapshot(&mut self, vm: VmId, snapshot: PeerSnapshot) {
-        for (target, load) in &snapshot.loads {
-            let total = self.peer_totals.entry(target.clone()).or_default();
-            *total = total.add(*load);
+        let digest = self.regions.get(&snapshot.region);
+        if digest.is_some_and(|digest| digest.sums.at + PEER_TIMEOUT > snapshot.at) {
+            return;
         }
+        self.add_loads(&snapshot);
         if let Some(previous) = self.peers.insert(vm, snapshot) {
-            self.subtract_snapshot(&previous);
+            self.subtract_loads(&previous);
+        }
+    }
+
+    /// Replaces the digest of another region, and the snapshots of single VMs of that region.
+    pub fn apply_digest(&mut self, region: RegionId, digest: RegionDigest) {
+        if region == self.region {
+            return;
+        }
+        let single = self.peers.extract_if(|_, peer| peer.region == region);
+        let single: Vec<PeerSnapshot> = single.map(|(_, snapshot)| snapshot).collect();
+        for snapshot in &single {
+            self.subtract_loads(snapshot);
+        }
+        self.add_loads(&digest.sums);
+        if let Some(previous) = self.regions.insert(region, digest) {
+            self.subtract_loads(&previous.sums);
         }
     }
 
@@ -38,39 +61,103 @@
             .map(|(id, state)| (id.clone(), state.local_load()));
         PeerSnapshot {
             at: now,
+            region: self.region.clone(),
             loads: loads.collect(),
             sends: HashMap::new(),
         }
     }
 
+    /// Returns the digest of this VM's region: the sums of `local`, this VM's own snapshot, and of
+    /// the reachable peers in the region.
+    #[must_use]
+    pub fn region_digest(&self, local: PeerSnapshot, now: Timestamp) -> RegionDigest {
+        let mut sums = local;
+        let mut vm_count = 1;
+        for (_, snapshot) in self.regional_peers(now) {
+            vm_count += 1;
+            for (target, load) in &snapshot.loads {
+                let total = sums.loads.entry(target.clone()).or_default();
+                *total = total.add(*load);
+            }
+            for (service, counts) in &snapshot.sends {
+                let total = sums.sends.entry(service.clone()).or_default();
+                *total = total.add(*counts);
+            }
+        }
+        let names = self.regional_peers(now).map(|(vm, _)| vm);
+        RegionDigest {
+            sums,
+            vm_count,
+            candidates: lowest_hashes(names.chain([&self.vm]), CANDIDATES),
+        }
+    }
+
+    /// Returns the `count` VMs of this VM's region that send its digest to the other regions.
+    #[must_use]
+    pub fn select_relays(&self, count: usize, now: Timestamp) -> Vec<VmId> {
+        let names = self.regional_peers(now).map(|(vm, _)| vm);
+        lowest_hashes(names.chain([&self.vm]), count)
+    }
+
     /// Sums up the requests and extra sends of the reachable peers.
     #[must_use]
     pub fn peer_sends(&self, service: &str, now: Timestamp) -> SendCounts {
-        let counts = self
-            .reachable_peers(now)
-            .map(|(_, snapshot)| snapshot.sends.get(service).copied().unwrap_or_default());
+        let single = self.reachable_peers(now).map(|(_, snapshot)| snapshot);
+        let regions = self.reachable_regions(now).map(|(_, digest)| &digest.sums);
+        let counts = single
+            .chain(regions)
+            .map(|snapshot| snapshot.sends.get(service).copied().unwrap_or_default());
         counts.fold(SendCounts::default(), SendCounts::add)
     }
 
     /// Returns the number of reachable VMs, this one included.
     #[must_use]
     pub fn vm_count(&self, now: Timestamp) -> usize {
-        1 + self.reachable_peers(now).count()
+        let regions = self.reachable_regions(now);
+        let others: usize = regions.map(|(_, digest)| digest.vm_count).sum();
+        1 + self.reachable_peers(now).count() + others
     }
 
-    /// Returns the `count` VMs with the lowest hashes among the reachable peers and this one.
+    /// Returns the `count` VMs with the lowest hashes among the reachable ones and this one.
     ///
-    /// VMs with the same reachable peers select the same VMs.
+    /// VMs that reach the same VMs select the same; `count` is at most three.
     #[must_use]
     pub fn select_vms(&self, count: usize, now: Timestamp) -> Vec<VmId> {
-        let reachable = self.reachable_peers(now).map(|(vm, _)| vm);
-        let mut vms: Vec<&VmId> = reachable.chain([&self.vm]).collect();
-        vms.sort_by_cached_key(|vm| stable_hash(vm));
-        vms.into_iter().take(count).cloned().collect()
+        let single = self.reachable_peers(now).map(|(vm, _)| vm);
+        let regions = self.reachable_regions(now);
+        let candidates = regions.flat_map(|(_, digest)| &digest.candidates);
+        lowest_hashes(single.chain(candidates).chain([&self.vm]), count)
+    }
+
+    /// Iterates over the reachable VMs and regions that come before this VM in the order of regions,
+    /// then of names.
+    pub(super) fn earlier_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerSnapshot> {
+        let own = (&self.region, &self.vm);
+        let single = self
+            .reachable_peers(now)
+            .filter(move |(vm, snapshot)| (&snapshot.region, *vm) < own)
+            .map(|(_, snapshot)| snapshot);
+        let regions = self.reachable_regions(now);
+        let regions = regions.filter(|(region, _)| **region < self.region);
+        single.chain(regions.map(|(_, digest)| &digest.sums))
+    }
+
+    /// Iterates over the loads of all reachable VMs and regions.
+    pub(super) fn all_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerSnapshot> {
+        let single = self.reachable_peers(now).map(|(_, snapshot)| snapshot);
+        let regions = self.reachable_regions(now).map(|(_, digest)| &digest.sums);
+        single.chain(regions)
+    }
+
+    fn add_loads(&mut self, snapshot: &PeerSnapshot) {
+        for (target, load) in &snapshot.loads {
+            let total = self.peer_totals.entry(target.clone()).or_default();
+            *total = total.add(*load);
+        }
     }
 
     /// Subtracts the load of a snapshot from the totals of its targets.
-    fn subtract_snapshot(&mut self, snapshot: &PeerSnapshot) {
+    fn subtract_loads(&mut self, snapshot: &PeerSnapshot) {
         for (target, load) in &snapshot.loads {
             if let Some(total) = self.peer_totals.get_mut(target) {
                 *total = total.subtract(*load);
@@ -81,28 +168,46 @@
         }
     }
 
-    /// Removes the peers whose last snapshot is older than [`PEER_LOAD_RETENTION`].
+    /// Removes the peers and regions whose last message is older than [`PEER_LOAD_RETENTION`].
     pub(super) fn expire_peers(&mut self, now: Timestamp) {
-        let silent: Vec<VmId> = self
-            .peers
-            .iter()
-            .filter(|(_, snapshot)| snapshot.at + PEER_LOAD_RETENTION <= now)
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        for vm in silent {
-            if let Some(snapshot) = self.peers.remove(&vm) {
-                self.subtract_snapshot(&snapshot);
-            }
+        let is_old = |snapshot: &PeerSnapshot| snapshot.at + PEER_LOAD_RETENTION <= now;
+        let peers = self.peers.extract_if(|_, snapshot| is_old(snapshot));
+        let mut expired: Vec<PeerSnapshot> = peers.map(|(_, snapshot)| snapshot).collect();
+        let regions = self.regions.extract_if(|_, digest| is_old(&digest.sums));
+        expired.extend(regions.map(|(_, digest)| digest.sums));
+        for snapshot in expired {
+            self.subtract_loads(&snapshot);
         }
     }
 
     /// Iterates over the reachable peers: those whose last snapshot is newer than [`PEER_TIMEOUT`].
-    pub(super) fn reachable_peers(
-        &self,
-        now: Timestamp,
-    ) -> impl Iterator<Item = (&VmId, &PeerSnapshot)> {
+    fn reachable_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerSnapshot)> {
         self.peers
             .iter()
             .filter(move |(_, snapshot)| snapshot.at + PEER_TIMEOUT > now)
     }
+
+    /// Iterates over the reachable peers in this VM's region.
+    fn regional_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerSnapshot)> {
+        self.reachable_peers(now)
+            .filter(|(_, snapshot)| snapshot.region == self.region)
+    }
+
+    /// Iterates over the regions whose last digest is newer than [`PEER_TIMEOUT`].
+    fn reachable_regions(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&RegionId, &RegionDigest)> {
+        self.regions
+            .iter()
+            .filter(move |(_, digest)| digest.sums.at + PEER_TIMEOUT > now)
+    }
+}
+
+/// Returns the `count` names with the lowest hashes; all VMs that know the same names select the same.
+#[must_use]
+pub fn lowest_hashes<'a>(names: impl Iterator<Item = &'a VmId>, count: usize) -> Vec<VmId> {
+    let mut names: Vec<&VmId> = names.collect();
+    names.sort_by_cached_key(|name| stable_hash(name));
+    names.into_iter().take(count).cloned().collect()
 }
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -1,3 +1,4 @@
+mod digest;
 mod link;
 mod overload;
 mod throughput;
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
@@ -0,0 +1,153 @@
+//! Load of other regions, in digests.
+
+use super::*;
+use crate::gateway::SendCounts;
+
+fn load(count: u32) -> PeerLoad {
+    PeerLoad {
+        count,
+        tokens: count * 3_000,
+        ..PeerLoad::default()
+    }
+}
+
+/// Builds the snapshot of a VM in a region, with three requests and one extra send.
+fn regional(region: &str, at: Timestamp, loads: &[(&str, PeerLoad)]) -> PeerSnapshot {
+    let sends = SendCounts {
+        requests: 3,
+        extra: 1,
+    };
+    PeerSnapshot {
+        region: region.into(),
+        sends: HashMap::from([("menus".into(), sends)]),
+        ..snapshot(at, loads)
+    }
+}
+
+/// Returns the fleet of a VM in a region that knows the other VMs of that region.
+fn regional_fleet(region: &str, vms: &[&str], own: &str) -> Fleet {
+    let mut fleet = Fleet::new(own.into(), FleetOptions::default()).region(region.into());
+    for vm in vms.iter().filter(|vm| **vm != own) {
+        let snapshot = regional(region, SECOND, &[("a", load(2))]);
+        fleet.apply_snapshot((*vm).into(), snapshot);
+    }
+    fleet
+}
+
+fn digest_of(fleet: &Fleet) -> RegionDigest {
+    let own = regional(&fleet.region, SECOND, &[("a", load(1))]);
+    fleet.region_digest(own, SECOND)
+}
+
+fn total(fleet: &Fleet, target: &str) -> u32 {
+    fleet.peer_totals.get(target).map_or(0, |load| load.count)
+}
+
+#[test]
+fn region_digest_sums_region() {
+    let mut fleet = regional_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
+    fleet.apply_snapshot("r-1".into(), regional("r", SECOND, &[("a", load(7))]));
+    let digest = digest_of(&fleet);
+    assert_eq!(digest.vm_count, 3);
+    assert_eq!(digest.sums.loads["a"].count, 5);
+    assert_eq!(digest.sums.sends["menus"].requests, 9);
+    assert_eq!(digest.candidates.len(), 3);
+}
+
+#[test]
+fn apply_digest_counts_each_vm_once() {
+    let mut fleet = regional_fleet("q", &["q-1", "q-2"], "q-1");
+    let direct = regional("r", SECOND, &[("a", load(4)), ("b", load(1))]);
+    fleet.apply_snapshot("r-1".into(), direct.clone());
+    assert_eq!((total(&fleet, "a"), total(&fleet, "b")), (6, 1));
+    let digest = digest_of(&regional_fleet("r", &["r-1", "r-2"], "r-1"));
+    fleet.apply_digest("r".into(), digest.clone());
+    assert_eq!((total(&fleet, "a"), total(&fleet, "b")), (5, 0));
+    assert_eq!(fleet.vm_count(SECOND), 4);
+    assert_eq!(fleet.peer_sends("menus", SECOND).extra, 3);
+    // A VM that still sends single snapshots is part of the digest.
+    fleet.apply_snapshot("r-1".into(), direct.clone());
+    assert_eq!((total(&fleet, "a"), fleet.vm_count(SECOND)), (5, 4));
+    fleet.apply_digest("r".into(), digest);
+    assert_eq!(total(&fleet, "a"), 5);
+    // Its own region's digest contains what its peers send it.
+    fleet.apply_digest("q".into(), digest_of(&fleet));
+    assert_eq!(total(&fleet, "a"), 5);
+    // Without digests for a while, single snapshots count again.
+    let later = SECOND * 12;
+    fleet.apply_snapshot(
+        "r-1".into(),
+        PeerSnapshot {
+            at: later,
+            ..direct
+        },
+    );
+    assert_eq!(fleet.vm_count(later), 2);
+    fleet.tick(later);
+    assert_eq!((total(&fleet, "a"), total(&fleet, "b")), (4, 1));
+}
+
+#[test]
+fn select_vms_agrees_across_regions() {
+    let regions = [
+        ("q", ["q-1", "q-2", "q-3", "q-4"]),
+        ("r", ["r-1", "r-2", "r-3", "r-4"]),
+        ("s", ["s-1", "s-2", "s-3", "s-4"]),
+    ];
+    let digests = regions.map(|(region, vms)| {
+        let digest = digest_of(&regional_fleet(region, &vms, vms[0]));
+        (RegionId::from(region), digest)
+    });
+    let mut selections = Vec::new();
+    for (region, vms) in regions {
+        for own in vms {
+            let mut fleet = regional_fleet(region, &vms, own);
+            for (region, digest) in digests.clone() {
+                fleet.apply_digest(region, digest);
+            }
+            assert_eq!(fleet.vm_count(SECOND), 12);
+            selections.push(fleet.select_vms(3, SECOND));
+        }
+    }
+    assert_eq!(selections[0].len(), 3);
+    assert!(selections.iter().all(|vms| *vms == selections[0]));
+}
+
+#[test]
+fn select_relays_stays_in_region() {
+    let mut fleet = regional_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
+    for vm in ["r-1", "r-2", "r-3", "r-4", "r-5"] {
+        fleet.apply_snapshot(vm.into(), regional("r", SECOND, &[]));
+    }
+    let relays = fleet.select_relays(2, SECOND);
+    assert_eq!(relays.len(), 2);
+    assert!(relays.iter().all(|vm| vm.starts_with('q')), "{relays:?}");
+    let alone = fleet.select_relays(2, SECOND * 10);
+    assert_eq!(alone, ["q-1"], "unreachable VMs are not selected");
+}
+
+#[test]
+fn copy_wait_follows_regions() {
+    // Each VM of a region with the greater name waits for the region with the smaller one, and never
+    // the other way round.
+    let busy = |region: &str| {
+        let load = PeerLoad {
+            migration_tokens: 9_000,
+            ..PeerLoad::default()
+        };
+        RegionDigest {
+            sums: regional(region, SECOND, &[("a", load)]),
+            vm_count: 1,
+            candidates: vec![],
+        }
+    };
+    let wait = |own: &str, other: &str| {
+        let mut fleet = fleet(&[("a", "q-a")]).region(own.into());
+        fleet.submit(generation("1"), SECOND);
+        fleet.record_response_start(&"1".into(), SECOND);
+        fleet.apply_digest(other.into(), busy(other));
+        fleet.copy_wait(&"1".into(), SECOND, SECOND)
+    };
+    assert_eq!(wait("q", "r"), Duration::ZERO);
+    assert!(wait("r", "q") > Duration::ZERO);
+}
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 //! and keeps no state.
 
 use almondcroft_core::gateway::{EntryEvent, GatewayConfig};
-use almondcroft_core::{CustomerId, ModelId, Revision, TargetId, Timestamp};
+use almondcroft_core::{CustomerId, ModelId, RegionId, Revision, TargetId, Timestamp};
 use almondcroft_proto::http1::{Headers, RequestHead, ResponseHead};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -147,12 +147,21 @@
     Config(Box<GatewayConfig>),
     /// A target that is present or was removed.
     Target(EntryEvent),
-    /// An entry VM, with the address at which it receives gossip; `None` if it was removed.
-    Vm(SmolStr, Option<SocketAddr>),
+    /// An entry VM; `None` if it was removed.
+    Vm(SmolStr, Option<VmEntry>),
     /// An object that cannot be decoded, with its name and the reason.
     Unreadable(SmolStr, String),
 }
 
+/// How an entry VM is registered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmEntry {
+    /// Address at which it receives gossip.
+    pub address: SocketAddr,
+    /// Its region; empty if it is unknown.
+    pub region: RegionId,
+}
+
 /// A page of a list, or the changes that a watch returned.
 #[derive(Debug, Clone, Default)]
 pub struct Batch {
@@ -172,8 +181,8 @@
     /// Returns the call that waits for changes after a revision, for at most `wait`.
     fn watch(&self, kind: ObjectKind, since: Revision, wait: Duration) -> ControlCall;
 
-    /// Returns the call that registers an entry VM, with its address for gossip.
-    fn register(&self, vm: &str, address: SocketAddr) -> ControlCall;
+    /// Returns the call that registers an entry VM.
+    fn register(&self, vm: &str, entry: &VmEntry) -> ControlCall;
 
     /// Returns the call that removes an entry VM.
     fn unregister(&self, vm: &str) -> ControlCall;
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -6,10 +6,13 @@
 //! datagrams. A lost datagram is made up for by the next one. VMs discover each other through a
 //! list in the platform's store.
 
+mod digests;
 mod message;
 mod watchers;
 
-use crate::adapter::{ControlCall, Item, ObjectKind};
+pub(crate) use message::{AgeMs, TargetUpdate, age_ms};
+
+use crate::adapter::{ControlCall, Item, ObjectKind, VmEntry};
 use crate::clock;
 use crate::runtime::{sleep, spawn};
 use crate::state::{Departure, Gateway, lock};
@@ -35,7 +38,8 @@
 /// Time between two reads of the list of VMs.
 const LIST_INTERVAL: Duration = Duration::from_secs(8);
 
-/// Time between two reads of the list of VMs while no peer is known.
+/// Time between two reads of the list of VMs at the start, when others start too, and while no peer is
+/// known.
 const ALONE_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum size of a datagram, in bytes; targets beyond the few hundred that fit are left out.
@@ -52,6 +56,10 @@
     let socket = Arc::new(Async::<UdpSocket>::bind(address)?);
     spawn(receive_datagrams(Arc::clone(gateway), Arc::clone(&socket)));
     spawn(send_snapshots(Arc::clone(gateway), Arc::clone(&socket)));
+    spawn(digests::send_digests(
+        Arc::clone(gateway),
+        Arc::clone(&socket),
+    ));
     spawn(watchers::send_queries(Arc::clone(gateway), socket));
     spawn(discover_peers(Arc::clone(gateway), address));
     Ok(())
@@ -83,6 +91,7 @@
         };
         match Datagram::decode(&buffer[..count]) {
             Ok(Datagram::Snapshot(message)) => apply_snapshot(&gateway, message, from),
+            Ok(Datagram::Digest(message)) => digests::apply(&gateway, &socket, message, from),
             Ok(Datagram::Query(query)) => {
                 send(&socket, &watchers::respond(&gateway, &query), from);
             }
@@ -97,7 +106,11 @@
     if message.vm == gateway.settings.vm {
         return;
     }
-    let previous = lock(&gateway.peers).insert(message.vm.clone(), from);
+    let entry = VmEntry {
+        address: from,
+        region: message.region.clone(),
+    };
+    let previous = lock(&gateway.peers).insert(message.vm.clone(), entry);
     if previous.is_none() {
         log::info!(event = "vm-heard", vm = message.vm.as_str(), address:% = from; "");
     }
@@ -153,8 +166,7 @@
     /// Returns the next datagram and its recipients.
     fn next_datagram(&mut self, changed: bool, now: Timestamp) -> (Vec<u8>, Vec<SocketAddr>) {
         let gateway = &self.gateway;
-        let mut snapshot = lock(&gateway.fleet).local_snapshot(now);
-        snapshot.sends = gateway.sends(now);
+        let snapshot = gateway.local_snapshot(now);
         let crashes = lock(&gateway.quarantine).crash_counts(now);
         let departures = gateway.departures(now);
         let config_revision = gateway
@@ -168,8 +180,9 @@
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
             .with_config(config_revision);
-        let peers = self.peer_addresses();
-        let indices = if config_changed || departed {
+        let urgent = config_changed || departed;
+        let peers = self.peer_addresses(urgent || !digests::in_use(gateway));
+        let indices = if urgent {
             (0..peers.len()).collect()
         } else if changed || crashes != self.crashes {
             let count = self.fanout.take(peers.len(), now);
@@ -184,11 +197,16 @@
         (message.encode(MAX_DATAGRAM_BYTES), recipients)
     }
 
-    /// Lists the addresses of the peers in a stable order.
-    fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let mut peers: Vec<SocketAddr> = lock(&self.gateway.peers).values().copied().collect();
-        peers.sort_unstable();
-        peers
+    /// Lists the addresses of the peers in a stable order: of all, or of those that no digest reaches.
+    fn peer_addresses(&self, all: bool) -> Vec<SocketAddr> {
+        let own = &self.gateway.settings.region;
+        let peers = lock(&self.gateway.peers);
+        let peers = peers
+            .values()
+            .filter(|entry| all || !digests::is_elsewhere(entry, own));
+        let mut addresses: Vec<SocketAddr> = peers.map(|entry| entry.address).collect();
+        addresses.sort_unstable();
+        addresses
     }
 }
 
@@ -199,14 +217,29 @@
     }
 }
 
-/// Registers this VM in the store and reads the list of its peers.
+/// Reads the list of VMs in the store and registers this VM there.
 async fn discover_peers(gateway: Arc<Gateway>, address: SocketAddr) {
     let mut client = StoreClient::new(gateway.settings.store);
     let own = gateway.settings.vm.clone();
+    let entry = VmEntry {
+        address,
+        region: gateway.settings.region.clone(),
+    };
     let mut registered = false;
+    let started_at = clock::now();
     loop {
-        if !registered {
-            let call = gateway.registry.register(&own, address);
+        let starting = clock::now() < started_at + ALONE_LIST_INTERVAL * 2;
+        let call = gateway.registry.list(ObjectKind::Vms, None);
+        match list_peers(&gateway, &mut client, &call).await {
+            // An entry of this VM's last process is as good as a new one.
+            Ok(Some(listed)) if listed == entry => registered = true,
+            // The list may be older than a registration at the start.
+            Ok(_) => registered &= starting,
+            Err(error) => log::info!(event = "vms-unknown", error:% = error; ""),
+        }
+        gateway.mark_peers_listed();
+        if !registered && !gateway.lifecycle.is_draining() {
+            let call = gateway.registry.register(&own, &entry);
             registered = match client.call(&call, CALL_TIMEOUT).await {
                 Ok(_) | Err(StoreError::Status(CONFLICT_STATUS)) => true,
                 Err(error) => {
@@ -215,12 +248,9 @@
                 }
             };
         }
-        let call = gateway.registry.list(ObjectKind::Vms, None);
-        if let Err(error) = list_peers(&gateway, &mut client, &call).await {
-            log::info!(event = "vms-unknown", error:% = error; "");
-        }
+        let first = clock::now() < started_at + ALONE_LIST_INTERVAL;
         let alone = lock(&gateway.peers).is_empty();
-        sleep(if alone {
+        sleep(if alone || first {
             ALONE_LIST_INTERVAL
         } else {
             LIST_INTERVAL
@@ -229,11 +259,12 @@
     }
 }
 
+/// Replaces the peers by those listed in the store; returns the entry of this VM.
 async fn list_peers(
     gateway: &Gateway,
     client: &mut StoreClient,
     call: &ControlCall,
-) -> Result<(), StoreError> {
+) -> Result<Option<VmEntry>, StoreError> {
     let body = client.call(call, CALL_TIMEOUT).await?;
     let batch = gateway
         .registry
@@ -242,11 +273,9 @@
     let mut peers = lock(&gateway.peers);
     peers.clear();
     for item in batch.items {
-        if let Item::Vm(name, Some(address)) = item
-            && name != gateway.settings.vm
-        {
-            peers.insert(name, address);
+        if let Item::Vm(name, Some(entry)) = item {
+            peers.insert(name, entry);
         }
     }
-    Ok(())
+    Ok(peers.remove(&gateway.settings.vm))
 }
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -2,24 +2,31 @@
 
 mod query;
 
-pub(super) use query::{Query, Response, TargetUpdate, age_ms};
+pub(crate) use query::{AgeMs, TargetUpdate, age_ms};
+pub(super) use query::{Query, Response};
 
 use crate::state::Departure;
-use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, SendCounts};
+use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, RegionDigest, SendCounts};
 use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId};
+use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, VmId};
 use serde::{Deserialize, Serialize};
 
 /// Maximum load number accepted from one VM for one target; the sum over a thousand VMs is exact
 /// and does not saturate.
 const MAX_LOAD_NUMBER: u32 = 4_000_000;
 
+/// Maximum number of VMs accepted for one region.
+const MAX_VMS: u32 = 100_000;
+
 /// A datagram from one VM to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Datagram {
     /// Reports the load that a VM puts on the targets.
     #[serde(rename = "news")]
     Snapshot(SnapshotMessage),
+    /// Reports the load that a region's VMs put on the targets.
+    #[serde(rename = "digest")]
+    Digest(DigestMessage),
     /// Asks for a VM's view of the platform's store.
     #[serde(rename = "question")]
     Query(Query),
@@ -45,6 +52,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct SnapshotMessage {
     pub(super) vm: VmId,
+    /// Region of the VM; empty if it is unknown.
+    #[serde(default)]
+    pub(super) region: RegionId,
     loads: Vec<(TargetId, [u32; 5])>,
     sends: Vec<(ServiceId, u32, u32)>,
     /// Revision of the VM's configuration.
@@ -85,6 +95,7 @@
         sends.sort_unstable();
         Self {
             vm,
+            region: snapshot.region.clone(),
             loads,
             sends,
             config: 0,
@@ -104,18 +115,23 @@
         loop {
             let datagram = Datagram::Snapshot(self);
             let bytes = datagram.encode();
-            let Datagram::Snapshot(message) = datagram else {
+            let Datagram::Snapshot(mut message) = datagram else {
                 return bytes;
             };
-            if bytes.len() <= max_bytes || message.loads.is_empty() {
+            if bytes.len() <= max_bytes || !message.leave_out_targets() {
                 return bytes;
             }
             self = message;
-            let half = self.loads.len() / 2;
-            self.loads.truncate(half);
         }
     }
 
+    /// Leaves out half of the targets; returns whether there were any.
+    fn leave_out_targets(&mut self) -> bool {
+        let count = self.loads.len();
+        self.loads.truncate(count / 2);
+        count > 0
+    }
+
     pub(super) fn into_snapshot(self, at: Timestamp) -> PeerSnapshot {
         let loads = self.loads.into_iter();
         let load = |(id, numbers): (TargetId, [u32; 5])| {
@@ -140,11 +156,57 @@
         let count = |(service, requests, extra)| (service, SendCounts { requests, extra });
         PeerSnapshot {
             at,
+            region: self.region,
             loads: loads.map(load).collect(),
             sends: sends.map(count).collect(),
         }
     }
 }
 
+/// Reports the summed load of the VMs of one region, for the other regions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct DigestMessage {
+    /// The sums, with the name of the VM that made them.
+    pub(super) sums: SnapshotMessage,
+    vms: u32,
+    candidates: Vec<VmId>,
+    /// Whether a VM of the receiver's region passed it on.
+    pub(super) forwarded: bool,
+}
+
+impl DigestMessage {
+    pub(super) fn new(vm: VmId, digest: &RegionDigest, crashes: Vec<(Fingerprint, u32)>) -> Self {
+        Self {
+            sums: SnapshotMessage::new(vm, &digest.sums, crashes, Vec::new()),
+            vms: u32::try_from(digest.vm_count).unwrap_or(u32::MAX),
+            candidates: digest.candidates.clone(),
+            forwarded: false,
+        }
+    }
+
+    /// Encodes the message; leaves out targets until it fits into `max_bytes`.
+    pub(super) fn encode(mut self, max_bytes: usize) -> Vec<u8> {
+        loop {
+            let datagram = Datagram::Digest(self);
+            let bytes = datagram.encode();
+            let Datagram::Digest(mut message) = datagram else {
+                return bytes;
+            };
+            if bytes.len() <= max_bytes || !message.sums.leave_out_targets() {
+                return bytes;
+            }
+            self = message;
+        }
+    }
+
+    pub(super) fn into_digest(self, at: Timestamp) -> RegionDigest {
+        RegionDigest {
+            sums: self.sums.into_snapshot(at),
+            vm_count: usize::try_from(self.vms.min(MAX_VMS)).unwrap_or_default(),
+            candidates: self.candidates,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/almondcroft-gateway/src/gossip/message/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/tests.rs
@@ -15,6 +15,7 @@
         extra: 3,
     };
     PeerSnapshot {
+        region: "q".into(),
         at: Timestamp::ZERO,
         loads: loads.collect(),
         sends: HashMap::from([("menus".into(), counts)]),
@@ -47,9 +48,47 @@
     assert!(message.encode(8_192).len() <= 8_192);
 }
 
+#[test]
+fn decode_encoded_digest() {
+    let digest = RegionDigest {
+        sums: snapshot(104),
+        vm_count: 98,
+        candidates: vec!["vm-1".into(), "vm-7".into()],
+    };
+    let message = DigestMessage::new("vm-1".into(), &digest, vec![(5, 1)]);
+    let Ok(Datagram::Digest(decoded)) = Datagram::decode(&message.clone().encode(8_192)) else {
+        panic!("no digest");
+    };
+    assert_eq!(decoded, message);
+    assert_eq!(decoded.into_digest(Timestamp::ZERO), digest);
+}
+
+#[test]
+fn encode_digest_fits_a_datagram() {
+    let digest = RegionDigest {
+        sums: snapshot(740),
+        ..RegionDigest::default()
+    };
+    let message = DigestMessage::new("vm-1".into(), &digest, vec![]);
+    assert!(message.encode(8_192).len() <= 8_192);
+}
+
+#[test]
+fn decode_snapshot_without_region() {
+    // VMs of earlier versions send no region.
+    let bytes = br#"{"news":{"vm":"vm-1","loads":[],"sends":[]}}"#;
+    assert_eq!(decode(bytes).unwrap().region, "");
+}
+
 #[test]
 fn decode_malformed() {
-    for bytes in [&b""[..], b"{}", b"\xff\xfe", br#"{"news":{"vm": 1}}"#] {
+    for bytes in [
+        &b""[..],
+        b"{}",
+        b"\xff\xfe",
+        br#"{"news":{"vm": 1}}"#,
+        br#"{"digest":{}}"#,
+    ] {
         assert!(Datagram::decode(bytes).is_err());
     }
 }
--- a/crates/almondcroft-gateway/src/gossip/watchers.rs
+++ b/crates/almondcroft-gateway/src/gossip/watchers.rs
@@ -4,8 +4,8 @@
 //! all. In a large fleet a few VMs, the watchers, watch it continuously. The others query one of
 //! them twice a second, and call the store themselves only if no watcher can respond.
 
-use super::message::{Datagram, Query, Response, TargetUpdate, age_ms};
-use super::{MAX_DATAGRAM_BYTES, send};
+use super::message::{Datagram, Query, Response};
+use super::{MAX_DATAGRAM_BYTES, TargetUpdate, age_ms, send};
 use crate::clock;
 use crate::runtime::sleep;
 use crate::state::{Gateway, lock};
@@ -44,7 +44,7 @@
 }
 
 fn address_of(gateway: &Gateway, vm: &VmId) -> Option<SocketAddr> {
-    lock(&gateway.peers).get(vm).copied()
+    lock(&gateway.peers).get(vm).map(|entry| entry.address)
 }
 
 /// Returns the encoded response to a query.
--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod logging;
 mod metrics;
 mod migration;
+mod peer_view;
 mod pool;
 mod program;
 mod relay;
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -7,7 +7,7 @@
 use crate::runtime::{block_on, sleep, spawn};
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
-use crate::{gossip, logging, sync};
+use crate::{gossip, logging, peer_view, sync};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::io;
@@ -75,6 +75,7 @@
         }
         sync::start(gateway);
         gossip::start(gateway)?;
+        peer_view::start(gateway);
         let ticking = Arc::clone(gateway);
         spawn(async move {
             loop {
@@ -146,6 +147,7 @@
     }
     let fixed = GatewaySettings {
         bounds: gateway.settings.bounds,
+        bootstrap: gateway.settings.bootstrap,
         ..settings
     };
     let restart = fixed != gateway.settings;
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -59,6 +59,9 @@
     pub peers: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Threads of the executor.
     #[serde(default = "default_threads")]
     pub threads: usize,
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -2,21 +2,22 @@
 
 mod store_view;
 
-use crate::adapter::{Dialect, Registry};
+use crate::adapter::{Dialect, Registry, VmEntry};
 use crate::clock;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
+use crate::peer_view::ConfigDocument;
 use crate::pool::ConnectionPool;
 use crate::settings::{Bounds, GatewaySettings};
 use almondcroft_core::gateway::{
     ConfigFreshness, Demand, Directory, Fleet, FleetOptions, FleetRetryBudget, FleetSends,
-    GatewayConfig, PendingQueries, PlacedRequest, Placement, SendCounts, TargetChange,
+    GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts,
+    TargetChange,
 };
 use almondcroft_core::quarantine::Quarantine;
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use async_channel::{Receiver, Sender, bounded};
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -42,13 +43,15 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) quarantine: Mutex<Quarantine>,
-    pub(crate) peers: Mutex<HashMap<VmId, SocketAddr>>,
+    pub(crate) peers: Mutex<HashMap<VmId, VmEntry>>,
     pub(crate) pending_queries: Mutex<PendingQueries>,
     bounds: Mutex<Bounds>,
     config: Mutex<Option<Arc<GatewayConfig>>>,
+    config_document: Mutex<Option<ConfigDocument>>,
     config_freshness: Mutex<ConfigFreshness>,
     directory: Mutex<Directory>,
     targets_listed: AtomicBool,
+    peers_listed: AtomicBool,
     waiters: Mutex<HashMap<RequestId, Sender<Placement>>>,
     leave_notices: Mutex<HashMap<RequestId, Sender<()>>>,
     retry_budgets: Mutex<HashMap<ServiceId, FleetRetryBudget>>,
@@ -68,21 +71,25 @@
         dialect: Box<dyn Dialect>,
         registry: Box<dyn Registry>,
     ) -> Arc<Self> {
+        let fleet = Fleet::new(settings.vm.clone(), FleetOptions::default());
+        let fleet = fleet.region(settings.region.clone());
         Arc::new(Self {
             dialect,
             registry,
             lifecycle: Arc::default(),
             metrics: Metrics::new(),
             pool: ConnectionPool::default(),
-            fleet: Mutex::new(Fleet::new(settings.vm.clone(), FleetOptions::default())),
+            fleet: Mutex::new(fleet),
             quarantine: Mutex::default(),
             peers: Mutex::default(),
             pending_queries: Mutex::default(),
             bounds: Mutex::new(settings.bounds),
             config: Mutex::default(),
+            config_document: Mutex::default(),
             config_freshness: Mutex::new(ConfigFreshness::new(settings.bounds.revoke())),
             directory: Mutex::default(),
             targets_listed: AtomicBool::new(false),
+            peers_listed: AtomicBool::new(false),
             waiters: Mutex::default(),
             leave_notices: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -160,6 +167,16 @@
         self.targets_listed.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the list of VMs was read, or could not be read.
+    pub(crate) fn mark_peers_listed(&self) {
+        self.peers_listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the list of VMs was read, or could not be read.
+    pub(crate) fn are_peers_listed(&self) -> bool {
+        self.peers_listed.load(Ordering::Relaxed)
+    }
+
     /// Returns a request id that is unique within this process.
     pub(crate) fn next_id(&self) -> RequestId {
         let number = self.next_request_id.fetch_add(1, Ordering::Relaxed);
@@ -342,8 +359,16 @@
         permitted
     }
 
+    /// Returns the load that this VM puts on the targets.
+    pub(crate) fn local_snapshot(&self, now: Timestamp) -> PeerSnapshot {
+        PeerSnapshot {
+            sends: self.sends(now),
+            ..lock(&self.fleet).local_snapshot(now)
+        }
+    }
+
     /// Returns this VM's requests and extra sends by service.
-    pub(crate) fn sends(&self, now: Timestamp) -> HashMap<ServiceId, SendCounts> {
+    fn sends(&self, now: Timestamp) -> HashMap<ServiceId, SendCounts> {
         let retry_budgets = lock(&self.retry_budgets);
         let counts = retry_budgets.iter();
         counts
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -2,6 +2,7 @@
 
 use super::{Gateway, lock};
 use crate::adapter::ObjectKind;
+use crate::peer_view::ConfigDocument;
 use almondcroft_core::gateway::EntryEvent;
 use almondcroft_core::{Revision, Timestamp, VmId};
 use std::sync::atomic::Ordering;
@@ -30,6 +31,21 @@
         Some((revision, lock(&self.config_freshness).confirmed_at()?))
     }
 
+    /// Returns the store's response that contains the active configuration.
+    pub(crate) fn config_document(&self) -> Option<ConfigDocument> {
+        lock(&self.config_document).clone()
+    }
+
+    /// Keeps the store's response that contains a configuration, for peers.
+    pub(crate) fn set_config_document(&self, document: ConfigDocument) {
+        *lock(&self.config_document) = Some(document);
+    }
+
+    /// Returns the newest revision of the configuration that a peer announced.
+    pub(crate) fn newest_revision(&self) -> Revision {
+        self.newest_revision.load(Ordering::Relaxed)
+    }
+
     /// Records that a peer confirmed a revision of the configuration as the newest at a time.
     pub(crate) fn record_peer_confirmation(&self, revision: Revision, at: Timestamp) {
         self.record_config_revision(revision);
@@ -82,17 +98,30 @@
         let at = match kind {
             ObjectKind::Config => {
                 let (revision, at) = self.config_confirmation()?;
-                let newest = self.newest_revision.load(Ordering::Relaxed) <= revision;
+                let newest = self.newest_revision() <= revision;
                 newest.then_some(at)
             }
             ObjectKind::Targets => lock(&self.directory).complete_at(),
             ObjectKind::Vms => None,
         };
-        let remaining =
-            (at? + self.bounds().drain().mul_f64(VALIDITY_FRACTION)).saturating_sub(now);
+        let remaining = (at? + self.validity()).saturating_sub(now);
         (!remaining.is_zero()).then_some(remaining)
     }
 
+    /// Returns how long data from peers stays valid.
+    pub(crate) fn validity(&self) -> Duration {
+        self.bounds().drain().mul_f64(VALIDITY_FRACTION)
+    }
+
+    /// Returns all targets, with the revision up to which they are known and the time at which they
+    /// were complete; `None` if they are not known for certain.
+    pub(crate) fn all_targets(&self, now: Timestamp) -> Option<DirectoryUpdate> {
+        let directory = lock(&self.directory);
+        let entries = directory.entries(now)?;
+        let events = entries.into_iter().map(EntryEvent::Present).collect();
+        Some((directory.revision()?, directory.complete_at()?, events))
+    }
+
     /// Returns the revision up to which the targets are known.
     pub(crate) fn targets_revision(&self) -> Revision {
         lock(&self.directory).revision().unwrap_or_default()
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -2,6 +2,7 @@
 
 use crate::adapter::{Batch, Item, ObjectKind};
 use crate::clock;
+use crate::peer_view::{self, ConfigDocument, StoreCopy};
 use crate::runtime::{sleep, spawn};
 use crate::state::Gateway;
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError};
@@ -55,6 +56,10 @@
 /// Time for which the changes of a burst are batched.
 const BURST_DELAY: Duration = Duration::from_millis(150);
 
+/// Maximum age of a copy, as a fraction of the time for which it stays valid; the rest leaves time to
+/// read the next one.
+const MAX_COPY_AGE: f64 = 0.75;
+
 /// Status of a watch whose revision the store no longer has.
 const HISTORY_GONE_STATUS: u16 = 410;
 
@@ -69,6 +74,7 @@
             disconnected: false,
             recent_changes: VecDeque::new(),
             outdated: false,
+            revision: 0,
         };
         spawn(async move { follower.run().await });
     }
@@ -85,31 +91,75 @@
     recent_changes: VecDeque<Timestamp>,
     /// Whether the newest configuration is unreadable, so that the active one is outdated.
     outdated: bool,
+    /// Revision of the store up to which the objects are known.
+    revision: Revision,
 }
 
 impl Follower {
     async fn run(&mut self) {
         loop {
-            match self.list().await {
-                Ok(revision) => self.follow(revision).await,
+            let read = match self.copy().await {
+                Some(revision) => Ok(revision),
+                None => self.list().await,
+            };
+            match read {
+                Ok(revision) => {
+                    self.revision = revision;
+                    self.follow().await;
+                }
                 Err(error) => self.back_off(&error).await,
             }
         }
     }
 
-    /// Follows the changes since a revision until the objects must be listed again.
-    async fn follow(&mut self, mut revision: Revision) {
+    /// Reads all objects of the kind from a peer; returns `None` if the store must be called.
+    async fn copy(&mut self) -> Option<Revision> {
+        let (copy, sent_at) = peer_view::read(&self.gateway, self.kind).await?;
+        let now = clock::now();
+        let age = copy.age();
+        if age + now.saturating_sub(sent_at) > self.gateway.validity().mul_f64(MAX_COPY_AGE) {
+            return None;
+        }
+        let confirmed_at = sent_at.checked_sub(age)?;
+        self.record_response();
+        match copy {
+            StoreCopy::Config(batch, document, _) => {
+                let revision = batch.revision;
+                self.gateway.set_config_document(document);
+                self.apply_changes(batch.items, revision, confirmed_at);
+                Some(revision)
+            }
+            StoreCopy::ConfigUnchanged(revision, _) => {
+                let held = self.gateway.config()?.revision;
+                if held == revision && !self.outdated {
+                    self.gateway.confirm_config(confirmed_at);
+                }
+                Some(self.revision)
+            }
+            StoreCopy::Targets(update) => {
+                let revision = update.revision;
+                let items = update.into_events(now).into_iter().map(Item::Target);
+                self.apply_list(items.collect(), revision, confirmed_at);
+                Some(revision)
+            }
+        }
+    }
+
+    /// Follows the changes until the objects must be read again as a whole.
+    async fn follow(&mut self) {
         loop {
             if self.wait_while_valid().await {
                 match self.kind {
-                    ObjectKind::Targets => revision = revision.max(self.gateway.targets_revision()),
+                    ObjectKind::Targets => {
+                        self.revision = self.revision.max(self.gateway.targets_revision());
+                    }
                     ObjectKind::Config | ObjectKind::Vms => return,
                 }
             }
-            match self.watch(revision).await {
-                Ok(next) => revision = next,
+            match self.watch(self.revision).await {
+                Ok(next) => self.revision = next,
                 Err(StoreError::Status(HISTORY_GONE_STATUS)) => {
-                    log::info!(event = "history-gone", kind = self.kind.as_str(), revision = revision; "");
+                    log::info!(event = "history-gone", kind = self.kind.as_str(), revision = self.revision; "");
                     return;
                 }
                 Err(error @ StoreError::Unreadable(_)) => {
@@ -161,6 +211,7 @@
                 .registry
                 .read_list(self.kind, &body, clock::now())
                 .map_err(StoreError::Unreadable)?;
+            self.keep_document(&batch, true, body);
             // The watch starts at the revision of the first page, so it repeats changes made while
             // listing.
             first_revision.get_or_insert(batch.revision);
@@ -187,6 +238,7 @@
             .registry
             .read_changes(self.kind, &body, clock::now())
             .map_err(StoreError::Unreadable)?;
+        self.keep_document(&batch, false, body);
         self.record_response();
         let wait_elapsed = clock::now().saturating_sub(sent_at) >= wait;
         let confirmed_at = if batch.items.is_empty() && wait_elapsed {
@@ -205,6 +257,22 @@
         Ok(revision.max(since))
     }
 
+    /// Keeps a response that contains the configuration, for peers.
+    fn keep_document(&self, batch: &Batch, is_list: bool, body: Vec<u8>) {
+        let configs = batch.items.iter().filter_map(|item| match item {
+            Item::Config(config) => Some(config.revision),
+            _ => None,
+        });
+        if let Some(revision) = configs.max() {
+            let body = Arc::new(body);
+            self.gateway.set_config_document(ConfigDocument {
+                revision,
+                is_list,
+                body,
+            });
+        }
+    }
+
     /// Waits after a change, so that the next watch returns several changes at once.
     async fn batch_changes(&mut self) {
         let now = clock::now();
