feat(almondctl): losses by cause; relays in proportion, digests by zone

Change: a digest goes to one VM of each zone elsewhere, which passes it on within its zone.

Change: one relay for 12 VMs, the store's response is passed on without encoding it again, a VM that starts waits 0.15 s for a copy.

--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -215,7 +215,11 @@
             return f64::from(demand.need.prompt) * token_cost.as_secs_f64();
         }
         let cost = if state.entry.region != demand.region {
-            self.options.region_cost
+            if demand.need.tokens() > 0 {
+                self.options.engine_region_cost
+            } else {
+                self.options.region_cost
+            }
         } else if state.entry.zone == demand.zone {
             Duration::ZERO
         } else {
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -35,6 +35,10 @@
     pub zone_cost: Duration,
     /// Cost of another region, as time: a round trip and the price of its bytes.
     pub region_cost: Duration,
+    /// Cost of another region for a generation, as time.
+    ///
+    /// The load of engines there is known only from digests, and is older.
+    pub engine_region_cost: Duration,
     /// Cost of each token of KV cache that is copied to another availability zone, as time.
     ///
     /// A token has 131,072 bytes, which take 55 us at 19 Gbit/s and twice that between zones. Other
@@ -82,6 +86,7 @@
             sample_size: 14,
             zone_cost: Duration::from_millis(5),
             region_cost: Duration::from_millis(60),
+            engine_region_cost: Duration::from_millis(200),
             copy_cost: Duration::from_micros(110),
             far_copy_cost: Duration::from_micros(550),
             far_copy_limit: Duration::ZERO,
--- a/crates/almondcroft-gateway/src/call.rs
+++ b/crates/almondcroft-gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request, with its route, service and customer.
 
-use crate::adapter::CallMeta;
+use crate::adapter::{CallMeta, Generation};
 use crate::lifecycle::Guard;
 use almondcroft_core::gateway::{CallKind, CustomerSpec, RouteSpec};
 use almondcroft_core::quarantine::Fingerprint;
@@ -23,6 +23,7 @@
     pub(crate) customer: Option<Arc<CustomerSpec>>,
     pub(crate) received_at: Timestamp,
     pub(crate) fingerprint: Fingerprint,
+    pub(crate) order: Order,
     /// Counts the body against the memory budget as long as the call exists.
     pub(crate) _body_guard: Guard,
 }
@@ -65,6 +66,31 @@
     }
 }
 
+/// Identifies what a caller wants across its attempts, and its size, for logs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Order {
+    hash: u64,
+    /// Tokens of the prompt.
+    pub(crate) prompt: u32,
+    /// Maximum tokens of output.
+    pub(crate) output: u32,
+}
+
+impl Order {
+    pub(crate) fn new(path: &str, body: &[u8], generation: Option<&Generation>) -> Self {
+        Self {
+            hash: fingerprint(path, "", body),
+            prompt: generation.map_or(0, |generation| generation.prompt),
+            output: generation.map_or(0, |generation| generation.max_output),
+        }
+    }
+
+    /// Returns the form of the hash used in logs.
+    pub(crate) fn id(&self) -> String {
+        format!("{:016x}", self.hash)
+    }
+}
+
 /// Returns a hash of path, customer and body, which identifies a request when it is sent again.
 pub(crate) fn fingerprint(path: &str, customer: &str, body: &[u8]) -> Fingerprint {
     let mut hash = Xxh3::new();
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of requests: finds the route and the customer, or the reason for a refusal.
 
 use super::expected_need;
-use crate::call::{Call, fingerprint};
+use crate::call::{Call, Order, fingerprint};
 use crate::caller::ReceivedRequest;
 use crate::clock;
 use crate::reply::Reply;
@@ -28,6 +28,9 @@
 pub(super) struct Rejection {
     pub(super) reply: Reply,
     pub(super) id: Option<SmolStr>,
+    /// Name of the route; `-` if it is unknown.
+    pub(super) class: SmolStr,
+    pub(super) order: Order,
     pub(super) revision: Revision,
 }
 
@@ -37,11 +40,16 @@
     let revision = config.as_ref().map_or(0, |config| config.revision);
     let meta = gateway.dialect.read_call(&received.head);
     let id = meta.as_ref().ok().and_then(|meta| meta.id.clone());
-    let reject = |reply| Rejection {
+    let generation = meta.as_ref().ok().and_then(|meta| meta.generation.as_ref());
+    let order = Order::new(&received.head.uri, &received.body, generation);
+    let reject_as = |class: &str, reply| Rejection {
         reply,
         id: id.clone(),
+        class: class.into(),
+        order,
         revision,
     };
+    let reject = |reply| reject_as("-", reply);
     let meta = meta.map_err(|reason| reject(Reply::rejected(400, reason)))?;
     if meta.id.is_none() {
         return Err(reject(Reply::rejected(400, "no-request-id")));
@@ -49,6 +57,8 @@
     let config = config.ok_or_else(|| reject(Reply::refused("no-config", CONFIG_RETRY)))?;
     let fresh = gateway.is_fresh(clock::now());
     let route = find_route(&config, &received, fresh).map_err(reject)?;
+    let class = route.name.clone();
+    let reject = |reply| reject_as(&class, reply);
     let customer = find_customer(&config, &route, meta.key.as_deref(), fresh).map_err(reject)?;
     let hash = xxh3_64(meta.id.as_deref().unwrap_or_default().as_bytes());
     let service = route.pick_service(hash).cloned();
@@ -71,6 +81,7 @@
         customer,
         received_at: received.received_at,
         fingerprint,
+        order,
         _body_guard: received.body_guard,
     };
     if let Some(elapsed) = gateway.lifecycle.draining_for(clock::now()) {
--- a/crates/almondcroft-gateway/src/dispatch/request_log.rs
+++ b/crates/almondcroft-gateway/src/dispatch/request_log.rs
@@ -1,6 +1,6 @@
 //! Log lines and metrics of one request.
 
-use crate::call::Call;
+use crate::call::{Call, Order};
 use crate::clock;
 use crate::logging::millis;
 use crate::metrics::Times;
@@ -19,6 +19,7 @@
     external_id: SmolStr,
     customer: SmolStr,
     route: SmolStr,
+    order: Order,
     revision: Revision,
     received_at: Timestamp,
     latency_objective: Duration,
@@ -38,6 +39,7 @@
             external_id: call.external_id().into(),
             customer: call.customer_label().into(),
             route: call.route.name.clone(),
+            order: call.order,
             revision: gateway.config().map_or(0, |config| config.revision),
             received_at: call.received_at,
             latency_objective: call.route.latency_objective,
@@ -62,6 +64,7 @@
         self.target = Some(choice.target.clone());
         log::info!(event = "dispatch", request = self.external_id.as_str(),
             customer = self.customer.as_str(), class = self.route.as_str(),
+            order = self.order.id().as_str(), prompt = self.order.prompt, output = self.order.output,
             target_id = choice.target.as_str(), beside = choice.request_count,
             keeper = backup.map_or("-", |backup| backup.target.as_str()),
             cost_ms = millis(choice.cost), attempt = self.send_count,
@@ -101,7 +104,9 @@
             .metrics
             .observe(&self.times, &self.customer, &self.route);
         log::info!(event = "request", request = self.external_id.as_str(),
-            customer = self.customer.as_str(), class = self.route.as_str(), status = status,
+            customer = self.customer.as_str(), class = self.route.as_str(),
+            order = self.order.id().as_str(), prompt = self.order.prompt, output = self.order.output,
+            status = status,
             outcome = outcome, target_id = self.target.as_deref().unwrap_or("-"),
             sends = self.send_count, events = self.event_count,
             wait_ms = millis(self.times.queue_wait.unwrap_or_default()),
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -108,6 +108,7 @@
     }
     let entry = VmEntry {
         address: from,
+        zone: message.zone.clone(),
         region: message.region.clone(),
     };
     let previous = lock(&gateway.peers).insert(message.vm.clone(), entry);
@@ -179,6 +180,7 @@
             .any(|departure| !self.departures.contains(departure));
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
+            .in_zone(gateway.settings.zone.clone())
             .with_config(config_revision);
         let urgent = config_changed || departed;
         let peers = self.peer_addresses(urgent || !digests::in_use(gateway));
@@ -223,6 +225,7 @@
     let own = gateway.settings.vm.clone();
     let entry = VmEntry {
         address,
+        zone: gateway.settings.zone.clone(),
         region: gateway.settings.region.clone(),
     };
     let mut registered = false;
--- a/crates/almondcroft-gateway/src/gossip/digests.rs
+++ b/crates/almondcroft-gateway/src/gossip/digests.rs
@@ -2,8 +2,8 @@
 //!
 //! In a large fleet, each VM sends snapshots of its own load only to the VMs of its region, so that
 //! the bytes between regions do not grow with the square of the fleet. In each region, two VMs that all
-//! select alike send the sums of their region to one VM of each other region, a different one each
-//! time, and that VM passes them on within its region.
+//! select alike send the sums of their region to one VM of each availability zone elsewhere, a different
+//! one each time, and that VM passes them on within its zone.
 
 use super::message::{Datagram, DigestMessage};
 use super::{MAX_DATAGRAM_BYTES, send};
@@ -11,7 +11,7 @@
 use crate::clock;
 use crate::runtime::sleep;
 use crate::state::{Gateway, lock};
-use almondcroft_core::RegionId;
+use almondcroft_core::{RegionId, ZoneId};
 use rand::seq::IteratorRandom;
 use smol::Async;
 use std::collections::BTreeMap;
@@ -52,29 +52,29 @@
         let digest = lock(&gateway.fleet).region_digest(local, now);
         let crashes = lock(&gateway.quarantine).crash_counts(now);
         let bytes = DigestMessage::new(own.clone(), &digest, crashes).encode(MAX_DATAGRAM_BYTES);
-        for address in one_per_region(&gateway) {
+        for address in one_per_zone(&gateway) {
             send(&socket, &bytes, address);
         }
     }
 }
 
-/// Chooses a random VM of each other region.
-fn one_per_region(gateway: &Gateway) -> Vec<SocketAddr> {
+/// Chooses a random VM of each availability zone in other regions.
+fn one_per_zone(gateway: &Gateway) -> Vec<SocketAddr> {
     let own = &gateway.settings.region;
-    let mut regions: BTreeMap<RegionId, Vec<SocketAddr>> = BTreeMap::new();
+    let mut zones: BTreeMap<ZoneId, Vec<SocketAddr>> = BTreeMap::new();
     for entry in lock(&gateway.peers).values() {
         if is_elsewhere(entry, own) {
-            let addresses = regions.entry(entry.region.clone()).or_default();
+            let addresses = zones.entry(entry.zone.clone()).or_default();
             addresses.push(entry.address);
         }
     }
-    let addresses = regions.into_values();
+    let addresses = zones.into_values();
     addresses
         .filter_map(|addresses| addresses.into_iter().choose(&mut rand::rng()))
         .collect()
 }
 
-/// Applies a digest of another region and passes it on within this region, unless that was done.
+/// Applies a digest of another region and passes it on within this zone, unless that was done.
 pub(super) fn apply(
     gateway: &Gateway,
     socket: &Async<UdpSocket>,
@@ -90,7 +90,7 @@
         let bytes = Datagram::Digest(message.clone()).encode();
         let peers: Vec<SocketAddr> = lock(&gateway.peers)
             .values()
-            .filter(|entry| entry.region == *own && entry.address != from)
+            .filter(|entry| entry.zone == gateway.settings.zone && entry.address != from)
             .map(|entry| entry.address)
             .collect();
         for address in peers {
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -8,7 +8,7 @@
 use crate::state::Departure;
 use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, RegionDigest, SendCounts};
 use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, VmId};
+use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 /// Maximum load number accepted from one VM for one target; the sum over a thousand VMs is exact
@@ -55,6 +55,9 @@
     /// Region of the VM; empty if it is unknown.
     #[serde(default)]
     pub(super) region: RegionId,
+    /// Availability zone of the VM; empty if it is unknown.
+    #[serde(default)]
+    pub(super) zone: ZoneId,
     loads: Vec<(TargetId, [u32; 5])>,
     sends: Vec<(ServiceId, u32, u32)>,
     /// Revision of the VM's configuration.
@@ -96,6 +99,7 @@
         Self {
             vm,
             region: snapshot.region.clone(),
+            zone: ZoneId::default(),
             loads,
             sends,
             config: 0,
@@ -104,6 +108,12 @@
         }
     }
 
+    /// Sets the availability zone of the VM.
+    pub(super) fn in_zone(mut self, zone: ZoneId) -> Self {
+        self.zone = zone;
+        self
+    }
+
     /// Sets the revision of the VM's configuration.
     pub(super) const fn with_config(mut self, revision: Revision) -> Self {
         self.config = revision;
@@ -170,7 +180,7 @@
     pub(super) sums: SnapshotMessage,
     vms: u32,
     candidates: Vec<VmId>,
-    /// Whether a VM of the receiver's region passed it on.
+    /// Whether a VM of the receiver's zone passed it on.
     pub(super) forwarded: bool,
 }
 
--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -19,19 +19,29 @@
 use almondcroft_core::gateway::lowest_hashes;
 use almondcroft_core::{Revision, Timestamp, VmId};
 use message::{ConfigView, TargetsView};
-use rand::seq::SliceRandom;
+use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Number of VMs of a region that the others read from; more than one in case one is unreachable.
-const RELAYS: usize = 2;
+/// Minimum number of VMs of a region that the others read from; more than one in case one is
+/// unreachable.
+const MIN_RELAYS: usize = 2;
+
+/// Number of VMs of a region for each relay. When the fleet restarts, all read at once.
+const VMS_PER_RELAY: usize = 12;
+
+/// Number of relays that a VM asks in turn.
+const SOURCES: usize = 2;
 
 /// Minimum number of peers with which copies are used; a smaller fleet calls the store.
 const MIN_PEERS: usize = 17;
 
 /// Time within which a copy must arrive; the VM calls the store after it.
-const COPY_TIME: Duration = Duration::from_millis(500);
+const COPY_TIME: Duration = Duration::from_millis(800);
+
+/// Time within which the first copy must arrive at a VM that starts, whose callers may be waiting.
+const FIRST_COPY_TIME: Duration = Duration::from_millis(150);
 
 /// Time within which a copy must arrive while the whole fleet starts and the relays read the store.
 const BOOTSTRAP_COPY_TIME: Duration = Duration::from_secs(3);
@@ -46,7 +56,7 @@
 const DISCOVERY_POLL: Duration = Duration::from_millis(5);
 
 /// Delay before a peer that has no newer copy yet is asked again.
-const POLL_DELAY: Duration = Duration::from_millis(50);
+const POLL_DELAY: Duration = Duration::from_millis(30);
 
 /// Timeout for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -93,7 +103,7 @@
             .parse()
             .ok()
             .and_then(|after| ConfigView::of(gateway, after, now))
-            .and_then(|view| serde_json::to_vec(&view).ok()),
+            .and_then(|view| view.encode()),
         _ if path == "/targets" => {
             TargetsView::of(gateway, now).and_then(|view| serde_json::to_vec(&view).ok())
         }
@@ -110,12 +120,13 @@
 pub(crate) async fn read(gateway: &Gateway, kind: ObjectKind) -> Option<(StoreCopy, Timestamp)> {
     let started_at = clock::now();
     gateway.settings.peers?;
-    let bootstrap = gateway.settings.bootstrap && gateway.config().is_none();
+    let first = gateway.config().is_none();
+    let bootstrap = first && gateway.settings.bootstrap;
     wait_for_peers(gateway, bootstrap).await;
-    let limit = if bootstrap {
-        BOOTSTRAP_COPY_TIME
-    } else {
-        COPY_TIME
+    let limit = match (first, bootstrap) {
+        (_, true) => BOOTSTRAP_COPY_TIME,
+        (true, false) => FIRST_COPY_TIME,
+        (false, false) => COPY_TIME,
     };
     loop {
         let sources = sources(gateway, clock::now())?;
@@ -160,17 +171,17 @@
         return None;
     }
     let in_region = peers.iter().filter(|(_, entry)| entry.region == own.region);
-    let names = in_region.map(|(vm, _)| vm).chain([&own.vm]);
-    let relays = lowest_hashes(names, RELAYS);
+    let names: Vec<&VmId> = in_region.map(|(vm, _)| vm).chain([&own.vm]).collect();
+    let count = (names.len() / VMS_PER_RELAY).max(MIN_RELAYS);
+    let relays = lowest_hashes(names.into_iter(), count);
     let names: Vec<VmId> = if relays.contains(&own.vm) {
         queried?
     } else {
         relays
     };
     let addresses = names.iter().filter_map(|vm| peers.get(vm));
-    let mut addresses: Vec<SocketAddr> = addresses.map(|entry| entry.address).collect();
-    addresses.shuffle(&mut rand::rng());
-    Some(addresses)
+    let addresses = addresses.map(|entry| entry.address);
+    Some(addresses.choose_multiple(&mut rand::rng(), SOURCES))
 }
 
 /// A copy that a peer sent, with its age at that time.
@@ -202,21 +213,24 @@
     match kind {
         ObjectKind::Config => {
             let after = gateway.config().map_or(0, |config| config.revision);
-            let view: ConfigView = get(source, format!("/config/{after}")).await?;
-            if view.revision < gateway.newest_revision() {
+            let body = get(source, format!("/config/{after}")).await?;
+            let view = readable(ConfigView::decode(&body), source)?;
+            if view.revision() < gateway.newest_revision() {
                 return None;
             }
             view.into_copy(gateway, sent_at)
         }
-        ObjectKind::Targets => get(source, "/targets".to_owned())
-            .await
-            .map(|view: TargetsView| StoreCopy::Targets(view.update)),
+        ObjectKind::Targets => {
+            let body = get(source, "/targets".to_owned()).await?;
+            let view: TargetsView = readable(serde_json::from_slice(&body), source)?;
+            Some(StoreCopy::Targets(view.update))
+        }
         ObjectKind::Vms => None,
     }
 }
 
 /// Reads one page of a peer.
-async fn get<T: serde::de::DeserializeOwned>(source: SocketAddr, path: String) -> Option<T> {
+async fn get(source: SocketAddr, path: String) -> Option<Vec<u8>> {
     let call = ControlCall {
         method: "GET",
         path,
@@ -225,14 +239,14 @@
     let mut connection = Connection::connect(source, CONNECT_TIMEOUT).await.ok()?;
     let response = round_trip(&mut connection, source, &call, MAX_COPY_BYTES);
     let (head, body) = within(READ_TIMEOUT, response).await?.ok()?;
-    if head.status != 200 {
-        return None;
-    }
-    match serde_json::from_slice(&body) {
-        Ok(view) => Some(view),
-        Err(error) => {
+    (head.status == 200).then_some(body)
+}
+
+/// Returns what a peer sent, or logs that it is unreadable.
+fn readable<T>(decoded: serde_json::Result<T>, source: SocketAddr) -> Option<T> {
+    decoded
+        .inspect_err(|error| {
             log::warn!(event = "copy-unreadable", from:% = source, error:% = error; "");
-            None
-        }
-    }
+        })
+        .ok()
 }
--- a/crates/almondcroft-gateway/src/peer_view/message.rs
+++ b/crates/almondcroft-gateway/src/peer_view/message.rs
@@ -10,19 +10,23 @@
 use std::time::Duration;
 
 /// The configuration of a VM.
-#[derive(Debug, Serialize, Deserialize)]
+///
+/// It is encoded as a line of JSON, followed by the store's response as it is: a relay sends the same
+/// response to many VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct ConfigView {
-    pub(super) revision: Revision,
-    /// Time since it was last confirmed as the newest.
-    age: AgeMs,
-    /// The store's response that contains it; `None` if the reader has it already.
-    document: Option<Document>,
+    head: ViewHead,
+    body: Arc<Vec<u8>>,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Document {
-    is_list: bool,
-    body: String,
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct ViewHead {
+    revision: Revision,
+    /// Time since it was last confirmed as the newest.
+    age: AgeMs,
+    /// Whether the store's response is a list; `None` if the reader has the configuration already, so
+    /// that the response is left out.
+    list: Option<bool>,
 }
 
 impl ConfigView {
@@ -30,46 +34,61 @@
     /// `None` if this VM has none as new.
     pub(super) fn of(gateway: &Gateway, after: Revision, now: Timestamp) -> Option<Self> {
         let (revision, at) = gateway.config_confirmation()?;
-        let age = age_ms(at, now);
-        if revision < after {
-            return None;
-        }
-        if revision == after {
-            return Some(Self {
-                revision,
-                age,
-                document: None,
+        let mut head = ViewHead {
+            revision,
+            age: age_ms(at, now),
+            list: None,
+        };
+        if revision <= after {
+            return (revision == after).then_some(Self {
+                head,
+                body: Arc::default(),
             });
         }
         let document = gateway.config_document()?;
-        let body = String::from_utf8(document.body.to_vec()).ok()?;
+        head.list = Some(document.is_list);
         (document.revision == revision).then_some(Self {
-            revision,
-            age,
-            document: Some(Document {
-                is_list: document.is_list,
-                body,
-            }),
+            head,
+            body: document.body,
         })
     }
 
-    /// Decodes the configuration; returns `None` if it is unreadable.
+    pub(super) const fn revision(&self) -> Revision {
+        self.head.revision
+    }
+
+    pub(super) fn encode(&self) -> Option<Vec<u8>> {
+        let mut bytes = serde_json::to_vec(&self.head).ok()?;
+        bytes.push(b'\n');
+        bytes.extend_from_slice(&self.body);
+        Some(bytes)
+    }
+
+    pub(super) fn decode(bytes: &[u8]) -> serde_json::Result<Self> {
+        let end = bytes.iter().position(|byte| *byte == b'\n');
+        let (head, body) = bytes.split_at(end.unwrap_or(bytes.len()));
+        Ok(Self {
+            head: serde_json::from_slice(head)?,
+            body: Arc::new(body.get(1..).unwrap_or_default().to_vec()),
+        })
+    }
+
+    /// Reads the configuration; returns `None` if it is unreadable.
     pub(super) fn into_copy(self, gateway: &Gateway, now: Timestamp) -> Option<StoreCopy> {
-        let age = Duration::from_millis(self.age);
-        let Some(document) = self.document else {
-            return Some(StoreCopy::ConfigUnchanged(self.revision, age));
+        let (revision, age) = (self.head.revision, Duration::from_millis(self.head.age));
+        let Some(is_list) = self.head.list else {
+            return Some(StoreCopy::ConfigUnchanged(revision, age));
         };
-        let body = document.body.into_bytes();
         let registry = &gateway.registry;
-        let batch = if document.is_list {
-            registry.read_list(ObjectKind::Config, &body, now)
+        let batch = if is_list {
+            registry.read_list(ObjectKind::Config, &self.body, now)
         } else {
-            registry.read_changes(ObjectKind::Config, &body, now)
+            registry.read_changes(ObjectKind::Config, &self.body, now)
         };
         let document = ConfigDocument {
-            revision: self.revision,
-            is_list: document.is_list,
-            body: Arc::new(body),
+            revision,
+            is_list,
+            body: self.body,
         };
         Some(StoreCopy::Config(batch.ok()?, document, age))
     }
@@ -90,3 +109,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondctl/src/cli.rs
+++ b/crates/almondctl/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command-line arguments and exit codes.
 
+use almondctl::logs::ClassWorth;
 use clap::{Arg, ArgAction, Command, value_parser};
 use clap_complete::Shell;
 use std::path::PathBuf;
@@ -69,6 +70,22 @@
                 .about("Counts the requests in the logs of VMs by class, status and cause")
                 .arg(logs_arg()),
         )
+        .subcommand(
+            Command::new("losses")
+                .about("Attributes the worth lost in the logs of VMs to causes")
+                .arg(
+                    Arg::new("worth")
+                        .long("worth")
+                        .value_name("CLASS=WORTH[,LATE]")
+                        .action(ArgAction::Append)
+                        .value_parser(parse_worth)
+                        .help(
+                            "Worth of a mean answer of a class, on time and late; \
+                             1 and 0.15 for other classes",
+                        ),
+                )
+                .arg(logs_arg()),
+        )
         .subcommand(
             Command::new("token-hash")
                 .about("Reads a token from standard input and prints its SHA-256 for the sheet"),
@@ -158,3 +175,21 @@
         self.default_value(name)
     }
 }
+
+/// Parses the worth of a class.
+fn parse_worth(text: &str) -> Result<(String, ClassWorth), String> {
+    let (class, worth) = text.split_once('=').ok_or("no worth after a class")?;
+    let (on_time, late) = worth.split_once(',').unwrap_or((worth, "0"));
+    let number = |text: &str| {
+        let number = text.parse::<f64>().map_err(|error| error.to_string())?;
+        let valid = number.is_finite() && number >= 0.0;
+        valid
+            .then_some(number)
+            .ok_or_else(|| format!("{text} is not a worth"))
+    };
+    let worth = ClassWorth {
+        on_time: number(on_time)?,
+        late: number(late)?,
+    };
+    Ok((class.to_owned(), worth))
+}
--- a/crates/almondctl/src/commands.rs
+++ b/crates/almondctl/src/commands.rs
@@ -26,6 +26,7 @@
         Some(("replay", matches)) => run_replay(matches, output),
         Some(("explain", matches)) => logs::run_explain(matches, output),
         Some(("summary", matches)) => logs::run_summary(matches, output),
+        Some(("losses", matches)) => logs::run_losses(matches, output),
         Some(("token-hash", _)) => print_token_hash(),
         Some(("completions", matches)) => print_completions(matches),
         _ => {
--- a/crates/almondctl/src/commands/logs.rs
+++ b/crates/almondctl/src/commands/logs.rs
@@ -2,7 +2,9 @@
 
 use super::fail;
 use super::output::Output;
-use almondctl::logs::{LogLine, explain, read_lines, summarize};
+use almondctl::logs::{
+    ClassWorth, LogLine, LossRow, attribute_losses, explain, read_lines, summarize,
+};
 use clap::ArgMatches;
 use serde_json::json;
 use std::fs::File;
@@ -81,3 +83,44 @@
     }
     ExitCode::SUCCESS
 }
+
+/// Prints the worth that was lost, by class and cause.
+pub(super) fn run_losses(matches: &ArgMatches, output: Output) -> ExitCode {
+    let lines = match read_logs(matches) {
+        Ok(lines) => lines,
+        Err(error) => return fail(&error),
+    };
+    let worths = matches.get_many::<(String, ClassWorth)>("worth");
+    let worths = worths.unwrap_or_default().cloned().collect();
+    let losses = attribute_losses(&lines, &worths);
+    let header = [
+        "class",
+        "orders",
+        "lost",
+        "of class",
+        "avoidable",
+        "cause",
+        "example",
+    ];
+    output.print(&losses, &header, |losses| {
+        let row = |row: &LossRow| {
+            vec![
+                row.class.clone(),
+                row.orders.to_string(),
+                format!("{:.1}", row.lost),
+                format!("{:.3}", row.fraction),
+                if row.avoidable { "yes" } else { "no" }.to_owned(),
+                row.cause.to_string(),
+                row.example.clone(),
+            ]
+        };
+        losses.rows.iter().map(row).collect()
+    });
+    if output == Output::Table {
+        println!(
+            "\n{:.1} of {:.1} lost, {:.1} of it to unknown causes",
+            losses.lost, losses.owed, losses.unknown
+        );
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/almondctl/src/logs.rs
+++ b/crates/almondctl/src/logs.rs
@@ -3,9 +3,11 @@
 mod cause;
 mod explain;
 mod line;
+mod losses;
 mod summary;
 
 pub use cause::Cause;
 pub use explain::{Explanation, explain};
 pub use line::{LogLine, read_lines};
+pub use losses::{ClassWorth, LossRow, Losses, attribute_losses};
 pub use summary::{Summary, SummaryRow, summarize};
--- a/crates/almondctl/src/logs/cause.rs
+++ b/crates/almondctl/src/logs/cause.rs
@@ -66,6 +66,37 @@
 }
 
 impl Cause {
+    /// Returns whether another decision of the fleet could have avoided what was lost.
+    #[must_use]
+    pub const fn is_avoidable(self) -> bool {
+        match self {
+            Self::NoCapacity
+            | Self::Stopping
+            | Self::Memory
+            | Self::NoDestination
+            | Self::CopyTooLate
+            | Self::CopyMissing
+            | Self::RetryBudgetExhausted
+            | Self::LateQueue
+            | Self::LateTarget
+            | Self::LateRetry
+            | Self::PauseCopy
+            | Self::PauseMigration
+            | Self::PauseTarget => true,
+            Self::Answered
+            | Self::ConfigStale
+            | Self::NotPermitted
+            | Self::BadRequest
+            | Self::Quarantined
+            | Self::TargetFailed
+            | Self::TargetTimeout
+            | Self::ConnectionLost
+            | Self::CallerGone
+            | Self::VmEnded
+            | Self::Unknown => false,
+        }
+    }
+
     /// Describes the cause in one or more sentences.
     #[must_use]
     pub const fn description(self) -> &'static str {
