feat(shutdown): callers return when a VM can serve them; admission by learned decode time

Generations that could have ended within the grace period were refused because 14 ms a token was assumed; measured are 7 to 10.

Fleet::shutdown_retry: at once if another VM of the region serves callers, after the load balancer has noticed if only VMs elsewhere do, after the first restart if all shut down. admits_during_shutdown uses the learned decode time per token.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -360,6 +360,13 @@
         placements
     }
 
+    /// Returns the mean decode time per token of a service's targets; `None` if it is unknown.
+    #[must_use]
+    pub fn token_time(&self, service: &str) -> Option<Duration> {
+        let of_service = |state: &&TargetState| state.entry.service == service;
+        choice::mean_token_time(self.targets.values().filter(of_service))
+    }
+
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn waiting_count(&self) -> usize {
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -82,7 +82,7 @@
         now: Timestamp,
     ) -> Option<Choice> {
         let mut best: Option<(f64, f64, &TargetState, f64)> = None;
-        let token_time = mean_token_time(eligible);
+        let token_time = mean_token_time(eligible.iter().copied()).unwrap_or_default();
         for state in eligible {
             let load = self.estimate_load(state, now);
             let load_cost = match engine {
@@ -230,10 +230,12 @@
 }
 
 /// Returns the mean decode time per token of the targets at which it is known.
-fn mean_token_time(targets: &[&TargetState]) -> Duration {
-    let known = targets.iter().filter_map(|state| state.token_time);
+pub(super) fn mean_token_time<'a>(
+    targets: impl Iterator<Item = &'a TargetState>,
+) -> Option<Duration> {
+    let known = targets.filter_map(|state| state.token_time);
     let (count, sum) = known.fold((0, Duration::ZERO), |(count, sum), time| {
         (count + 1, sum + time)
     });
-    sum.checked_div(count).unwrap_or_default()
+    sum.checked_div(count)
 }
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -49,6 +49,8 @@
     pub at: Timestamp,
     /// Region of the VM; empty if it is unknown.
     pub region: RegionId,
+    /// Time at which the VM began to shut down; `None` if it serves callers.
+    pub draining_since: Option<Timestamp>,
     /// Load by target.
     pub loads: HashMap<TargetId, PeerLoad>,
     /// Requests and extra sends by service.
--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -16,6 +16,15 @@
 /// about this time.
 const PEER_LOAD_RETENTION: Duration = Duration::from_secs(10);
 
+/// Shortest time after which a caller that is refused during a shutdown may return.
+const MIN_SHUTDOWN_RETRY: Duration = Duration::from_millis(100);
+
+/// Time after the start of a shutdown by which the load balancer uses other VMs.
+const BALANCER_DELAY: Duration = Duration::from_secs(2);
+
+/// Time from the end of a VM's grace period until it serves callers again.
+const RESTART_TIME: Duration = Duration::from_millis(900);
+
 /// Number of candidates in a digest; the largest number of VMs that are selected over the fleet.
 const CANDIDATES: usize = 3;
 
@@ -62,6 +71,7 @@
         PeerSnapshot {
             at: now,
             region: self.region.clone(),
+            draining_since: None,
             loads: loads.collect(),
             sends: HashMap::new(),
         }
@@ -110,6 +120,30 @@
         counts.fold(SendCounts::default(), SendCounts::add)
     }
 
+    /// Returns the time after which a caller that this VM refuses during its shutdown may return.
+    ///
+    /// Callers return at once if another VM of the region serves them. If only VMs elsewhere do, the
+    /// load balancer uses them once it has noticed that this region shuts down. If all VMs shut down,
+    /// callers return when the first of them has restarted, because a second refusal is worse for
+    /// them than a late answer. `elapsed` is the time since this VM began to shut down.
+    #[must_use]
+    pub fn shutdown_retry(&self, elapsed: Duration, grace: Duration, now: Timestamp) -> Duration {
+        let mut near = self.regional_peers(now).peekable();
+        let serves = |snapshot: &PeerSnapshot| snapshot.draining_since.is_none();
+        if near.peek().is_none() || near.any(|(_, snapshot)| serves(snapshot)) {
+            return MIN_SHUTDOWN_RETRY;
+        }
+        let wait = if self.all_peers(now).any(serves) {
+            BALANCER_DELAY.saturating_sub(elapsed)
+        } else {
+            let times = self.all_peers(now).filter_map(|peer| peer.draining_since);
+            let longest = times.map(|since| now.saturating_sub(since)).max();
+            let longest = longest.unwrap_or_default().max(elapsed);
+            (grace + RESTART_TIME).saturating_sub(longest)
+        };
+        wait.max(MIN_SHUTDOWN_RETRY)
+    }
+
     /// Returns the number of reachable VMs, this one included.
     #[must_use]
     pub fn vm_count(&self, now: Timestamp) -> usize {
--- a/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
@@ -151,3 +151,28 @@
     assert_eq!(wait("q", "r"), Duration::ZERO);
     assert!(wait("r", "q") > Duration::ZERO);
 }
+
+#[test]
+fn shutdown_retry_by_serving_vms() {
+    let (grace, elapsed) = (SECOND * 8, SECOND);
+    let peer = |region: &str, since: Option<Timestamp>| PeerSnapshot {
+        draining_since: since,
+        ..regional(region, SECOND * 10, &[])
+    };
+    let now = SECOND * 11;
+    let retry = |near: Option<Timestamp>, far: Option<Timestamp>| {
+        let mut fleet = Fleet::new("q-1".into(), FleetOptions::default()).region("q".into());
+        fleet.apply_snapshot("q-2".into(), peer("q", near));
+        fleet.apply_snapshot("r-1".into(), peer("r", far));
+        fleet.shutdown_retry(elapsed, grace, now)
+    };
+    let shortest = Duration::from_millis(100);
+    assert_eq!(retry(None, None), shortest, "q-2 serves");
+    // The load balancer notices two seconds after the start of the shutdown.
+    assert_eq!(retry(Some(SECOND * 9), None), SECOND);
+    // r-1 is the first to be back, eight seconds of grace after it began, and a restart.
+    let first_back = retry(Some(SECOND * 9), Some(SECOND * 5));
+    assert_eq!(first_back, SECOND * 2 + Duration::from_millis(900));
+    let alone = Fleet::new("q-1".into(), FleetOptions::default());
+    assert_eq!(alone.shutdown_retry(elapsed, grace, now), shortest);
+}
--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -12,15 +12,19 @@
 /// Time for the response of a plain service or for the first token, with a wide margin.
 const RESPONSE_TIME: Duration = Duration::from_millis(800);
 
-/// Time per output token on a busy engine.
-const BUSY_TOKEN_TIME: Duration = Duration::from_millis(14);
+/// Time per output token that is assumed while none is known.
+const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(14);
+
+/// Decode time per token on a busy engine, as a multiple of the time on an engine that does little else.
+const BUSY_FACTOR: f64 = 1.3;
 
 /// Returns whether a VM that shuts down can still complete a request.
 ///
 /// Requests still arrive until the load balancer notices the shutdown, and later if most VMs of a zone
 /// shut down at once. A generation that outlasts the grace period would be cut off, so it is refused
 /// while it can still run elsewhere. The estimate uses its expected length until the load balancer has
-/// switched to other VMs, and its maximum length (`max_output`, in tokens) afterwards.
+/// switched to other VMs, and its maximum length (`max_output`, in tokens) afterwards. `token_time` is the
+/// decode time per token on an engine that does little else, if it is known.
 ///
 /// ```
 /// use almondcroft_core::gateway::{Need, admits_during_shutdown};
@@ -28,13 +32,14 @@
 ///
 /// let (grace, second) = (Duration::from_secs(8), Duration::from_secs(1));
 /// let long = Need { prompt: 3_000, output: 900, prefilled: false };
-/// assert!(!admits_during_shutdown(long, 2_200, second, grace));
-/// assert!(admits_during_shutdown(Need::default(), 0, second * 5, grace));
+/// assert!(!admits_during_shutdown(long, 2_200, None, second, grace));
+/// assert!(admits_during_shutdown(Need::default(), 0, None, second * 5, grace));
 /// ```
 #[must_use]
 pub fn admits_during_shutdown(
     need: Need,
     max_output: u32,
+    token_time: Option<Duration>,
     elapsed: Duration,
     grace: Duration,
 ) -> bool {
@@ -44,7 +49,8 @@
     } else {
         max_output
     };
-    RESPONSE_TIME + BUSY_TOKEN_TIME * tokens <= left
+    let token_time = token_time.map_or(DEFAULT_TOKEN_TIME, |time| time.mul_f64(BUSY_FACTOR));
+    RESPONSE_TIME + token_time * tokens <= left
 }
 
 #[cfg(test)]
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -18,9 +18,6 @@
 /// The caller can retry at another VM at once.
 const CONFIG_RETRY: Duration = Duration::from_millis(300);
 
-/// Time after which a caller of a VM that shuts down may retry at another VM.
-const STOPPING_RETRY: Duration = Duration::from_millis(100);
-
 /// Maximum time after which a caller may retry a request that crashes targets.
 const QUARANTINE_RETRY: Duration = Duration::from_secs(10);
 
@@ -87,8 +84,12 @@
     if let Some(elapsed) = gateway.lifecycle.draining_for(clock::now()) {
         let max_output = call.meta.generation.as_ref().map_or(0, |g| g.max_output);
         let grace = gateway.bounds().grace();
-        if !admits_during_shutdown(expected_need(&call), max_output, elapsed, grace) {
-            return Err(reject(Reply::refused("stopping", STOPPING_RETRY)));
+        let need = expected_need(&call);
+        let fleet = lock(&gateway.fleet);
+        let token_time = fleet.token_time(&call.service);
+        if !admits_during_shutdown(need, max_output, token_time, elapsed, grace) {
+            let retry_after = fleet.shutdown_retry(elapsed, grace, clock::now());
+            return Err(reject(Reply::refused("stopping", retry_after)));
         }
     }
     Ok(call)
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -10,6 +10,7 @@
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Maximum load number accepted from one VM for one target; the sum over a thousand VMs is exact
 /// and does not saturate.
@@ -58,6 +59,9 @@
     /// Availability zone of the VM; empty if it is unknown.
     #[serde(default)]
     pub(super) zone: ZoneId,
+    /// Time since the VM began to shut down, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    draining: Option<AgeMs>,
     loads: Vec<(TargetId, [u32; 5])>,
     sends: Vec<(ServiceId, u32, u32)>,
     /// Revision of the VM's configuration.
@@ -100,6 +104,9 @@
             vm,
             region: snapshot.region.clone(),
             zone: ZoneId::default(),
+            draining: snapshot
+                .draining_since
+                .map(|since| age_ms(since, snapshot.at)),
             loads,
             sends,
             config: 0,
@@ -167,6 +174,9 @@
         PeerSnapshot {
             at,
             region: self.region,
+            draining_since: self
+                .draining
+                .map(|age| at.saturating_sub(Duration::from_millis(age))),
             loads: loads.map(load).collect(),
             sends: sends.map(count).collect(),
         }
--- a/crates/almondcroft-gateway/src/gossip/message/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/tests.rs
@@ -16,6 +16,7 @@
     };
     PeerSnapshot {
         region: "q".into(),
+        draining_since: None,
         at: Timestamp::ZERO,
         loads: loads.collect(),
         sends: HashMap::from([("menus".into(), counts)]),
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -23,6 +23,11 @@
         self.drain_started().is_some()
     }
 
+    /// Returns the time at which the drain started; `None` while the process is not draining.
+    pub(crate) fn draining_since(&self) -> Option<Timestamp> {
+        *self.drain_started()
+    }
+
     /// Returns the time since the drain started; `None` while the process is not draining.
     pub(crate) fn draining_for(&self, now: Timestamp) -> Option<Duration> {
         let started_at = *self.drain_started();
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -102,6 +102,7 @@
     pub async fn stop(&self) {
         let lifecycle = &self.gateway.lifecycle;
         lifecycle.start_drain(clock::now());
+        self.gateway.request_gossip();
         log::info!(event = "stopping", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
         spawn(gossip::unregister(Arc::clone(&self.gateway)));
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -362,6 +362,7 @@
     /// Returns the load that this VM puts on the targets.
     pub(crate) fn local_snapshot(&self, now: Timestamp) -> PeerSnapshot {
         PeerSnapshot {
+            draining_since: self.lifecycle.draining_since(),
             sends: self.sends(now),
             ..lock(&self.fleet).local_snapshot(now)
         }
