feat(gossip): digests by availability zone; copies polled only when one is expected

And a VM asked its relays every 30 ms for 0.8 s each time it had to read the store, also throughout an outage.

Change: the fleet is divided by zone instead of region, for digests, relays of copies, the order of migrations and the callers' return in a shutdown; a generation goes to another zone at a cost of 40 ms, because load there is known from digests. Without an announced configuration a VM asks its relays once.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -32,7 +32,7 @@
 pub use directory::{Directory, EntryEvent, TargetChange};
 pub use fleet::{
     Choice, Demand, Fleet, FleetOptions, Need, PeerLoad, PeerSnapshot, PlacedRequest, Placement,
-    RefusalReason, RegionDigest, lowest_hashes,
+    RefusalReason, ZoneDigest, lowest_hashes,
 };
 pub use fleet_retry_budget::{FleetRetryBudget, FleetSends, SendCounts};
 pub use gossip_fanout::GossipFanout;
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -15,12 +15,12 @@
 
 pub use choice::Choice;
 pub use demand::{Demand, Need};
-pub use load::{PeerLoad, PeerSnapshot, RegionDigest};
+pub use load::{PeerLoad, PeerSnapshot, ZoneDigest};
 pub use options::FleetOptions;
 pub use peers::lowest_hashes;
 
 use super::{PoolSpec, TargetEntry};
-use crate::{RegionId, RequestId, ServiceId, TargetId, Timestamp, VmId};
+use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use queue::{AdmissionQueue, WaitingRequest};
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -98,14 +98,14 @@
 #[derive(Debug)]
 pub struct Fleet {
     vm: VmId,
-    region: RegionId,
+    zone: ZoneId,
     options: FleetOptions,
     pools: BTreeMap<ServiceId, PoolSpec>,
     targets: BTreeMap<TargetId, TargetState>,
     assignments: HashMap<RequestId, Assignment>,
     peers: HashMap<VmId, PeerSnapshot>,
-    /// Digests of the other regions.
-    regions: HashMap<RegionId, RegionDigest>,
+    /// Digests of the other availability zones.
+    zones: HashMap<ZoneId, ZoneDigest>,
     /// Load of all peers by target; cached because each decision reads many of them.
     peer_totals: HashMap<TargetId, PeerLoad>,
     queues: BTreeMap<ServiceId, AdmissionQueue>,
@@ -118,23 +118,23 @@
     pub fn new(vm: VmId, options: FleetOptions) -> Self {
         Self {
             vm,
-            region: RegionId::default(),
+            zone: ZoneId::default(),
             options,
             pools: BTreeMap::new(),
             targets: BTreeMap::new(),
             assignments: HashMap::new(),
             peers: HashMap::new(),
-            regions: HashMap::new(),
+            zones: HashMap::new(),
             peer_totals: HashMap::new(),
             queues: BTreeMap::new(),
             change_count: 0,
         }
     }
 
-    /// Sets the region of this VM.
+    /// Sets the availability zone of this VM.
     #[must_use]
-    pub fn region(mut self, region: RegionId) -> Self {
-        self.region = region;
+    pub fn zone(mut self, zone: ZoneId) -> Self {
+        self.zone = zone;
         self
     }
 
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -118,7 +118,7 @@
             .unwrap_or_default();
         // A target reports only how many requests it has. Peers also report their sizes, so their
         // snapshots take precedence.
-        let external = if self.peers.is_empty() && self.regions.is_empty() {
+        let external = if self.peers.is_empty() && self.zones.is_empty() {
             state.external_requests(now)
         } else {
             0.0
@@ -214,16 +214,18 @@
             };
             return f64::from(demand.need.prompt) * token_cost.as_secs_f64();
         }
+        let options = &self.options;
+        let (zone_cost, region_cost) = if demand.need.tokens() > 0 {
+            (options.engine_zone_cost, options.engine_region_cost)
+        } else {
+            (options.zone_cost, options.region_cost)
+        };
         let cost = if state.entry.region != demand.region {
-            if demand.need.tokens() > 0 {
-                self.options.engine_region_cost
-            } else {
-                self.options.region_cost
-            }
+            region_cost
         } else if state.entry.zone == demand.zone {
             Duration::ZERO
         } else {
-            self.options.zone_cost
+            zone_cost
         };
         cost.as_secs_f64()
     }
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -1,7 +1,7 @@
 //! Load of one VM at the targets, as exchanged by gossip.
 
 use crate::gateway::SendCounts;
-use crate::{RegionId, ServiceId, TargetId, Timestamp, VmId};
+use crate::{ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use std::collections::HashMap;
 
 /// Sums up the requests and KV cache copies of one VM at one target.
@@ -47,8 +47,8 @@
 pub struct PeerSnapshot {
     /// Time at which the snapshot was received, or taken if it is this VM's own.
     pub at: Timestamp,
-    /// Region of the VM; empty if it is unknown.
-    pub region: RegionId,
+    /// Availability zone of the VM; empty if it is unknown.
+    pub zone: ZoneId,
     /// Time at which the VM began to shut down; `None` if it serves callers.
     pub draining_since: Option<Timestamp>,
     /// Load by target.
@@ -57,13 +57,13 @@
     pub sends: HashMap<ServiceId, SendCounts>,
 }
 
-/// Sums up the load of all VMs of a region.
+/// Sums up the load of all VMs of a zone.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct RegionDigest {
-    /// The sums, and the time at which they were received, or taken if they are this region's own.
+pub struct ZoneDigest {
+    /// The sums, and the time at which they were received, or taken if they are this zone's own.
     pub sums: PeerSnapshot,
     /// Number of VMs.
     pub vm_count: usize,
-    /// The VMs of the region that [`Fleet::select_vms`](super::Fleet::select_vms) considers.
+    /// The VMs of the zone that [`Fleet::select_vms`](super::Fleet::select_vms) considers.
     pub candidates: Vec<VmId>,
 }
--- a/crates/almondcroft-core/src/gateway/fleet/options.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/options.rs
@@ -35,9 +35,11 @@
     pub zone_cost: Duration,
     /// Cost of another region, as time: a round trip and the price of its bytes.
     pub region_cost: Duration,
-    /// Cost of another region for a generation, as time.
+    /// Cost of another availability zone for a generation, as time.
     ///
-    /// The load of engines there is known only from digests, and is older.
+    /// The load that peers in other zones put on engines is known only from digests, and is older.
+    pub engine_zone_cost: Duration,
+    /// Cost of another region for a generation, as time.
     pub engine_region_cost: Duration,
     /// Cost of each token of KV cache that is copied to another availability zone, as time.
     ///
@@ -85,6 +87,7 @@
             prefill_backlog: Duration::from_millis(800),
             sample_size: 14,
             zone_cost: Duration::from_millis(5),
+            engine_zone_cost: Duration::from_millis(40),
             region_cost: Duration::from_millis(60),
             engine_region_cost: Duration::from_millis(200),
             copy_cost: Duration::from_micros(110),
--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -1,15 +1,15 @@
-//! Load of peers, received by gossip: snapshots of single VMs, and digests of other regions.
+//! Load of peers, received by gossip: snapshots of single VMs, and digests of other zones.
 
-use super::{Fleet, PeerLoad, PeerSnapshot, RegionDigest, stable_hash};
+use super::{Fleet, PeerLoad, PeerSnapshot, ZoneDigest, stable_hash};
 use crate::gateway::SendCounts;
-use crate::{RegionId, Timestamp, VmId};
+use crate::{Timestamp, VmId, ZoneId};
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Time after its last message at which a peer or a region counts as unreachable.
+/// Time after its last message at which a peer or a zone counts as unreachable.
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time for which the last message of a peer or a region counts towards the load of targets.
+/// Time for which the last message of a peer or a zone counts towards the load of targets.
 ///
 /// It exceeds [`PEER_TIMEOUT`]: a VM that is partitioned from its peers for seconds keeps sending
 /// requests to the targets, and a VM that has stopped leaves generations behind, which end within
@@ -31,10 +31,10 @@
 impl Fleet {
     /// Replaces the snapshot of a peer's load.
     ///
-    /// A snapshot from another region is ignored while digests of that region arrive, because they
+    /// A snapshot from another zone is ignored while digests of that zone arrive, because they
     /// contain it.
     pub fn apply_snapshot(&mut self, vm: VmId, snapshot: PeerSnapshot) {
-        let digest = self.regions.get(&snapshot.region);
+        let digest = self.zones.get(&snapshot.zone);
         if digest.is_some_and(|digest| digest.sums.at + PEER_TIMEOUT > snapshot.at) {
             return;
         }
@@ -44,18 +44,18 @@
         }
     }
 
-    /// Replaces the digest of another region, and the snapshots of single VMs of that region.
-    pub fn apply_digest(&mut self, region: RegionId, digest: RegionDigest) {
-        if region == self.region {
+    /// Replaces the digest of another zone, and the snapshots of single VMs of that zone.
+    pub fn apply_digest(&mut self, zone: ZoneId, digest: ZoneDigest) {
+        if zone == self.zone {
             return;
         }
-        let single = self.peers.extract_if(|_, peer| peer.region == region);
+        let single = self.peers.extract_if(|_, peer| peer.zone == zone);
         let single: Vec<PeerSnapshot> = single.map(|(_, snapshot)| snapshot).collect();
         for snapshot in &single {
             self.subtract_loads(snapshot);
         }
         self.add_loads(&digest.sums);
-        if let Some(previous) = self.regions.insert(region, digest) {
+        if let Some(previous) = self.zones.insert(zone, digest) {
             self.subtract_loads(&previous.sums);
         }
     }
@@ -70,20 +70,20 @@
             .map(|(id, state)| (id.clone(), state.local_load()));
         PeerSnapshot {
             at: now,
-            region: self.region.clone(),
+            zone: self.zone.clone(),
             draining_since: None,
             loads: loads.collect(),
             sends: HashMap::new(),
         }
     }
 
-    /// Returns the digest of this VM's region: the sums of `local`, this VM's own snapshot, and of
-    /// the reachable peers in the region.
+    /// Returns the digest of this VM's zone: the sums of `local`, this VM's own snapshot, and of
+    /// the reachable peers in the zone.
     #[must_use]
-    pub fn region_digest(&self, local: PeerSnapshot, now: Timestamp) -> RegionDigest {
+    pub fn zone_digest(&self, local: PeerSnapshot, now: Timestamp) -> ZoneDigest {
         let mut sums = local;
         let mut vm_count = 1;
-        for (_, snapshot) in self.regional_peers(now) {
+        for (_, snapshot) in self.zone_peers(now) {
             vm_count += 1;
             for (target, load) in &snapshot.loads {
                 let total = sums.loads.entry(target.clone()).or_default();
@@ -94,18 +94,18 @@
                 *total = total.add(*counts);
             }
         }
-        let names = self.regional_peers(now).map(|(vm, _)| vm);
-        RegionDigest {
+        let names = self.zone_peers(now).map(|(vm, _)| vm);
+        ZoneDigest {
             sums,
             vm_count,
             candidates: lowest_hashes(names.chain([&self.vm]), CANDIDATES),
         }
     }
 
-    /// Returns the `count` VMs of this VM's region that send its digest to the other regions.
+    /// Returns the `count` VMs of this VM's zone that send its digest to the other zones.
     #[must_use]
-    pub fn select_relays(&self, count: usize, now: Timestamp) -> Vec<VmId> {
-        let names = self.regional_peers(now).map(|(vm, _)| vm);
+    pub fn select_senders(&self, count: usize, now: Timestamp) -> Vec<VmId> {
+        let names = self.zone_peers(now).map(|(vm, _)| vm);
         lowest_hashes(names.chain([&self.vm]), count)
     }
 
@@ -113,22 +113,22 @@
     #[must_use]
     pub fn peer_sends(&self, service: &str, now: Timestamp) -> SendCounts {
         let single = self.reachable_peers(now).map(|(_, snapshot)| snapshot);
-        let regions = self.reachable_regions(now).map(|(_, digest)| &digest.sums);
+        let zones = self.reachable_zones(now).map(|(_, digest)| &digest.sums);
         let counts = single
-            .chain(regions)
+            .chain(zones)
             .map(|snapshot| snapshot.sends.get(service).copied().unwrap_or_default());
         counts.fold(SendCounts::default(), SendCounts::add)
     }
 
     /// Returns the time after which a caller that this VM refuses during its shutdown may return.
     ///
-    /// Callers return at once if another VM of the region serves them. If only VMs elsewhere do, the
-    /// load balancer uses them once it has noticed that this region shuts down. If all VMs shut down,
+    /// Callers return at once if another VM of the zone serves them. If only VMs elsewhere do, the
+    /// load balancer uses them once it has noticed that this zone shuts down. If all VMs shut down,
     /// callers return when the first of them has restarted, because a second refusal is worse for
     /// them than a late answer. `elapsed` is the time since this VM began to shut down.
     #[must_use]
     pub fn shutdown_retry(&self, elapsed: Duration, grace: Duration, now: Timestamp) -> Duration {
-        let mut near = self.regional_peers(now).peekable();
+        let mut near = self.zone_peers(now).peekable();
         let serves = |snapshot: &PeerSnapshot| snapshot.draining_since.is_none();
         if near.peek().is_none() || near.any(|(_, snapshot)| serves(snapshot)) {
             return MIN_SHUTDOWN_RETRY;
@@ -147,8 +147,8 @@
     /// Returns the number of reachable VMs, this one included.
     #[must_use]
     pub fn vm_count(&self, now: Timestamp) -> usize {
-        let regions = self.reachable_regions(now);
-        let others: usize = regions.map(|(_, digest)| digest.vm_count).sum();
+        let zones = self.reachable_zones(now);
+        let others: usize = zones.map(|(_, digest)| digest.vm_count).sum();
         1 + self.reachable_peers(now).count() + others
     }
 
@@ -158,29 +158,29 @@
     #[must_use]
     pub fn select_vms(&self, count: usize, now: Timestamp) -> Vec<VmId> {
         let single = self.reachable_peers(now).map(|(vm, _)| vm);
-        let regions = self.reachable_regions(now);
-        let candidates = regions.flat_map(|(_, digest)| &digest.candidates);
+        let zones = self.reachable_zones(now);
+        let candidates = zones.flat_map(|(_, digest)| &digest.candidates);
         lowest_hashes(single.chain(candidates).chain([&self.vm]), count)
     }
 
-    /// Iterates over the reachable VMs and regions that come before this VM in the order of regions,
+    /// Iterates over the reachable VMs and zones that come before this VM in the order of zones,
     /// then of names.
     pub(super) fn earlier_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerSnapshot> {
-        let own = (&self.region, &self.vm);
+        let own = (&self.zone, &self.vm);
         let single = self
             .reachable_peers(now)
-            .filter(move |(vm, snapshot)| (&snapshot.region, *vm) < own)
+            .filter(move |(vm, snapshot)| (&snapshot.zone, *vm) < own)
             .map(|(_, snapshot)| snapshot);
-        let regions = self.reachable_regions(now);
-        let regions = regions.filter(|(region, _)| **region < self.region);
-        single.chain(regions.map(|(_, digest)| &digest.sums))
+        let zones = self.reachable_zones(now);
+        let zones = zones.filter(|(zone, _)| **zone < self.zone);
+        single.chain(zones.map(|(_, digest)| &digest.sums))
     }
 
-    /// Iterates over the loads of all reachable VMs and regions.
+    /// Iterates over the loads of all reachable VMs and zones.
     pub(super) fn all_peers(&self, now: Timestamp) -> impl Iterator<Item = &PeerSnapshot> {
         let single = self.reachable_peers(now).map(|(_, snapshot)| snapshot);
-        let regions = self.reachable_regions(now).map(|(_, digest)| &digest.sums);
-        single.chain(regions)
+        let zones = self.reachable_zones(now).map(|(_, digest)| &digest.sums);
+        single.chain(zones)
     }
 
     fn add_loads(&mut self, snapshot: &PeerSnapshot) {
@@ -202,13 +202,13 @@
         }
     }
 
-    /// Removes the peers and regions whose last message is older than [`PEER_LOAD_RETENTION`].
+    /// Removes the peers and zones whose last message is older than [`PEER_LOAD_RETENTION`].
     pub(super) fn expire_peers(&mut self, now: Timestamp) {
         let is_old = |snapshot: &PeerSnapshot| snapshot.at + PEER_LOAD_RETENTION <= now;
         let peers = self.peers.extract_if(|_, snapshot| is_old(snapshot));
         let mut expired: Vec<PeerSnapshot> = peers.map(|(_, snapshot)| snapshot).collect();
-        let regions = self.regions.extract_if(|_, digest| is_old(&digest.sums));
-        expired.extend(regions.map(|(_, digest)| digest.sums));
+        let zones = self.zones.extract_if(|_, digest| is_old(&digest.sums));
+        expired.extend(zones.map(|(_, digest)| digest.sums));
         for snapshot in expired {
             self.subtract_loads(&snapshot);
         }
@@ -221,18 +221,15 @@
             .filter(move |(_, snapshot)| snapshot.at + PEER_TIMEOUT > now)
     }
 
-    /// Iterates over the reachable peers in this VM's region.
-    fn regional_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerSnapshot)> {
+    /// Iterates over the reachable peers in this VM's zone.
+    fn zone_peers(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, &PeerSnapshot)> {
         self.reachable_peers(now)
-            .filter(|(_, snapshot)| snapshot.region == self.region)
+            .filter(|(_, snapshot)| snapshot.zone == self.zone)
     }
 
-    /// Iterates over the regions whose last digest is newer than [`PEER_TIMEOUT`].
-    fn reachable_regions(
-        &self,
-        now: Timestamp,
-    ) -> impl Iterator<Item = (&RegionId, &RegionDigest)> {
-        self.regions
+    /// Iterates over the zones whose last digest is newer than [`PEER_TIMEOUT`].
+    fn reachable_zones(&self, now: Timestamp) -> impl Iterator<Item = (&ZoneId, &ZoneDigest)> {
+        self.zones
             .iter()
             .filter(move |(_, digest)| digest.sums.at + PEER_TIMEOUT > now)
     }
--- a/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
@@ -1,4 +1,4 @@
-//! Load of other regions, in digests.
+//! Load of other zones, in digests.
 
 use super::*;
 use crate::gateway::SendCounts;
@@ -11,32 +11,32 @@
     }
 }
 
-/// Builds the snapshot of a VM in a region, with three requests and one extra send.
-fn regional(region: &str, at: Timestamp, loads: &[(&str, PeerLoad)]) -> PeerSnapshot {
+/// Builds the snapshot of a VM in a zone, with three requests and one extra send.
+fn regional(zone: &str, at: Timestamp, loads: &[(&str, PeerLoad)]) -> PeerSnapshot {
     let sends = SendCounts {
         requests: 3,
         extra: 1,
     };
     PeerSnapshot {
-        region: region.into(),
+        zone: zone.into(),
         sends: HashMap::from([("menus".into(), sends)]),
         ..snapshot(at, loads)
     }
 }
 
-/// Returns the fleet of a VM in a region that knows the other VMs of that region.
-fn regional_fleet(region: &str, vms: &[&str], own: &str) -> Fleet {
-    let mut fleet = Fleet::new(own.into(), FleetOptions::default()).region(region.into());
+/// Returns the fleet of a VM in a zone that knows the other VMs of that zone.
+fn regional_fleet(zone: &str, vms: &[&str], own: &str) -> Fleet {
+    let mut fleet = Fleet::new(own.into(), FleetOptions::default()).zone(zone.into());
     for vm in vms.iter().filter(|vm| **vm != own) {
-        let snapshot = regional(region, SECOND, &[("a", load(2))]);
+        let snapshot = regional(zone, SECOND, &[("a", load(2))]);
         fleet.apply_snapshot((*vm).into(), snapshot);
     }
     fleet
 }
 
-fn digest_of(fleet: &Fleet) -> RegionDigest {
-    let own = regional(&fleet.region, SECOND, &[("a", load(1))]);
-    fleet.region_digest(own, SECOND)
+fn digest_of(fleet: &Fleet) -> ZoneDigest {
+    let own = regional(&fleet.zone, SECOND, &[("a", load(1))]);
+    fleet.zone_digest(own, SECOND)
 }
 
 fn total(fleet: &Fleet, target: &str) -> u32 {
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn region_digest_sums_region() {
+fn zone_digest_sums_region() {
     let mut fleet = regional_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
     fleet.apply_snapshot("r-1".into(), regional("r", SECOND, &[("a", load(7))]));
     let digest = digest_of(&fleet);
@@ -70,7 +70,7 @@
     assert_eq!((total(&fleet, "a"), fleet.vm_count(SECOND)), (5, 4));
     fleet.apply_digest("r".into(), digest);
     assert_eq!(total(&fleet, "a"), 5);
-    // Its own region's digest contains what its peers send it.
+    // Its own zone's digest contains what its peers send it.
     fleet.apply_digest("q".into(), digest_of(&fleet));
     assert_eq!(total(&fleet, "a"), 5);
     // Without digests for a while, single snapshots count again.
@@ -89,21 +89,21 @@
 
 #[test]
 fn select_vms_agrees_across_regions() {
-    let regions = [
+    let zones = [
         ("q", ["q-1", "q-2", "q-3", "q-4"]),
         ("r", ["r-1", "r-2", "r-3", "r-4"]),
         ("s", ["s-1", "s-2", "s-3", "s-4"]),
     ];
-    let digests = regions.map(|(region, vms)| {
-        let digest = digest_of(&regional_fleet(region, &vms, vms[0]));
-        (RegionId::from(region), digest)
+    let digests = zones.map(|(zone, vms)| {
+        let digest = digest_of(&regional_fleet(zone, &vms, vms[0]));
+        (ZoneId::from(zone), digest)
     });
     let mut selections = Vec::new();
-    for (region, vms) in regions {
+    for (zone, vms) in zones {
         for own in vms {
-            let mut fleet = regional_fleet(region, &vms, own);
-            for (region, digest) in digests.clone() {
-                fleet.apply_digest(region, digest);
+            let mut fleet = regional_fleet(zone, &vms, own);
+            for (zone, digest) in digests.clone() {
+                fleet.apply_digest(zone, digest);
             }
             assert_eq!(fleet.vm_count(SECOND), 12);
             selections.push(fleet.select_vms(3, SECOND));
@@ -114,35 +114,35 @@
 }
 
 #[test]
-fn select_relays_stays_in_region() {
+fn select_senders_stays_in_region() {
     let mut fleet = regional_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
     for vm in ["r-1", "r-2", "r-3", "r-4", "r-5"] {
         fleet.apply_snapshot(vm.into(), regional("r", SECOND, &[]));
     }
-    let relays = fleet.select_relays(2, SECOND);
+    let relays = fleet.select_senders(2, SECOND);
     assert_eq!(relays.len(), 2);
     assert!(relays.iter().all(|vm| vm.starts_with('q')), "{relays:?}");
-    let alone = fleet.select_relays(2, SECOND * 10);
+    let alone = fleet.select_senders(2, SECOND * 10);
     assert_eq!(alone, ["q-1"], "unreachable VMs are not selected");
 }
 
 #[test]
 fn copy_wait_follows_regions() {
-    // Each VM of a region with the greater name waits for the region with the smaller one, and never
+    // Each VM of a zone with the greater name waits for the zone with the smaller one, and never
     // the other way round.
-    let busy = |region: &str| {
+    let busy = |zone: &str| {
         let load = PeerLoad {
             migration_tokens: 9_000,
             ..PeerLoad::default()
         };
-        RegionDigest {
-            sums: regional(region, SECOND, &[("a", load)]),
+        ZoneDigest {
+            sums: regional(zone, SECOND, &[("a", load)]),
             vm_count: 1,
             candidates: vec![],
         }
     };
     let wait = |own: &str, other: &str| {
-        let mut fleet = fleet(&[("a", "q-a")]).region(own.into());
+        let mut fleet = fleet(&[("a", "q-a")]).zone(own.into());
         fleet.submit(generation("1"), SECOND);
         fleet.record_response_start(&"1".into(), SECOND);
         fleet.apply_digest(other.into(), busy(other));
@@ -155,13 +155,13 @@
 #[test]
 fn shutdown_retry_by_serving_vms() {
     let (grace, elapsed) = (SECOND * 8, SECOND);
-    let peer = |region: &str, since: Option<Timestamp>| PeerSnapshot {
+    let peer = |zone: &str, since: Option<Timestamp>| PeerSnapshot {
         draining_since: since,
-        ..regional(region, SECOND * 10, &[])
+        ..regional(zone, SECOND * 10, &[])
     };
     let now = SECOND * 11;
     let retry = |near: Option<Timestamp>, far: Option<Timestamp>| {
-        let mut fleet = Fleet::new("q-1".into(), FleetOptions::default()).region("q".into());
+        let mut fleet = Fleet::new("q-1".into(), FleetOptions::default()).zone("q".into());
         fleet.apply_snapshot("q-2".into(), peer("q", near));
         fleet.apply_snapshot("r-1".into(), peer("r", far));
         fleet.shutdown_retry(elapsed, grace, now)
--- a/crates/almondcroft-core/src/gateway/fleet/tests/overload.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/overload.rs
@@ -49,9 +49,9 @@
 }
 
 /// Simulates generations on engines that prefill prompts in order; returns how many start in time.
-fn simulate(options: FleetOptions, gap: Duration) -> u32 {
+fn simulate(options: &FleetOptions, gap: Duration) -> u32 {
     let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a"), ("c", "q-a")]);
-    fleet.options = options;
+    fleet.options = *options;
     let mut arrived = BTreeMap::new();
     let mut prefilling: BTreeMap<TargetId, Vec<(RequestId, u32)>> = BTreeMap::new();
     let mut running: Vec<(RequestId, Timestamp)> = Vec::new();
@@ -108,13 +108,13 @@
     };
     let gap = Duration::from_millis(340);
     let (without_reserve, with_reserve) = (
-        simulate(no_reserve, gap),
-        simulate(FleetOptions::default(), gap),
+        simulate(&no_reserve, gap),
+        simulate(&FleetOptions::default(), gap),
     );
     assert!(
         with_reserve * 10 > without_reserve * 12,
         "{with_reserve} against {without_reserve} in time"
     );
     let low_load_gap = Duration::from_millis(600);
-    assert_eq!(simulate(FleetOptions::default(), low_load_gap), 200);
+    assert_eq!(simulate(&FleetOptions::default(), low_load_gap), 200);
 }
--- a/crates/almondcroft-core/src/gateway/fleet/tests/throughput.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/throughput.rs
@@ -38,9 +38,9 @@
 
 /// Simulates long generations and short questions on two fast engines and a slow one; returns the
 /// mean time of a long generation.
-fn simulate(options: FleetOptions) -> Duration {
+fn simulate(options: &FleetOptions) -> Duration {
     let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a"), ("c", "q-a")]);
-    fleet.options = options;
+    fleet.options = *options;
     let token_times = [("a", 9_500), ("b", 7_200), ("c", 7_200)];
     let mut engines: BTreeMap<TargetId, Vec<Running>> = BTreeMap::new();
     let (mut total, mut ended) = (Duration::ZERO, 0_u32);
@@ -101,7 +101,7 @@
         interference_weight: 0.0,
         ..FleetOptions::default()
     };
-    let (before, after) = (simulate(unaware), simulate(FleetOptions::default()));
+    let (before, after) = (simulate(&unaware), simulate(&FleetOptions::default()));
     assert!(
         after.as_secs_f64() < before.as_secs_f64() * 0.92,
         "{after:?} against {before:?}"
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 //! and keeps no state.
 
 use almondcroft_core::gateway::{EntryEvent, GatewayConfig};
-use almondcroft_core::{CustomerId, ModelId, RegionId, Revision, TargetId, Timestamp, ZoneId};
+use almondcroft_core::{CustomerId, ModelId, Revision, TargetId, Timestamp, ZoneId};
 use almondcroft_proto::http1::{Headers, RequestHead, ResponseHead};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -160,8 +160,6 @@
     pub address: SocketAddr,
     /// Its availability zone; empty if it is unknown.
     pub zone: ZoneId,
-    /// Its region; empty if it is unknown.
-    pub region: RegionId,
 }
 
 /// A page of a list, or the changes that a watch returned.
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -109,7 +109,6 @@
     let entry = VmEntry {
         address: from,
         zone: message.zone.clone(),
-        region: message.region.clone(),
     };
     let previous = lock(&gateway.peers).insert(message.vm.clone(), entry);
     if previous.is_none() {
@@ -180,7 +179,6 @@
             .any(|departure| !self.departures.contains(departure));
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
-            .in_zone(gateway.settings.zone.clone())
             .with_config(config_revision);
         let urgent = config_changed || departed;
         let peers = self.peer_addresses(urgent || !digests::in_use(gateway));
@@ -201,7 +199,7 @@
 
     /// Lists the addresses of the peers in a stable order: of all, or of those that no digest reaches.
     fn peer_addresses(&self, all: bool) -> Vec<SocketAddr> {
-        let own = &self.gateway.settings.region;
+        let own = &self.gateway.settings.zone;
         let peers = lock(&self.gateway.peers);
         let peers = peers
             .values()
@@ -226,7 +224,6 @@
     let entry = VmEntry {
         address,
         zone: gateway.settings.zone.clone(),
-        region: gateway.settings.region.clone(),
     };
     let mut registered = false;
     let started_at = clock::now();
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -6,9 +6,9 @@
 pub(super) use query::{Query, Response};
 
 use crate::state::Departure;
-use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, RegionDigest, SendCounts};
+use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
 use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
+use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 /// and does not saturate.
 const MAX_LOAD_NUMBER: u32 = 4_000_000;
 
-/// Maximum number of VMs accepted for one region.
+/// Maximum number of VMs accepted for one zone.
 const MAX_VMS: u32 = 100_000;
 
 /// A datagram from one VM to another.
@@ -25,7 +25,7 @@
     /// Reports the load that a VM puts on the targets.
     #[serde(rename = "news")]
     Snapshot(SnapshotMessage),
-    /// Reports the load that a region's VMs put on the targets.
+    /// Reports the load that a zone's VMs put on the targets.
     #[serde(rename = "digest")]
     Digest(DigestMessage),
     /// Asks for a VM's view of the platform's store.
@@ -53,9 +53,6 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct SnapshotMessage {
     pub(super) vm: VmId,
-    /// Region of the VM; empty if it is unknown.
-    #[serde(default)]
-    pub(super) region: RegionId,
     /// Availability zone of the VM; empty if it is unknown.
     #[serde(default)]
     pub(super) zone: ZoneId,
@@ -102,8 +99,7 @@
         sends.sort_unstable();
         Self {
             vm,
-            region: snapshot.region.clone(),
-            zone: ZoneId::default(),
+            zone: snapshot.zone.clone(),
             draining: snapshot
                 .draining_since
                 .map(|since| age_ms(since, snapshot.at)),
@@ -115,12 +111,6 @@
         }
     }
 
-    /// Sets the availability zone of the VM.
-    pub(super) fn in_zone(mut self, zone: ZoneId) -> Self {
-        self.zone = zone;
-        self
-    }
-
     /// Sets the revision of the VM's configuration.
     pub(super) const fn with_config(mut self, revision: Revision) -> Self {
         self.config = revision;
@@ -173,7 +163,7 @@
         let count = |(service, requests, extra)| (service, SendCounts { requests, extra });
         PeerSnapshot {
             at,
-            region: self.region,
+            zone: self.zone,
             draining_since: self
                 .draining
                 .map(|age| at.saturating_sub(Duration::from_millis(age))),
@@ -183,7 +173,7 @@
     }
 }
 
-/// Reports the summed load of the VMs of one region, for the other regions.
+/// Reports the summed load of the VMs of one availability zone, for the other zones.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct DigestMessage {
     /// The sums, with the name of the VM that made them.
@@ -195,7 +185,7 @@
 }
 
 impl DigestMessage {
-    pub(super) fn new(vm: VmId, digest: &RegionDigest, crashes: Vec<(Fingerprint, u32)>) -> Self {
+    pub(super) fn new(vm: VmId, digest: &ZoneDigest, crashes: Vec<(Fingerprint, u32)>) -> Self {
         Self {
             sums: SnapshotMessage::new(vm, &digest.sums, crashes, Vec::new()),
             vms: u32::try_from(digest.vm_count).unwrap_or(u32::MAX),
@@ -219,8 +209,8 @@
         }
     }
 
-    pub(super) fn into_digest(self, at: Timestamp) -> RegionDigest {
-        RegionDigest {
+    pub(super) fn into_digest(self, at: Timestamp) -> ZoneDigest {
+        ZoneDigest {
             sums: self.sums.into_snapshot(at),
             vm_count: usize::try_from(self.vms.min(MAX_VMS)).unwrap_or_default(),
             candidates: self.candidates,
--- a/crates/almondcroft-gateway/src/gossip/message/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/tests.rs
@@ -15,7 +15,7 @@
         extra: 3,
     };
     PeerSnapshot {
-        region: "q".into(),
+        zone: "q-a".into(),
         draining_since: None,
         at: Timestamp::ZERO,
         loads: loads.collect(),
@@ -51,7 +51,7 @@
 
 #[test]
 fn decode_encoded_digest() {
-    let digest = RegionDigest {
+    let digest = ZoneDigest {
         sums: snapshot(104),
         vm_count: 98,
         candidates: vec!["vm-1".into(), "vm-7".into()],
@@ -66,19 +66,19 @@
 
 #[test]
 fn encode_digest_fits_a_datagram() {
-    let digest = RegionDigest {
+    let digest = ZoneDigest {
         sums: snapshot(740),
-        ..RegionDigest::default()
+        ..ZoneDigest::default()
     };
     let message = DigestMessage::new("vm-1".into(), &digest, vec![]);
     assert!(message.encode(8_192).len() <= 8_192);
 }
 
 #[test]
-fn decode_snapshot_without_region() {
-    // VMs of earlier versions send no region.
+fn decode_snapshot_without_zone() {
+    // VMs of earlier versions send no zone.
     let bytes = br#"{"news":{"vm":"vm-1","loads":[],"sends":[]}}"#;
-    assert_eq!(decode(bytes).unwrap().region, "");
+    assert_eq!(decode(bytes).unwrap().zone, "");
 }
 
 #[test]
--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -1,8 +1,8 @@
 //! Copies of the platform's store between VMs: the configuration and the list of targets.
 //!
 //! Each call to the store is expensive and its responses are the same for all VMs. In a large fleet, a
-//! few VMs of each region, the relays, therefore read a new configuration from the VMs that watch the
-//! store, and the other VMs of the region read it from a relay, over TCP. A VM that starts also reads
+//! few VMs of each availability zone, the relays, therefore read a new configuration from the VMs that watch the
+//! store, and the other VMs of the zone read it from a relay, over TCP. A VM that starts also reads
 //! the list of targets in this way. Each copy carries its age, so it is never taken for newer than
 //! it is; a VM that gets none in time calls the store itself.
 
@@ -24,11 +24,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Minimum number of VMs of a region that the others read from; more than one in case one is
+/// Minimum number of VMs of a zone that the others read from; more than one in case one is
 /// unreachable.
 const MIN_RELAYS: usize = 2;
 
-/// Number of VMs of a region for each relay. When the fleet restarts, all read at once.
+/// Number of VMs of a zone for each relay. When the fleet restarts, all read at once.
 const VMS_PER_RELAY: usize = 12;
 
 /// Number of relays that a VM asks in turn.
@@ -58,6 +58,9 @@
 /// Delay before a peer that has no newer copy yet is asked again.
 const POLL_DELAY: Duration = Duration::from_millis(30);
 
+/// Delay before a peer is asked again while the whole fleet starts.
+const BOOTSTRAP_POLL_DELAY: Duration = Duration::from_millis(200);
+
 /// Timeout for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -120,13 +123,17 @@
 pub(crate) async fn read(gateway: &Gateway, kind: ObjectKind) -> Option<(StoreCopy, Timestamp)> {
     let started_at = clock::now();
     gateway.settings.peers?;
-    let first = gateway.config().is_none();
-    let bootstrap = first && gateway.settings.bootstrap;
+    let bootstrap = gateway.settings.bootstrap && !gateway.has_read(kind);
     wait_for_peers(gateway, bootstrap).await;
-    let limit = match (first, bootstrap) {
-        (_, true) => BOOTSTRAP_COPY_TIME,
-        (true, false) => FIRST_COPY_TIME,
-        (false, false) => COPY_TIME,
+    let (limit, delay) = if bootstrap {
+        (BOOTSTRAP_COPY_TIME, BOOTSTRAP_POLL_DELAY)
+    } else if !gateway.has_read(kind) {
+        (FIRST_COPY_TIME, POLL_DELAY)
+    } else if kind == ObjectKind::Config && gateway.is_config_announced() {
+        (COPY_TIME, POLL_DELAY)
+    } else {
+        // Without a reason to expect one soon, polling would only add load during an outage.
+        (Duration::ZERO, POLL_DELAY)
     };
     loop {
         let sources = sources(gateway, clock::now())?;
@@ -136,11 +143,11 @@
                 return Some((copy, sent_at));
             }
         }
-        if clock::now() + POLL_DELAY > started_at + limit {
+        if clock::now() + delay > started_at + limit {
             log::info!(event = "copy-late", kind = kind.as_str(); "");
             return None;
         }
-        sleep(POLL_DELAY).await;
+        sleep(delay).await;
     }
 }
 
@@ -170,8 +177,8 @@
     if peers.len() < MIN_PEERS {
         return None;
     }
-    let in_region = peers.iter().filter(|(_, entry)| entry.region == own.region);
-    let names: Vec<&VmId> = in_region.map(|(vm, _)| vm).chain([&own.vm]).collect();
+    let in_zone = peers.iter().filter(|(_, entry)| entry.zone == own.zone);
+    let names: Vec<&VmId> = in_zone.map(|(vm, _)| vm).chain([&own.vm]).collect();
     let count = (names.len() / VMS_PER_RELAY).max(MIN_RELAYS);
     let relays = lowest_hashes(names.into_iter(), count);
     let names: Vec<VmId> = if relays.contains(&own.vm) {
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -72,7 +72,7 @@
         registry: Box<dyn Registry>,
     ) -> Arc<Self> {
         let fleet = Fleet::new(settings.vm.clone(), FleetOptions::default());
-        let fleet = fleet.region(settings.region.clone());
+        let fleet = fleet.zone(settings.zone.clone());
         Arc::new(Self {
             dialect,
             registry,
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -41,6 +41,21 @@
         *lock(&self.config_document) = Some(document);
     }
 
+    /// Returns whether a peer announced a newer configuration than the active one.
+    pub(crate) fn is_config_announced(&self) -> bool {
+        let held = self.config().map_or(0, |config| config.revision);
+        held < self.newest_revision()
+    }
+
+    /// Returns whether the objects of a kind were read once.
+    pub(crate) fn has_read(&self, kind: ObjectKind) -> bool {
+        match kind {
+            ObjectKind::Config => self.config().is_some(),
+            ObjectKind::Targets => self.targets_listed.load(Ordering::Relaxed),
+            ObjectKind::Vms => self.are_peers_listed(),
+        }
+    }
+
     /// Returns the newest revision of the configuration that a peer announced.
     pub(crate) fn newest_revision(&self) -> Revision {
         self.newest_revision.load(Ordering::Relaxed)
