--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -82,7 +82,7 @@
         now: Timestamp,
     ) -> Option<Choice> {
         let mut best: Option<(f64, f64, &TargetState, f64)> = None;
-        let token_time = mean_token_time(eligible);
+        let token_time = mean_token_time(eligible.iter().copied()).unwrap_or_default();
         for state in eligible {
             let load = self.estimate_load(state, now);
             let load_cost = match engine {
@@ -118,7 +118,7 @@
             .unwrap_or_default();
         // A target reports only how many requests it has. Peers also report their sizes, so their
         // snapshots take precedence.
-        let external = if self.peers.is_empty() && self.regions.is_empty() {
+        let external = if self.peers.is_empty() && self.zones.is_empty() {
             state.external_requests(now)
         } else {
             0.0
@@ -214,22 +214,30 @@
             };
             return f64::from(demand.need.prompt) * token_cost.as_secs_f64();
         }
+        let options = &self.options;
+        let (zone_cost, region_cost) = if demand.need.tokens() > 0 {
+            (options.engine_zone_cost, options.engine_region_cost)
+        } else {
+            (options.zone_cost, options.region_cost)
+        };
         let cost = if state.entry.region != demand.region {
-            self.options.region_cost
+            region_cost
         } else if state.entry.zone == demand.zone {
             Duration::ZERO
         } else {
-            self.options.zone_cost
+            zone_cost
         };
         cost.as_secs_f64()
     }
 }
 
 /// Returns the mean decode time per token of the targets at which it is known.
-fn mean_token_time(targets: &[&TargetState]) -> Duration {
-    let known = targets.iter().filter_map(|state| state.token_time);
+pub(super) fn mean_token_time<'a>(
+    targets: impl Iterator<Item = &'a TargetState>,
+) -> Option<Duration> {
+    let known = targets.filter_map(|state| state.token_time);
     let (count, sum) = known.fold((0, Duration::ZERO), |(count, sum), time| {
         (count + 1, sum + time)
     });
-    sum.checked_div(count).unwrap_or_default()
+    sum.checked_div(count)
 }
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of requests: finds the route and the customer, or the reason for a refusal.
 
 use super::expected_need;
-use crate::call::{Call, fingerprint};
+use crate::call::{Call, Order, fingerprint};
 use crate::caller::ReceivedRequest;
 use crate::clock;
 use crate::reply::Reply;
@@ -18,9 +18,6 @@
 /// The caller can retry at another VM at once.
 const CONFIG_RETRY: Duration = Duration::from_millis(300);
 
-/// Time after which a caller of a VM that shuts down may retry at another VM.
-const STOPPING_RETRY: Duration = Duration::from_millis(100);
-
 /// Maximum time after which a caller may retry a request that crashes targets.
 const QUARANTINE_RETRY: Duration = Duration::from_secs(10);
 
@@ -28,6 +25,9 @@
 pub(super) struct Rejection {
     pub(super) reply: Reply,
     pub(super) id: Option<SmolStr>,
+    /// Name of the route; `-` if it is unknown.
+    pub(super) class: SmolStr,
+    pub(super) order: Order,
     pub(super) revision: Revision,
 }
 
@@ -37,11 +37,16 @@
     let revision = config.as_ref().map_or(0, |config| config.revision);
     let meta = gateway.dialect.read_call(&received.head);
     let id = meta.as_ref().ok().and_then(|meta| meta.id.clone());
-    let reject = |reply| Rejection {
+    let generation = meta.as_ref().ok().and_then(|meta| meta.generation.as_ref());
+    let order = Order::new(&received.head.uri, &received.body, generation);
+    let reject_as = |class: &str, reply| Rejection {
         reply,
         id: id.clone(),
+        class: class.into(),
+        order,
         revision,
     };
+    let reject = |reply| reject_as("-", reply);
     let meta = meta.map_err(|reason| reject(Reply::rejected(400, reason)))?;
     if meta.id.is_none() {
         return Err(reject(Reply::rejected(400, "no-request-id")));
@@ -49,6 +54,8 @@
     let config = config.ok_or_else(|| reject(Reply::refused("no-config", CONFIG_RETRY)))?;
     let fresh = gateway.is_fresh(clock::now());
     let route = find_route(&config, &received, fresh).map_err(reject)?;
+    let class = route.name.clone();
+    let reject = |reply| reject_as(&class, reply);
     let customer = find_customer(&config, &route, meta.key.as_deref(), fresh).map_err(reject)?;
     let hash = xxh3_64(meta.id.as_deref().unwrap_or_default().as_bytes());
     let service = route.pick_service(hash).cloned();
@@ -71,13 +78,18 @@
         customer,
         received_at: received.received_at,
         fingerprint,
+        order,
         _body_guard: received.body_guard,
     };
     if let Some(elapsed) = gateway.lifecycle.draining_for(clock::now()) {
         let max_output = call.meta.generation.as_ref().map_or(0, |g| g.max_output);
         let grace = gateway.bounds().grace();
-        if !admits_during_shutdown(expected_need(&call), max_output, elapsed, grace) {
-            return Err(reject(Reply::refused("stopping", STOPPING_RETRY)));
+        let need = expected_need(&call);
+        let fleet = lock(&gateway.fleet);
+        let token_time = fleet.token_time(&call.service);
+        if !admits_during_shutdown(need, max_output, token_time, elapsed, grace) {
+            let retry_after = fleet.shutdown_retry(elapsed, grace, clock::now());
+            return Err(reject(Reply::refused("stopping", retry_after)));
         }
     }
     Ok(call)
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -108,7 +108,7 @@
     }
     let entry = VmEntry {
         address: from,
-        region: message.region.clone(),
+        zone: message.zone.clone(),
     };
     let previous = lock(&gateway.peers).insert(message.vm.clone(), entry);
     if previous.is_none() {
@@ -199,7 +199,7 @@
 
     /// Lists the addresses of the peers in a stable order: of all, or of those that no digest reaches.
     fn peer_addresses(&self, all: bool) -> Vec<SocketAddr> {
-        let own = &self.gateway.settings.region;
+        let own = &self.gateway.settings.zone;
         let peers = lock(&self.gateway.peers);
         let peers = peers
             .values()
@@ -223,7 +223,7 @@
     let own = gateway.settings.vm.clone();
     let entry = VmEntry {
         address,
-        region: gateway.settings.region.clone(),
+        zone: gateway.settings.zone.clone(),
     };
     let mut registered = false;
     let started_at = clock::now();
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -6,16 +6,17 @@
 pub(super) use query::{Query, Response};
 
 use crate::state::Departure;
-use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, RegionDigest, SendCounts};
+use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
 use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, VmId};
+use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Maximum load number accepted from one VM for one target; the sum over a thousand VMs is exact
 /// and does not saturate.
 const MAX_LOAD_NUMBER: u32 = 4_000_000;
 
-/// Maximum number of VMs accepted for one region.
+/// Maximum number of VMs accepted for one zone.
 const MAX_VMS: u32 = 100_000;
 
 /// A datagram from one VM to another.
@@ -24,7 +25,7 @@
     /// Reports the load that a VM puts on the targets.
     #[serde(rename = "news")]
     Snapshot(SnapshotMessage),
-    /// Reports the load that a region's VMs put on the targets.
+    /// Reports the load that a zone's VMs put on the targets.
     #[serde(rename = "digest")]
     Digest(DigestMessage),
     /// Asks for a VM's view of the platform's store.
@@ -52,9 +53,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct SnapshotMessage {
     pub(super) vm: VmId,
-    /// Region of the VM; empty if it is unknown.
+    /// Availability zone of the VM; empty if it is unknown.
     #[serde(default)]
-    pub(super) region: RegionId,
+    pub(super) zone: ZoneId,
+    /// Time since the VM began to shut down, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    draining: Option<AgeMs>,
     loads: Vec<(TargetId, [u32; 5])>,
     sends: Vec<(ServiceId, u32, u32)>,
     /// Revision of the VM's configuration.
@@ -95,7 +99,10 @@
         sends.sort_unstable();
         Self {
             vm,
-            region: snapshot.region.clone(),
+            zone: snapshot.zone.clone(),
+            draining: snapshot
+                .draining_since
+                .map(|since| age_ms(since, snapshot.at)),
             loads,
             sends,
             config: 0,
@@ -156,26 +163,29 @@
         let count = |(service, requests, extra)| (service, SendCounts { requests, extra });
         PeerSnapshot {
             at,
-            region: self.region,
+            zone: self.zone,
+            draining_since: self
+                .draining
+                .map(|age| at.saturating_sub(Duration::from_millis(age))),
             loads: loads.map(load).collect(),
             sends: sends.map(count).collect(),
         }
     }
 }
 
-/// Reports the summed load of the VMs of one region, for the other regions.
+/// Reports the summed load of the VMs of one availability zone, for the other zones.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct DigestMessage {
     /// The sums, with the name of the VM that made them.
     pub(super) sums: SnapshotMessage,
     vms: u32,
     candidates: Vec<VmId>,
-    /// Whether a VM of the receiver's region passed it on.
+    /// Whether a VM of the receiver's zone passed it on.
     pub(super) forwarded: bool,
 }
 
 impl DigestMessage {
-    pub(super) fn new(vm: VmId, digest: &RegionDigest, crashes: Vec<(Fingerprint, u32)>) -> Self {
+    pub(super) fn new(vm: VmId, digest: &ZoneDigest, crashes: Vec<(Fingerprint, u32)>) -> Self {
         Self {
             sums: SnapshotMessage::new(vm, &digest.sums, crashes, Vec::new()),
             vms: u32::try_from(digest.vm_count).unwrap_or(u32::MAX),
@@ -199,8 +209,8 @@
         }
     }
 
-    pub(super) fn into_digest(self, at: Timestamp) -> RegionDigest {
-        RegionDigest {
+    pub(super) fn into_digest(self, at: Timestamp) -> ZoneDigest {
+        ZoneDigest {
             sums: self.sums.into_snapshot(at),
             vm_count: usize::try_from(self.vms.min(MAX_VMS)).unwrap_or_default(),
             candidates: self.candidates,
