--- a/crates/almondcroft-core/src/gateway/fleet/migration.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/migration.rs
@@ -97,10 +97,10 @@
     /// zero if it may begin now. After the wait, the caller asks again.
     ///
     /// Copies queue on the target's link, which can copy only a part of a full engine within the notice.
-    /// So VMs copy in the order of their zones and names, each its own generations by remaining output, the
-    /// longest first, and a copy begins when few others are ahead of it: the link is always busy, and a
-    /// copy that would not be complete in time delays no other. VMs need no coordination, because each
-    /// learns from gossip how many tokens its peers have yet to copy.
+    /// So VMs copy in the order of their zones and names, each its own generations by remaining output,
+    /// the longest first, and a copy begins when few others are ahead of it: the link is always busy,
+    /// and a copy that would not be complete in time delays no other. VMs need no coordination, because
+    /// each learns from gossip how many tokens its peers have yet to copy.
     ///
     /// A generation that is expected to end soon is delayed by a fixed time that the notice allows for,
     /// so that it can end in place.
--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -1,10 +1,10 @@
 //! Copies of the platform's store between VMs: the configuration and the list of targets.
 //!
 //! Each call to the store is expensive and its responses are the same for all VMs. In a large fleet, a
-//! few VMs of each availability zone, the relays, therefore read a new configuration from the VMs that watch the
-//! store, and the other VMs of the zone read it from a relay, over TCP. A VM that starts also reads
-//! the list of targets in this way. Each copy carries its age, so it is never taken for newer than
-//! it is; a VM that gets none in time calls the store itself.
+//! few VMs of each availability zone, the copy sources, therefore read a new configuration from the VMs
+//! that watch the store, and the other VMs of the zone read it from a copy source, over TCP. A VM that
+//! starts also reads the list of targets in this way. Each copy carries its age, so it is never taken
+//! for newer than it is; a VM that gets none in time calls the store itself.
 
 mod message;
 
@@ -26,13 +26,13 @@
 
 /// Minimum number of VMs of a zone that the others read from; more than one in case one is
 /// unreachable.
-const MIN_RELAYS: usize = 2;
+const MIN_SOURCES: usize = 2;
 
-/// Number of VMs of a zone for each relay. When the fleet restarts, all read at once.
-const VMS_PER_RELAY: usize = 12;
+/// Number of VMs of a zone for each copy source. When the fleet restarts, all read at once.
+const VMS_PER_SOURCE: usize = 12;
 
-/// Number of relays that a VM asks in turn.
-const SOURCES: usize = 2;
+/// Number of copy sources that a VM asks in turn.
+const TRIED_SOURCES: usize = 2;
 
 /// Minimum number of peers with which copies are used; a smaller fleet calls the store.
 const MIN_PEERS: usize = 17;
@@ -43,7 +43,8 @@
 /// Time within which the first copy must arrive at a VM that starts, whose callers may be waiting.
 const FIRST_COPY_TIME: Duration = Duration::from_millis(150);
 
-/// Time within which a copy must arrive while the whole fleet starts and the relays read the store.
+/// Time within which a copy must arrive while the whole fleet starts and the copy sources read the
+/// store.
 const BOOTSTRAP_COPY_TIME: Duration = Duration::from_secs(3);
 
 /// Time for the VMs of a fleet that starts to learn of each other.
@@ -92,7 +93,7 @@
                 crate::caller::serve_pages(connection, move |path| page(&shared, path))
             }));
         }
-        // Peers read from another relay or from the store.
+        // Peers read from another VM or from the store.
         Err(error) => {
             log::warn!(event = "copies-unavailable", address:% = address, error:% = error; "");
         }
@@ -122,7 +123,9 @@
 /// requested; `None` if the VM has to call the store itself.
 pub(crate) async fn read(gateway: &Gateway, kind: ObjectKind) -> Option<(StoreCopy, Timestamp)> {
     let started_at = clock::now();
-    gateway.settings.peers?;
+    if gateway.settings.peers.is_none() {
+        return None;
+    }
     let bootstrap = gateway.settings.bootstrap && !gateway.has_read(kind);
     wait_for_peers(gateway, bootstrap).await;
     let (limit, delay) = if bootstrap {
@@ -179,16 +182,16 @@
     }
     let in_zone = peers.iter().filter(|(_, entry)| entry.zone == own.zone);
     let names: Vec<&VmId> = in_zone.map(|(vm, _)| vm).chain([&own.vm]).collect();
-    let count = (names.len() / VMS_PER_RELAY).max(MIN_RELAYS);
-    let relays = lowest_hashes(names.into_iter(), count);
-    let names: Vec<VmId> = if relays.contains(&own.vm) {
+    let count = (names.len() / VMS_PER_SOURCE).max(MIN_SOURCES);
+    let sources = lowest_hashes(names.into_iter(), count);
+    let names: Vec<VmId> = if sources.contains(&own.vm) {
         queried?
     } else {
-        relays
+        sources
     };
     let addresses = names.iter().filter_map(|vm| peers.get(vm));
     let addresses = addresses.map(|entry| entry.address);
-    Some(addresses.choose_multiple(&mut rand::rng(), SOURCES))
+    Some(addresses.choose_multiple(&mut rand::rng(), TRIED_SOURCES))
 }
 
 /// A copy that a peer sent, with its age at that time.
--- a/crates/almondcroft-gateway/src/peer_view/message.rs
+++ b/crates/almondcroft-gateway/src/peer_view/message.rs
@@ -11,7 +11,7 @@
 
 /// The configuration of a VM.
 ///
-/// It is encoded as a line of JSON, followed by the store's response as it is: a relay sends the same
+/// It is encoded as a line of JSON, followed by the store's response as it is: a copy source sends the same
 /// response to many VMs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct ConfigView {
