--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -123,9 +123,7 @@
 /// requested; `None` if the VM has to call the store itself.
 pub(crate) async fn read(gateway: &Gateway, kind: ObjectKind) -> Option<(StoreCopy, Timestamp)> {
     let started_at = clock::now();
-    if gateway.settings.peers.is_none() {
-        return None;
-    }
+    gateway.settings.peers?;
     let bootstrap = gateway.settings.bootstrap && !gateway.has_read(kind);
     wait_for_peers(gateway, bootstrap).await;
     let (limit, delay) = if bootstrap {
