fix(gossip): a zone shuts down only if all of its VMs do

Cause: the digest of a zone carried the shutdown of the VM that sent it, so callers that another zone's VM refused during a shutdown could be told to return late although the zone served. Change: the digest says since when all VMs shut down, or nothing. zone_digest_serves_while_one_vm_drains failed before. No measurement: it needs a fleet of 18 VMs in which the two senders and the refusing VM's whole zone shut down at once.

--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -49,7 +49,8 @@
     pub at: Timestamp,
     /// Availability zone of the VM; empty if it is unknown.
     pub zone: ZoneId,
-    /// Time at which the VM began to shut down; `None` if it serves callers.
+    /// Time at which the VM, or the first VM of a zone, began to shut down; `None` if it, or any VM of
+    /// the zone, serves callers.
     pub draining_since: Option<Timestamp>,
     /// Load by target.
     pub loads: HashMap<TargetId, PeerLoad>,
--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -85,6 +85,9 @@
         let mut vm_count = 1;
         for (_, snapshot) in self.zone_peers(now) {
             vm_count += 1;
+            // A zone shuts down if all of its VMs do.
+            let since = sums.draining_since.zip(snapshot.draining_since);
+            sums.draining_since = since.map(|(a, b)| a.min(b));
             for (target, load) in &snapshot.loads {
                 let total = sums.loads.entry(target.clone()).or_default();
                 *total = total.add(*load);
--- a/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
@@ -12,7 +12,7 @@
 }
 
 /// Builds the snapshot of a VM in a zone, with three requests and one extra send.
-fn regional(zone: &str, at: Timestamp, loads: &[(&str, PeerLoad)]) -> PeerSnapshot {
+fn in_zone(zone: &str, at: Timestamp, loads: &[(&str, PeerLoad)]) -> PeerSnapshot {
     let sends = SendCounts {
         requests: 3,
         extra: 1,
@@ -25,17 +25,17 @@
 }
 
 /// Returns the fleet of a VM in a zone that knows the other VMs of that zone.
-fn regional_fleet(zone: &str, vms: &[&str], own: &str) -> Fleet {
+fn zone_fleet(zone: &str, vms: &[&str], own: &str) -> Fleet {
     let mut fleet = Fleet::new(own.into(), FleetOptions::default()).zone(zone.into());
     for vm in vms.iter().filter(|vm| **vm != own) {
-        let snapshot = regional(zone, SECOND, &[("a", load(2))]);
+        let snapshot = in_zone(zone, SECOND, &[("a", load(2))]);
         fleet.apply_snapshot((*vm).into(), snapshot);
     }
     fleet
 }
 
 fn digest_of(fleet: &Fleet) -> ZoneDigest {
-    let own = regional(&fleet.zone, SECOND, &[("a", load(1))]);
+    let own = in_zone(&fleet.zone, SECOND, &[("a", load(1))]);
     fleet.zone_digest(own, SECOND)
 }
 
@@ -44,9 +44,9 @@
 }
 
 #[test]
-fn zone_digest_sums_region() {
-    let mut fleet = regional_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
-    fleet.apply_snapshot("r-1".into(), regional("r", SECOND, &[("a", load(7))]));
+fn zone_digest_sums_zone() {
+    let mut fleet = zone_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
+    fleet.apply_snapshot("r-1".into(), in_zone("r", SECOND, &[("a", load(7))]));
     let digest = digest_of(&fleet);
     assert_eq!(digest.vm_count, 3);
     assert_eq!(digest.sums.loads["a"].count, 5);
@@ -54,13 +54,28 @@
     assert_eq!(digest.candidates.len(), 3);
 }
 
+#[test]
+fn zone_digest_serves_while_one_vm_drains() {
+    // The VM that sends the digest may shut down while the others of its zone serve callers.
+    let sender = zone_fleet("r", &["r-1", "r-2"], "r-1");
+    let own = PeerSnapshot {
+        draining_since: Some(SECOND),
+        ..in_zone("r", SECOND, &[])
+    };
+    let digest = sender.zone_digest(own.clone(), SECOND);
+    assert_eq!(digest.sums.draining_since, None);
+    let alone = zone_fleet("r", &["r-1"], "r-1");
+    let digest = alone.zone_digest(own, SECOND);
+    assert_eq!(digest.sums.draining_since, Some(SECOND));
+}
+
 #[test]
 fn apply_digest_counts_each_vm_once() {
-    let mut fleet = regional_fleet("q", &["q-1", "q-2"], "q-1");
-    let direct = regional("r", SECOND, &[("a", load(4)), ("b", load(1))]);
+    let mut fleet = zone_fleet("q", &["q-1", "q-2"], "q-1");
+    let direct = in_zone("r", SECOND, &[("a", load(4)), ("b", load(1))]);
     fleet.apply_snapshot("r-1".into(), direct.clone());
     assert_eq!((total(&fleet, "a"), total(&fleet, "b")), (6, 1));
-    let digest = digest_of(&regional_fleet("r", &["r-1", "r-2"], "r-1"));
+    let digest = digest_of(&zone_fleet("r", &["r-1", "r-2"], "r-1"));
     fleet.apply_digest("r".into(), digest.clone());
     assert_eq!((total(&fleet, "a"), total(&fleet, "b")), (5, 0));
     assert_eq!(fleet.vm_count(SECOND), 4);
@@ -88,20 +103,20 @@
 }
 
 #[test]
-fn select_vms_agrees_across_regions() {
+fn select_vms_agrees_across_zones() {
     let zones = [
         ("q", ["q-1", "q-2", "q-3", "q-4"]),
         ("r", ["r-1", "r-2", "r-3", "r-4"]),
         ("s", ["s-1", "s-2", "s-3", "s-4"]),
     ];
     let digests = zones.map(|(zone, vms)| {
-        let digest = digest_of(&regional_fleet(zone, &vms, vms[0]));
+        let digest = digest_of(&zone_fleet(zone, &vms, vms[0]));
         (ZoneId::from(zone), digest)
     });
     let mut selections = Vec::new();
     for (zone, vms) in zones {
         for own in vms {
-            let mut fleet = regional_fleet(zone, &vms, own);
+            let mut fleet = zone_fleet(zone, &vms, own);
             for (zone, digest) in digests.clone() {
                 fleet.apply_digest(zone, digest);
             }
@@ -114,10 +129,10 @@
 }
 
 #[test]
-fn select_senders_stays_in_region() {
-    let mut fleet = regional_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
+fn select_senders_stays_in_zone() {
+    let mut fleet = zone_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
     for vm in ["r-1", "r-2", "r-3", "r-4", "r-5"] {
-        fleet.apply_snapshot(vm.into(), regional("r", SECOND, &[]));
+        fleet.apply_snapshot(vm.into(), in_zone("r", SECOND, &[]));
     }
     let relays = fleet.select_senders(2, SECOND);
     assert_eq!(relays.len(), 2);
@@ -127,7 +142,7 @@
 }
 
 #[test]
-fn copy_wait_follows_regions() {
+fn copy_wait_follows_zones() {
     // Each VM of a zone with the greater name waits for the zone with the smaller one, and never
     // the other way round.
     let busy = |zone: &str| {
@@ -136,7 +151,7 @@
             ..PeerLoad::default()
         };
         ZoneDigest {
-            sums: regional(zone, SECOND, &[("a", load)]),
+            sums: in_zone(zone, SECOND, &[("a", load)]),
             vm_count: 1,
             candidates: vec![],
         }
@@ -157,7 +172,7 @@
     let (grace, elapsed) = (SECOND * 8, SECOND);
     let peer = |zone: &str, since: Option<Timestamp>| PeerSnapshot {
         draining_since: since,
-        ..regional(zone, SECOND * 10, &[])
+        ..in_zone(zone, SECOND * 10, &[])
     };
     let now = SECOND * 11;
     let retry = |near: Option<Timestamp>, far: Option<Timestamp>| {
