--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -97,17 +97,16 @@
                 *total = total.add(*counts);
             }
         }
-        let names = self.zone_peers(now).map(|(vm, _)| vm);
         ZoneDigest {
             sums,
             vm_count,
-            candidates: lowest_hashes(names.chain([&self.vm]), CANDIDATES),
+            candidates: self.select_in_zone(CANDIDATES, now),
         }
     }
 
-    /// Returns the `count` VMs of this VM's zone that send its digest to the other zones.
+    /// Returns the `count` VMs with the lowest hashes among those of this VM's zone.
     #[must_use]
-    pub fn select_senders(&self, count: usize, now: Timestamp) -> Vec<VmId> {
+    pub fn select_in_zone(&self, count: usize, now: Timestamp) -> Vec<VmId> {
         let names = self.zone_peers(now).map(|(vm, _)| vm);
         lowest_hashes(names.chain([&self.vm]), count)
     }
@@ -115,10 +114,8 @@
     /// Sums up the requests and extra sends of the reachable peers.
     #[must_use]
     pub fn peer_sends(&self, service: &str, now: Timestamp) -> SendCounts {
-        let single = self.reachable_peers(now).map(|(_, snapshot)| snapshot);
-        let zones = self.reachable_zones(now).map(|(_, digest)| &digest.sums);
-        let counts = single
-            .chain(zones)
+        let counts = self
+            .all_peers(now)
             .map(|snapshot| snapshot.sends.get(service).copied().unwrap_or_default());
         counts.fold(SendCounts::default(), SendCounts::add)
     }
--- a/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/digest.rs
@@ -129,15 +129,15 @@
 }
 
 #[test]
-fn select_senders_stays_in_zone() {
+fn select_in_zone_ignores_others() {
     let mut fleet = zone_fleet("q", &["q-1", "q-2", "q-3"], "q-1");
     for vm in ["r-1", "r-2", "r-3", "r-4", "r-5"] {
         fleet.apply_snapshot(vm.into(), in_zone("r", SECOND, &[]));
     }
-    let relays = fleet.select_senders(2, SECOND);
+    let relays = fleet.select_in_zone(2, SECOND);
     assert_eq!(relays.len(), 2);
     assert!(relays.iter().all(|vm| vm.starts_with('q')), "{relays:?}");
-    let alone = fleet.select_senders(2, SECOND * 10);
+    let alone = fleet.select_in_zone(2, SECOND * 10);
     assert_eq!(alone, ["q-1"], "unreachable VMs are not selected");
 }
 
--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -15,7 +15,8 @@
 /// Time per output token that is assumed while none is known.
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(14);
 
-/// Decode time per token on a busy engine, as a multiple of the time on an engine that does little else.
+/// Decode time per token on a busy engine, as a multiple of the time on an engine that does little
+/// else.
 const BUSY_FACTOR: f64 = 1.3;
 
 /// Returns whether a VM that shuts down can still complete a request.
@@ -23,8 +24,8 @@
 /// Requests still arrive until the load balancer notices the shutdown, and later if most VMs of a zone
 /// shut down at once. A generation that outlasts the grace period would be cut off, so it is refused
 /// while it can still run elsewhere. The estimate uses its expected length until the load balancer has
-/// switched to other VMs, and its maximum length (`max_output`, in tokens) afterwards. `token_time` is the
-/// decode time per token on an engine that does little else, if it is known.
+/// switched to other VMs, and its maximum length (`max_output`, in tokens) afterwards.
+/// `token_time` is the decode time per token on an engine that does little else, if it is known.
 ///
 /// ```
 /// use almondcroft_core::gateway::{Need, admits_during_shutdown};
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -90,7 +90,8 @@
             let id = rejection.id.clone();
             log::info!(event = "rejected", request = id.as_deref().unwrap_or("-"),
                 class = rejection.class.as_str(), order = rejection.order.id().as_str(),
-                prompt = rejection.order.prompt, output = rejection.order.output, status = rejection.reply.status, reason = rejection.reply.kind,
+                prompt = rejection.order.prompt, output = rejection.order.output,
+                status = rejection.reply.status, reason = rejection.reply.kind,
                 revision = rejection.revision,
                 config_age_ms = gateway.config_age(clock::now()).map_or(-1, millis); "");
             gateway.metrics.count_outcome(rejection.reply.kind);
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -114,11 +114,7 @@
     if previous.is_none() {
         log::info!(event = "vm-heard", vm = message.vm.as_str(), address:% = from; "");
     }
-    let mut quarantine = lock(&gateway.quarantine);
-    for (fingerprint, count) in &message.crashes {
-        quarantine.merge(*fingerprint, *count, now);
-    }
-    drop(quarantine);
+    merge_crashes(gateway, &message, now);
     for departure in &message.departures {
         gateway.apply_departure(departure, &message.vm);
     }
@@ -127,6 +123,14 @@
     lock(&gateway.fleet).apply_snapshot(vm, message.into_snapshot(now));
 }
 
+/// Records the requests that crashed targets of a peer or of a zone.
+fn merge_crashes(gateway: &Gateway, message: &SnapshotMessage, now: Timestamp) {
+    let mut quarantine = lock(&gateway.quarantine);
+    for (fingerprint, count) in &message.crashes {
+        quarantine.merge(*fingerprint, *count, now);
+    }
+}
+
 async fn send_snapshots(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
     let mut sender = SnapshotSender {
         gateway,
@@ -181,7 +185,7 @@
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
             .with_config(config_revision);
         let urgent = config_changed || departed;
-        let peers = self.peer_addresses(urgent || !digests::in_use(gateway));
+        let peers = self.peer_addresses(urgent || !gateway.is_large_fleet());
         let indices = if urgent {
             (0..peers.len()).collect()
         } else if changed || crashes != self.crashes {
--- a/crates/almondcroft-gateway/src/gossip/digests.rs
+++ b/crates/almondcroft-gateway/src/gossip/digests.rs
@@ -6,7 +6,7 @@
 //! VM passes them on within its zone.
 
 use super::message::{Datagram, DigestMessage};
-use super::{MAX_DATAGRAM_BYTES, send};
+use super::{MAX_DATAGRAM_BYTES, merge_crashes, send};
 use crate::adapter::VmEntry;
 use crate::clock;
 use crate::runtime::sleep;
@@ -25,14 +25,6 @@
 /// Number of VMs that send the digests of a zone; more than one in case one is unreachable.
 const SENDERS: usize = 2;
 
-/// Minimum number of peers with which digests are used; with fewer, single snapshots are smaller.
-const MIN_PEERS: usize = 17;
-
-/// Returns whether the load is sent to other zones in digests only.
-pub(super) fn in_use(gateway: &Gateway) -> bool {
-    lock(&gateway.peers).len() >= MIN_PEERS
-}
-
 /// Returns whether a VM is in another zone, so that digests reach it.
 pub(super) fn is_elsewhere(entry: &VmEntry, own: &ZoneId) -> bool {
     !entry.zone.is_empty() && entry.zone != *own
@@ -44,8 +36,8 @@
     loop {
         sleep(DIGEST_INTERVAL).await;
         let now = clock::now();
-        let selected = lock(&gateway.fleet).select_senders(SENDERS, now);
-        if !in_use(&gateway) || !selected.contains(&own) {
+        let selected = lock(&gateway.fleet).select_in_zone(SENDERS, now);
+        if !gateway.is_large_fleet() || !selected.contains(&own) {
             continue;
         }
         let local = gateway.local_snapshot(now);
@@ -98,11 +90,7 @@
         }
     }
     let now = clock::now();
-    let mut quarantine = lock(&gateway.quarantine);
-    for (fingerprint, count) in &message.sums.crashes {
-        quarantine.merge(*fingerprint, *count, now);
-    }
-    drop(quarantine);
+    merge_crashes(gateway, &message.sums, now);
     let zone = message.sums.zone.clone();
     lock(&gateway.fleet).apply_digest(zone, message.into_digest(now));
 }
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -44,6 +44,21 @@
     pub(super) fn encode(&self) -> Vec<u8> {
         serde_json::to_vec(self).expect("a datagram serializes")
     }
+
+    /// Encodes the datagram; leaves out targets until it fits into `max_bytes`.
+    fn encode_within(mut self, max_bytes: usize) -> Vec<u8> {
+        loop {
+            let bytes = self.encode();
+            let left_out = match &mut self {
+                Self::Snapshot(message) => message.leave_out_targets(),
+                Self::Digest(message) => message.sums.leave_out_targets(),
+                Self::Query(_) | Self::Response(_) => false,
+            };
+            if bytes.len() <= max_bytes || !left_out {
+                return bytes;
+            }
+        }
+    }
 }
 
 /// Reports the load that one VM puts on each target, and what else the VM shares with its peers.
@@ -118,18 +133,8 @@
     }
 
     /// Encodes the message; leaves out targets until it fits into `max_bytes`.
-    pub(super) fn encode(mut self, max_bytes: usize) -> Vec<u8> {
-        loop {
-            let datagram = Datagram::Snapshot(self);
-            let bytes = datagram.encode();
-            let Datagram::Snapshot(mut message) = datagram else {
-                return bytes;
-            };
-            if bytes.len() <= max_bytes || !message.leave_out_targets() {
-                return bytes;
-            }
-            self = message;
-        }
+    pub(super) fn encode(self, max_bytes: usize) -> Vec<u8> {
+        Datagram::Snapshot(self).encode_within(max_bytes)
     }
 
     /// Leaves out half of the targets; returns whether there were any.
@@ -195,18 +200,8 @@
     }
 
     /// Encodes the message; leaves out targets until it fits into `max_bytes`.
-    pub(super) fn encode(mut self, max_bytes: usize) -> Vec<u8> {
-        loop {
-            let datagram = Datagram::Digest(self);
-            let bytes = datagram.encode();
-            let Datagram::Digest(mut message) = datagram else {
-                return bytes;
-            };
-            if bytes.len() <= max_bytes || !message.sums.leave_out_targets() {
-                return bytes;
-            }
-            self = message;
-        }
+    pub(super) fn encode(self, max_bytes: usize) -> Vec<u8> {
+        Datagram::Digest(self).encode_within(max_bytes)
     }
 
     pub(super) fn into_digest(self, at: Timestamp) -> ZoneDigest {
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -30,8 +30,8 @@
 
     /// Returns the time since the drain started; `None` while the process is not draining.
     pub(crate) fn draining_for(&self, now: Timestamp) -> Option<Duration> {
-        let started_at = *self.drain_started();
-        started_at.map(|started_at| now.saturating_sub(started_at))
+        self.draining_since()
+            .map(|started_at| now.saturating_sub(started_at))
     }
 
     fn drain_started(&self) -> MutexGuard<'_, Option<Timestamp>> {
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -11,7 +11,7 @@
 use crate::pool;
 use crate::runtime::{sleep, spawn, within};
 use crate::state::{Gateway, lock};
-use almondcroft_core::gateway::Choice;
+use almondcroft_core::gateway::{Choice, Fleet};
 use almondcroft_core::{RequestId, Timestamp};
 use async_channel::{Receiver, bounded};
 use smol_str::SmolStr;
@@ -102,7 +102,8 @@
 impl Migration {
     async fn run(&self) -> Option<Migrated> {
         let started_at = clock::now();
-        self.wait_for_copy(started_at).await;
+        self.wait_while(|fleet, now| fleet.copy_wait(&self.request, started_at, now))
+            .await;
         for _ in 0..MAX_ATTEMPTS {
             let now = clock::now();
             if now > started_at + ATTEMPT_WINDOW {
@@ -125,23 +126,10 @@
         None
     }
 
-    /// Waits until the first copy may begin.
-    async fn wait_for_copy(&self, started_at: Timestamp) {
+    /// Asks the fleet how long to wait, and waits, until it says not at all.
+    async fn wait_while(&self, wait: impl Fn(&Fleet, Timestamp) -> Duration) {
         loop {
-            let now = clock::now();
-            let wait = lock(&self.gateway.fleet).copy_wait(&self.request, started_at, now);
-            if wait.is_zero() {
-                return;
-            }
-            sleep(wait).await;
-        }
-    }
-
-    /// Waits until the generation may be stopped.
-    async fn wait_for_stop(&self, started_at: Timestamp) {
-        loop {
-            let now = clock::now();
-            let wait = lock(&self.gateway.fleet).stop_wait(&self.request, started_at, now);
+            let wait = wait(&lock(&self.gateway.fleet), clock::now());
             if wait.is_zero() {
                 return;
             }
@@ -179,7 +167,8 @@
                 Some(_) | None => return MigrationAttempt::Failed,
             }
             let elapsed = clock::now().saturating_sub(copy_started_at);
-            self.wait_for_stop(started_at).await;
+            self.wait_while(|fleet, now| fleet.stop_wait(&self.request, started_at, now))
+                .await;
             let is_last =
                 elapsed < UNQUEUED_COPY_TIME || clock::now() + elapsed > started_at + STOP_DEADLINE;
             if is_last {
--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -34,9 +34,6 @@
 /// Number of copy sources that a VM asks in turn.
 const TRIED_SOURCES: usize = 2;
 
-/// Minimum number of peers with which copies are used; a smaller fleet calls the store.
-const MIN_PEERS: usize = 17;
-
 /// Time within which a copy must arrive; the VM calls the store after it.
 const COPY_TIME: Duration = Duration::from_millis(800);
 
@@ -155,10 +152,7 @@
 /// Waits until the list of VMs was read once and, if the whole fleet starts, until it is large; for a
 /// limited time.
 async fn wait_for_peers(gateway: &Gateway, bootstrap: bool) {
-    let is_known = || {
-        let count = lock(&gateway.peers).len();
-        gateway.are_peers_listed() && (!bootstrap || count >= MIN_PEERS)
-    };
+    let is_known = || gateway.are_peers_listed() && (!bootstrap || gateway.is_large_fleet());
     let time = if bootstrap {
         BOOTSTRAP_DISCOVERY_TIME
     } else {
@@ -173,11 +167,11 @@
 /// Lists the addresses to read from, in the order to try them; `None` if this VM calls the store.
 fn sources(gateway: &Gateway, now: Timestamp) -> Option<Vec<SocketAddr>> {
     let own = &gateway.settings;
-    let queried = gateway.queried_watchers(now);
-    let peers = lock(&gateway.peers);
-    if peers.len() < MIN_PEERS {
+    if !gateway.is_large_fleet() {
         return None;
     }
+    let queried = gateway.queried_watchers(now);
+    let peers = lock(&gateway.peers);
     let in_zone = peers.iter().filter(|(_, entry)| entry.zone == own.zone);
     let names: Vec<&VmId> = in_zone.map(|(vm, _)| vm).chain([&own.vm]).collect();
     let count = (names.len() / VMS_PER_SOURCE).max(MIN_SOURCES);
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -12,8 +12,8 @@
 /// unreachable.
 const WATCHERS: usize = 3;
 
-/// Minimum size of a fleet whose VMs query watchers; in a smaller fleet, the watchers would make as
-/// many calls as all VMs make without them.
+/// Minimum size of a large fleet, whose VMs query watchers, send digests and copy from each other; in a
+/// smaller fleet, the watchers would make as many calls as all VMs make without them.
 const MIN_FLEET: usize = WATCHERS * 6;
 
 /// Fraction of the drain time for which the last response of a watcher stays valid; the rest is for
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns whether the fleet is large, as far as its VMs are known.
+    pub(crate) fn is_large_fleet(&self) -> bool {
+        lock(&self.peers).len() + 1 >= MIN_FLEET
+    }
+
     /// Returns the watchers that this VM queries; `None` if it watches the store itself.
     pub(crate) fn queried_watchers(&self, now: Timestamp) -> Option<Vec<VmId>> {
         let fleet = lock(&self.fleet);
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -1,5 +1,6 @@
 //! Explains the outcome of one request.
 
+use super::line::start_lines;
 use super::{Cause, LogLine};
 use std::collections::BTreeSet;
 
@@ -29,10 +30,7 @@
     let first = request_lines.first()?;
     let (vm, started_at) = (first.vm.as_str(), first.at);
     let ended_at = request_lines.last().map_or(started_at, |line| line.at);
-    let starts: Vec<&LogLine> = lines
-        .iter()
-        .filter(|line| line.event == "started")
-        .collect();
+    let starts = start_lines(lines);
     let restart = find_restart(&starts, &request_lines);
     let cause = find_cause(&request_lines, || restart.is_some());
     let targets: BTreeSet<&str> = request_lines
--- a/crates/almondctl/src/logs/line.rs
+++ b/crates/almondctl/src/logs/line.rs
@@ -1,6 +1,6 @@
 //! Parses log lines.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead};
 
 /// An event logged by a VM.
@@ -99,3 +99,24 @@
     }
     Ok(lines)
 }
+
+/// Groups the lines that mention a request by its id.
+pub(super) fn group_by_request(lines: &[LogLine]) -> HashMap<&str, Vec<&LogLine>> {
+    let mut requests: HashMap<&str, Vec<&LogLine>> = HashMap::new();
+    for line in lines.iter().filter(|line| !line.get("request").is_empty()) {
+        requests.entry(line.get("request")).or_default().push(line);
+    }
+    requests
+}
+
+/// Returns the lines of processes that started.
+pub(super) fn start_lines(lines: &[LogLine]) -> Vec<&LogLine> {
+    let starts = lines.iter().filter(|line| line.event == "started");
+    starts.collect()
+}
+
+/// Returns the last value of a key in some lines, unless all are empty.
+pub(super) fn last_value<'a>(lines: &[&'a LogLine], key: &str) -> Option<&'a str> {
+    let mut values = lines.iter().rev().map(|line| line.get(key));
+    values.find(|value| !value.is_empty())
+}
--- a/crates/almondctl/src/logs/losses.rs
+++ b/crates/almondctl/src/logs/losses.rs
@@ -1,6 +1,7 @@
 //! Attributes lost worth to causes.
 
 use super::explain::{find_cause, find_restart};
+use super::line::{group_by_request, last_value, start_lines};
 use super::{Cause, LogLine};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
@@ -90,13 +91,6 @@
         }
     }
 
-    /// Returns the last value of a key in the lines, or an empty text.
-    fn last_value(&self, key: &str) -> &'a str {
-        let values = self.lines.iter().rev().map(|line| line.get(key));
-        let mut values = values.filter(|value| !value.is_empty());
-        values.next().unwrap_or_default()
-    }
-
     fn first_at(&self) -> f64 {
         self.lines.first().map_or(0.0, |line| line.at)
     }
@@ -106,19 +100,20 @@
     }
 
     fn class(&self) -> String {
-        match self.last_value("class") {
-            "" => "-".to_owned(),
-            class => class.to_owned(),
-        }
+        last_value(&self.lines, "class").unwrap_or("-").to_owned()
     }
 
     /// Returns the size of the generation; 0 for a call to a plain service.
     fn size(&self) -> f64 {
-        let tokens = |key| self.last_value(key).parse().unwrap_or(0.0);
+        let tokens = |key| {
+            let value = last_value(&self.lines, key);
+            value.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+        };
         tokens("prompt") + OUTPUT_TOKEN_WEIGHT * tokens("output")
     }
 
-    fn was_refused(&self) -> bool {
+    /// Returns whether the caller got no answer of use, so that it may try again.
+    fn is_unsuccessful(&self) -> bool {
         !matches!(self.cause, Cause::Answered) && !self.late
     }
 }
@@ -203,13 +198,8 @@
 
 /// Groups the lines by attempt and the attempts by order.
 fn group_orders(lines: &[LogLine]) -> Vec<Order<'_>> {
-    let starts = lines.iter().filter(|line| line.event == "started");
-    let starts: Vec<&LogLine> = starts.collect();
-    let mut requests: HashMap<&str, Vec<&LogLine>> = HashMap::new();
-    for line in lines.iter().filter(|line| !line.get("request").is_empty()) {
-        requests.entry(line.get("request")).or_default().push(line);
-    }
-    let mut attempts: Vec<Attempt> = requests
+    let starts = start_lines(lines);
+    let mut attempts: Vec<Attempt> = group_by_request(lines)
         .into_iter()
         .map(|(request, lines)| Attempt::new(request, lines, &starts))
         .collect();
@@ -217,11 +207,12 @@
     let mut orders: Vec<Order> = Vec::new();
     let mut open: HashMap<String, usize> = HashMap::new();
     for attempt in attempts {
-        let key = attempt.last_value("order").to_owned();
+        let key = last_value(&attempt.lines, "order").unwrap_or_default();
+        let key = key.to_owned();
         let returned = open.get(&key).copied().filter(|index| {
             let before = orders[*index].last();
             let elapsed = attempt.first_at() - before.last_at();
-            !key.is_empty() && before.was_refused() && elapsed < RETURN_WINDOW_S
+            !key.is_empty() && before.is_unsuccessful() && elapsed < RETURN_WINDOW_S
         });
         if let Some(index) = returned {
             orders[index].attempts.push(attempt);
--- a/crates/almondctl/src/logs/summary.rs
+++ b/crates/almondctl/src/logs/summary.rs
@@ -1,9 +1,10 @@
 //! Counts requests by class, status and cause.
 
 use super::explain::{find_cause, find_restart};
+use super::line::{group_by_request, last_value, start_lines};
 use super::{Cause, LogLine};
 use serde::Serialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// The number of requests with the same class, status and cause.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -36,32 +37,20 @@
 /// Counts the requests in the lines of all VMs.
 #[must_use]
 pub fn summarize(lines: &[LogLine]) -> Summary {
-    let mut requests: HashMap<&str, Vec<&LogLine>> = HashMap::new();
-    let mut dropped = 0;
-    let starts: Vec<&LogLine> = lines
-        .iter()
-        .filter(|line| line.event == "started")
-        .collect();
-    for line in lines {
-        match line.event.as_str() {
-            "log-dropped" => dropped += line.get("count").parse().unwrap_or(0),
-            _ if !line.get("request").is_empty() => {
-                requests.entry(line.get("request")).or_default().push(line);
-            }
-            _ => {}
-        }
-    }
+    let starts = start_lines(lines);
+    let requests = group_by_request(lines);
+    let dropped = lines.iter().filter(|line| line.event == "log-dropped");
+    let dropped = dropped.map(|line| line.get("count").parse().unwrap_or(0_u64));
+    let dropped = dropped.sum();
     let mut counts: BTreeMap<(String, String, Cause), (usize, &str)> = BTreeMap::new();
     for (request, request_lines) in &requests {
         let cause = find_cause(request_lines, || {
             find_restart(&starts, request_lines).is_some()
         });
-        let last_value = |key: &str| {
-            let values = request_lines.iter().rev().map(|line| line.get(key));
-            values.into_iter().find(|value| !value.is_empty())
-        };
-        let class = last_value("class").unwrap_or("-").to_owned();
-        let status = last_value("status").unwrap_or("-").to_owned();
+        let class = last_value(request_lines, "class").unwrap_or("-").to_owned();
+        let status = last_value(request_lines, "status")
+            .unwrap_or("-")
+            .to_owned();
         let entry = counts.entry((class, status, cause)).or_insert((0, request));
         entry.0 += 1;
         entry.1 = entry.1.min(request);
