--- a/crates/almondcroft-gateway/src/dispatch/request_log.rs
+++ b/crates/almondcroft-gateway/src/dispatch/request_log.rs
@@ -78,6 +78,15 @@
             events = self.event_count; "");
     }
 
+    /// Logs that a body without length or chunks ended with its connection.
+    ///
+    /// `rest_bytes` is the size of an incomplete event at its end.
+    pub(crate) fn log_close_delimited(&self, rest_bytes: usize) {
+        log::info!(event = "close-delimited", request = self.external_id.as_str(),
+            target_id = self.target.as_deref().unwrap_or("-"), events = self.event_count,
+            rest_bytes = rest_bytes; "");
+    }
+
     /// Records that bytes are sent to the caller.
     pub(crate) fn record_progress(&mut self) {
         let now = clock::now();
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -134,8 +134,15 @@
                     }
                     None
                 }
-                Step::Complete if self.is_migrating() && self.is_close_delimited() => Some("ended"),
-                Step::Complete => return self.finish(writer, request_log).await,
+                Step::Complete => {
+                    if self.is_close_delimited() {
+                        request_log.log_close_delimited(self.splitter.pending().len());
+                    }
+                    if !(self.is_migrating() && self.is_close_delimited()) {
+                        return self.finish(writer, request_log).await;
+                    }
+                    Some("ended")
+                }
                 Step::Broken(error) => Some(error.kind()),
                 Step::Silent => {
                     self.probe_target(request_log).await;
