fix(relay): a stream that ends inside an event has been broken off

Cause: the relay took the end of any body for the end of the generation. A body without length or chunks ends with its connection, and an engine that crashes closes its connections too. The success was also recorded, so the quarantine of a request that crashes engines was reset each time.

Fix: the end of a stream counts only with proof. A stream that ends inside an event, however framed, or an unframed one that carried no event or whose generation is being moved, is broken off: it is resumed from its backup if there is one, the crash is recorded, and the caller's chunked response is left without its end.

--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -80,6 +80,8 @@
     backup: Option<TargetId>,
     exchange: Exchange,
     splitter: EventSplitter,
+    /// Whether the current stream has delivered a whole event.
+    has_events: bool,
     buffer: Vec<u8>,
     last_event: u64,
     leave_notice: Receiver<()>,
@@ -107,6 +109,7 @@
             backup,
             exchange,
             splitter: EventSplitter::default(),
+            has_events: false,
             buffer: Vec::new(),
             last_event: 0,
             leave_notice,
@@ -138,10 +141,11 @@
                     if self.is_close_delimited() {
                         request_log.log_close_delimited(self.splitter.pending().len());
                     }
-                    if !(self.is_migrating() && self.is_close_delimited()) {
+                    let defect = self.end_defect();
+                    if defect.is_none() {
                         return self.finish(writer, request_log).await;
                     }
-                    Some("ended")
+                    defect
                 }
                 Step::Broken(error) => Some(error.kind()),
                 Step::Silent => {
@@ -183,6 +187,24 @@
         }
     }
 
+    /// Returns why the end of the stream is not the end of the generation; `None` if it is.
+    ///
+    /// The end of a connection proves less than a length or a last chunk: an engine that crashes or
+    /// stops a generation closes its connections too.
+    fn end_defect(&self) -> Option<&'static str> {
+        if self.splitter.is_inside_event() {
+            Some("partial-event")
+        } else if !self.is_close_delimited() {
+            None
+        } else if self.is_migrating() {
+            Some("ended")
+        } else if !self.has_events {
+            Some("empty")
+        } else {
+            None
+        }
+    }
+
     /// Moves the generation off a leaving target.
     ///
     /// It is resumed from its backup at once if there is one, and migrated otherwise. The source
@@ -297,6 +319,7 @@
     ) -> bool {
         let mut bytes = Vec::new();
         for event in self.splitter.push(&self.buffer) {
+            self.has_events = true;
             if let Some(id) = event.id {
                 if id <= self.last_event {
                     continue;
@@ -476,6 +499,7 @@
         self.gateway.deliver(placements);
         self.exchange = exchange;
         self.splitter = EventSplitter::default();
+        self.has_events = false;
         self.choice = choice.clone();
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
--- a/crates/almondcroft-proto/src/http1/events.rs
+++ b/crates/almondcroft-proto/src/http1/events.rs
@@ -39,11 +39,21 @@
         events
     }
 
-    /// Returns the buffered bytes of an incomplete event.
+    /// Returns the buffered bytes after the last whole event.
     #[must_use]
     pub fn pending(&self) -> &[u8] {
         &self.pending
     }
+
+    /// Returns whether a stream that ends here ends inside an event.
+    ///
+    /// Blank lines and whole comment lines may follow the last event.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        let ends_inside_line = !self.pending.is_empty() && !self.pending.ends_with(b"\n");
+        let mut lines = self.pending.split(|byte| *byte == b'\n');
+        ends_inside_line || lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
 }
 
 /// Returns the index after the first blank line that starts at or after `from`.
--- a/crates/almondcroft-proto/src/http1/tests.rs
+++ b/crates/almondcroft-proto/src/http1/tests.rs
@@ -73,6 +73,21 @@
     assert_eq!(forwarded.text("x-kept"), Some("2"));
 }
 
+#[test]
+fn is_inside_event_between_events() {
+    let ends = ["", "\n", "\r\n", ": keep-alive\n"];
+    let cut = ["data: b", "data: b\n", ": keep", "\ndata: b\n", "\r"];
+    for (rest, inside) in ends
+        .map(|e| (e, false))
+        .into_iter()
+        .chain(cut.map(|c| (c, true)))
+    {
+        let mut splitter = EventSplitter::default();
+        splitter.push(format!("data: a\n\n{rest}").as_bytes());
+        assert_eq!(splitter.is_inside_event(), inside, "{rest:?}");
+    }
+}
+
 #[test]
 fn push_partial_event() {
     let mut splitter = EventSplitter::default();
@@ -80,6 +95,7 @@
     assert_eq!(events.len(), 1);
     assert_eq!(events[0].id, Some(1));
     assert_eq!(splitter.pending(), b"id: 2\nda");
+    assert!(splitter.is_inside_event());
 }
 
 proptest! {
