--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -123,6 +123,15 @@
         }
     }
 
+    /// Breaks off a started response, so that the caller notices.
+    ///
+    /// A length or chunks show by themselves that something is missing.
+    fn abort(&self) {
+        if self.started && self.framing == Framing::CloseDelimited {
+            self.sender.reset_on_close();
+        }
+    }
+
     /// Sends a reply of the gateway's own.
     pub(crate) async fn send_reply(
         &mut self,
@@ -224,6 +233,9 @@
             None
         };
         let reusable = futures_lite::future::or(handled, disconnected).await;
+        if reusable != Some(true) {
+            writer.abort();
+        }
         if reusable != Some(true) || writer.close {
             return;
         }
--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -90,6 +90,14 @@
         }
         Ok(())
     }
+
+    /// Makes the connection end with a reset instead of an orderly close.
+    pub(crate) fn reset_on_close(&self) {
+        let options = SockRef::from(self.0.get_ref());
+        if let Err(error) = options.set_linger(Some(Duration::ZERO)) {
+            log::warn!(event = "reset-failed", error:% = error; "");
+        }
+    }
 }
 
 /// A connection and the bytes that were read from it and not yet consumed.
