fix(daemon): read responses that end with their connection

The store, peers, load reports and the CLI read through the same function.

ResponseBody reads an unframed body from the transport: complete at an orderly end, an error after a reset. Truncated framed bodies were errors before and are tested now. read_body_unframed failed before. Outbound:: read_body takes the connection and recycles it itself, so its callers no longer repeat that.

--- a/crates/almondcroft-standin/benches/relay.rs
+++ b/crates/almondcroft-standin/benches/relay.rs
@@ -198,8 +198,8 @@
     let outbound = almondcroftd::http::Outbound::new();
     let limit = Duration::from_secs(10);
     let call = outbound.call(trillium::Method::Get, &url, &[], Vec::new(), limit);
-    let mut conn = call.await.unwrap();
-    let bytes = almondcroftd::http::Outbound::read_body(&mut conn, 65_536, limit).await;
+    let conn = call.await.unwrap();
+    let bytes = almondcroftd::http::Outbound::read_body(conn, 65_536, limit).await;
     let status: Value = serde_json::from_slice(&bytes.unwrap()).unwrap();
     status["in_flight"].clone()
 }
--- a/crates/almondcroft-standin/src/demo/caller.rs
+++ b/crates/almondcroft-standin/src/demo/caller.rs
@@ -5,8 +5,7 @@
 use almondcroft_proto::engine::{Chunk, DONE};
 use almondcroft_proto::problem::VERDICT_HEADER;
 use almondcroft_proto::sse::{Decoder, Event};
-use almondcroftd::http::{CallError, Outbound};
-use futures_lite::AsyncReadExt;
+use almondcroftd::http::{CallError, Outbound, ResponseBody};
 use serde_json::json;
 use std::time::{Duration, Instant};
 use trillium::Method;
@@ -153,11 +152,11 @@
             body.as_bytes().to_vec(),
             CALL_TIMEOUT,
         );
-        let Ok(mut conn) = call.await else {
+        let Ok(conn) = call.await else {
             return streamed;
         };
         if conn.status().is_none_or(|status| status as u16 != 200) {
-            let bytes = Outbound::read_body(&mut conn, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await;
+            let bytes = Outbound::read_body(conn, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await;
             let problem = bytes
                 .ok()
                 .and_then(|bytes| serde_json::from_slice(&bytes).ok());
@@ -166,10 +165,11 @@
             }
             return streamed;
         }
+        let mut body = ResponseBody::new(conn);
         let mut decoder = Decoder::new(MAX_RESPONSE_BYTES);
         let mut buffer = vec![0; READ_BUFFER_BYTES];
         loop {
-            let Ok(count) = conn.response_body().read(&mut buffer).await else {
+            let Ok(count) = body.read(&mut buffer).await else {
                 return streamed;
             };
             if count == 0 {
@@ -223,14 +223,14 @@
 async fn read_reply(
     response: Result<trillium_client::Conn, CallError>,
 ) -> Result<Reply, CallError> {
-    let mut conn = response?;
-    let bytes = Outbound::read_body(&mut conn, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await?;
+    let conn = response?;
+    let status = conn.status().map_or(0, |status| status as u16);
+    let verdict = conn.response_headers().get_str(VERDICT_HEADER);
+    let verdict = verdict.map(str::to_owned);
+    let bytes = Outbound::read_body(conn, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await?;
     Ok(Reply {
-        status: conn.status().map_or(0, |status| status as u16),
-        verdict: conn
-            .response_headers()
-            .get_str(VERDICT_HEADER)
-            .map(str::to_owned),
+        status,
+        verdict,
         body: String::from_utf8_lossy(&bytes).into_owned(),
     })
 }
--- a/crates/almondcroft-standin/src/demo/deployment.rs
+++ b/crates/almondcroft-standin/src/demo/deployment.rs
@@ -220,8 +220,8 @@
         let url = format!("{}/admin/state", self.engines[engine].url());
         let outbound = Outbound::new();
         let call = outbound.call(Method::Get, &url, &[], Vec::new(), ADMIN_TIMEOUT);
-        let mut conn = call.await.ok()?;
-        let bytes = Outbound::read_body(&mut conn, MAX_STATE_BYTES, ADMIN_TIMEOUT).await;
+        let conn = call.await.ok()?;
+        let bytes = Outbound::read_body(conn, MAX_STATE_BYTES, ADMIN_TIMEOUT).await;
         let state: serde_json::Value = serde_json::from_slice(&bytes.ok()?).ok()?;
         state["generations"].as_u64()
     }
--- a/crates/almondcroft-standin/src/keyed_calls/deployment.rs
+++ b/crates/almondcroft-standin/src/keyed_calls/deployment.rs
@@ -172,8 +172,8 @@
         let call = self
             .outbound
             .call_fresh(Method::Get, url, &[], Vec::new(), ADMIN_TIMEOUT);
-        let mut conn = call.await.map_err(|error| error.to_string())?;
-        let bytes = Outbound::read_body(&mut conn, MAX_RESPONSE_BYTES, ADMIN_TIMEOUT)
+        let conn = call.await.map_err(|error| error.to_string())?;
+        let bytes = Outbound::read_body(conn, MAX_RESPONSE_BYTES, ADMIN_TIMEOUT)
             .await
             .map_err(|error| error.to_string())?;
         serde_json::from_slice(&bytes).map_err(|error| error.to_string())
--- a/crates/almondcroft-standin/tests/sessions.rs
+++ b/crates/almondcroft-standin/tests/sessions.rs
@@ -27,23 +27,23 @@
     let url = format!("{vm}{path}");
     let outbound = Outbound::new();
     let call = outbound.call_fresh(Method::Post, &url, &all, body.as_bytes().to_vec(), TIMEOUT);
-    let mut conn = call.await.unwrap();
-    let bytes = Outbound::read_body(&mut conn, 1_000_000, TIMEOUT)
-        .await
-        .unwrap();
+    let conn = call.await.unwrap();
+    let status = conn.status().unwrap();
+    let response_headers = conn.response_headers().clone();
+    let bytes = Outbound::read_body(conn, 1_000_000, TIMEOUT).await.unwrap();
     writeln!(transcript, "> POST {path}").unwrap();
     for (name, value) in headers {
         writeln!(transcript, "> {name}: {value}").unwrap();
     }
     writeln!(transcript, "> {body}").unwrap();
-    writeln!(transcript, "< {}", conn.status().unwrap() as u16).unwrap();
+    writeln!(transcript, "< {}", status as u16).unwrap();
     for name in [
         "content-type",
         "almondcroft-verdict",
         "retry-after",
         "x-request-id",
     ] {
-        if let Some(value) = conn.response_headers().get_str(name) {
+        if let Some(value) = response_headers.get_str(name) {
             writeln!(transcript, "< {name}: {value}").unwrap();
         }
     }
--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -272,7 +272,7 @@
         }
         let limit = self.deadline.saturating_sub(app.clock.now());
         let body = self.body.clone();
-        let mut conn = if self.service.idempotent {
+        let conn = if self.service.idempotent {
             app.outbound
                 .call(self.method, &url, &headers, body, limit)
                 .await?
@@ -282,16 +282,11 @@
                 .await?
         };
         let limit = self.deadline.saturating_sub(app.clock.now());
-        let bytes = Outbound::read_body(&mut conn, MAX_RESPONSE_BYTES, limit).await?;
-        let response = PlainResponse {
+        Ok(PlainResponse {
             status: conn.status().map_or(502, |status| status as u16),
             media_type: media_type(&conn),
-            body: bytes,
-        };
-        if self.service.idempotent {
-            conn.recycle().await;
-        }
-        Ok(response)
+            body: Outbound::read_body(conn, MAX_RESPONSE_BYTES, limit).await?,
+        })
     }
 }
 
--- a/crates/almondcroftd/src/http.rs
+++ b/crates/almondcroftd/src/http.rs
@@ -3,9 +3,11 @@
 mod body;
 mod options;
 mod outbound;
+mod response_body;
 mod tls;
 
 pub use body::{BodySender, stream_body};
 pub use options::{client_config, server_options};
 pub use outbound::{CallError, CallErrorKind, Outbound};
+pub use response_body::ResponseBody;
 pub use tls::{TlsError, TlsFiles, client_tls, server_tls};
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -1,9 +1,8 @@
 //! HTTP client for targets, peers and the platform.
 
-use super::client_config;
+use super::{ResponseBody, client_config};
 use crate::runtime::{sleep, within};
 use almondcroft_core::Verdict;
-use futures_lite::AsyncReadExt;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -21,6 +20,9 @@
 /// Time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Size of the read buffer, in bytes.
+const READ_BYTES: usize = 8 * 1024;
+
 /// How a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallErrorKind {
@@ -127,27 +129,33 @@
         into_result(response, verdict)
     }
 
-    /// Reads the whole body of a response, up to `max_bytes`.
+    /// Reads the whole body of a response, up to `max_bytes`, and recycles its connection.
     ///
     /// # Errors
     ///
     /// Returns a [`CallError`] if the body breaks off, does not end in time or is too long.
     pub async fn read_body(
-        conn: &mut Conn,
+        conn: Conn,
         max_bytes: usize,
         limit: Duration,
     ) -> Result<Vec<u8>, CallError> {
+        let mut body = ResponseBody::new(conn);
         let read = async {
             let mut bytes = Vec::new();
-            let reader = conn.response_body();
-            reader
-                .take(max_bytes as u64 + 1)
-                .read_to_end(&mut bytes)
-                .await
-                .map(|_| bytes)
+            let mut buffer = vec![0; READ_BYTES];
+            while bytes.len() <= max_bytes {
+                match body.read(&mut buffer).await? {
+                    0 => break,
+                    count => bytes.extend_from_slice(&buffer[..count]),
+                }
+            }
+            io::Result::Ok(bytes)
         };
         match within(limit, read).await {
-            Some(Ok(bytes)) if bytes.len() <= max_bytes => Ok(bytes),
+            Some(Ok(bytes)) if bytes.len() <= max_bytes => {
+                body.recycle().await;
+                Ok(bytes)
+            }
             Some(_) => Err(may_have_run(CallErrorKind::Broken)),
             None => Err(may_have_run(CallErrorKind::TimedOut)),
         }
@@ -270,3 +278,6 @@
         crate::runtime::spawn(future);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -169,11 +169,10 @@
     let call = app
         .outbound
         .call(Method::Get, url, &[], Vec::new(), LIST_INTERVAL);
-    let Ok(mut conn) = call.await else {
+    let Ok(conn) = call.await else {
         return;
     };
-    let body = crate::http::Outbound::read_body(&mut conn, MAX_LIST_BYTES, LIST_INTERVAL).await;
-    conn.recycle().await;
+    let body = crate::http::Outbound::read_body(conn, MAX_LIST_BYTES, LIST_INTERVAL).await;
     let entries = body
         .ok()
         .and_then(|bytes| serde_json::from_slice::<Vec<VmEntry>>(&bytes).ok());
--- a/crates/almondcroftd/src/peer_client.rs
+++ b/crates/almondcroftd/src/peer_client.rs
@@ -62,14 +62,13 @@
         let call = self
             .outbound
             .call(Method::Post, &url, &headers, body, limit);
-        let mut conn = call.await.map_err(|error| match error.kind {
+        let conn = call.await.map_err(|error| match error.kind {
             crate::http::CallErrorKind::Refused => PeerError::Refused,
             _ => PeerError::NoResponse,
         })?;
-        let bytes = Outbound::read_body(&mut conn, MAX_RESPONSE_BYTES, limit)
+        let bytes = Outbound::read_body(conn, MAX_RESPONSE_BYTES, limit)
             .await
             .map_err(|_| PeerError::NoResponse)?;
-        conn.recycle().await;
         let mut response: Value =
             serde_json::from_slice(&bytes).map_err(|_| PeerError::InvalidResponse)?;
         let result = response
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -611,8 +611,8 @@
             let call = app
                 .outbound
                 .call(Method::Delete, &url, &[], Vec::new(), OPEN_TIMEOUT);
-            if let Ok(mut conn) = call.await {
-                let _ = Outbound::read_body(&mut conn, 1024, OPEN_TIMEOUT).await;
+            if let Ok(conn) = call.await {
+                let _ = Outbound::read_body(conn, 1024, OPEN_TIMEOUT).await;
             }
         });
     }
--- a/crates/almondcroftd/src/relay/source.rs
+++ b/crates/almondcroftd/src/relay/source.rs
@@ -1,7 +1,7 @@
 //! One connection to an engine's stream.
 
+use crate::http::ResponseBody;
 use almondcroft_proto::sse::{Decoder, Event};
-use futures_lite::AsyncReadExt;
 use std::collections::VecDeque;
 use trillium_client::Conn;
 
@@ -24,7 +24,7 @@
 
 /// Reads events from one connection.
 pub(crate) struct Source {
-    conn: Conn,
+    body: ResponseBody,
     decoder: Decoder,
     events: VecDeque<Event>,
     buffer: Box<[u8]>,
@@ -33,7 +33,7 @@
 impl Source {
     pub(crate) fn new(conn: Conn) -> Self {
         Self {
-            conn,
+            body: ResponseBody::new(conn),
             decoder: Decoder::new(MAX_EVENT_BYTES),
             events: VecDeque::new(),
             buffer: vec![0; READ_BYTES].into_boxed_slice(),
@@ -53,7 +53,7 @@
             if let Some(event) = self.events.pop_front() {
                 return Ok(event);
             }
-            let read = self.conn.response_body().read(&mut self.buffer).await;
+            let read = self.body.read(&mut self.buffer).await;
             match read {
                 Ok(0) => return Err(SourceError::Ended),
                 Ok(count) => {
--- a/crates/almondcroftd/src/server/polls.rs
+++ b/crates/almondcroftd/src/server/polls.rs
@@ -106,10 +106,9 @@
     let call = app
         .outbound
         .call(Method::Get, &url, &[], Vec::new(), POLL_TIMEOUT);
-    let mut conn = call.await.map_err(|error| error.kind)?;
-    let bytes = Outbound::read_body(&mut conn, MAX_REPORT_BYTES, POLL_TIMEOUT)
+    let conn = call.await.map_err(|error| error.kind)?;
+    let bytes = Outbound::read_body(conn, MAX_REPORT_BYTES, POLL_TIMEOUT)
         .await
         .map_err(|error| error.kind)?;
-    conn.recycle().await;
     serde_json::from_slice(&bytes).map_err(|_| CallErrorKind::Broken)
 }
--- a/crates/almondcroftd/src/store.rs
+++ b/crates/almondcroftd/src/store.rs
@@ -117,14 +117,13 @@
             let call = self
                 .outbound
                 .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
-            let mut conn = call.await.map_err(store_error)?;
+            let conn = call.await.map_err(store_error)?;
             if status(&conn) != 200 {
                 return Err(StoreError::Refused);
             }
-            let bytes = Outbound::read_body(&mut conn, MAX_LIST_BYTES, STORE_TIMEOUT)
+            let bytes = Outbound::read_body(conn, MAX_LIST_BYTES, STORE_TIMEOUT)
                 .await
                 .map_err(store_error)?;
-            conn.recycle().await;
             let list: KeyList = serde_json::from_slice(&bytes).map_err(|_| StoreError::Refused)?;
             Ok(list.keys)
         })
@@ -159,7 +158,7 @@
 }
 
 async fn read_response(response: Result<Conn, CallError>) -> Result<Option<Stored>, StoreError> {
-    let mut conn = response.map_err(store_error)?;
+    let conn = response.map_err(store_error)?;
     match status(&conn) {
         200 => {}
         204 | 404 => {
@@ -169,9 +168,8 @@
         _ => return Err(StoreError::Refused),
     }
     let version = version(&conn).ok_or(StoreError::Unknown)?;
-    let bytes = Outbound::read_body(&mut conn, MAX_OBJECT_BYTES, STORE_TIMEOUT)
+    let bytes = Outbound::read_body(conn, MAX_OBJECT_BYTES, STORE_TIMEOUT)
         .await
         .map_err(store_error)?;
-    conn.recycle().await;
     Ok(Some(Stored { version, bytes }))
 }
--- a/crates/almondctl/src/status.rs
+++ b/crates/almondctl/src/status.rs
@@ -94,8 +94,8 @@
 async fn fetch_status(outbound: &Outbound, address: &str) -> Option<serde_json::Value> {
     let url = format!("{address}/status");
     let call = outbound.call(Method::Get, &url, &[], Vec::new(), VM_TIMEOUT);
-    let mut conn = call.await.ok()?;
-    let bytes = Outbound::read_body(&mut conn, MAX_RESPONSE_BYTES, VM_TIMEOUT)
+    let conn = call.await.ok()?;
+    let bytes = Outbound::read_body(conn, MAX_RESPONSE_BYTES, VM_TIMEOUT)
         .await
         .ok()?;
     serde_json::from_slice(&bytes).ok()
