--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -13,6 +13,8 @@
 //! | [`FleetRetryBudget`] | may this VM send a request again? |
 //! | [`GossipFanout`] | which peers get a gossip message? |
 //! | [`PendingQueries`] | how recent is a fact in a peer's response? |
+//! | [`StoreEra`] | was the store restored from an older copy? |
+//! | [`StorePosition`] | which of two views of the store is newer? |
 //! | [`admits_during_shutdown`] | can a request still complete before this VM stops? |
 
 mod config;
@@ -25,11 +27,13 @@
 mod pending_queries;
 mod route;
 mod shutdown;
+mod store_era;
+mod store_position;
 mod target;
 
 pub use config::{CallerLimits, CustomerSpec, EngineSpec, GatewayConfig, PoolSpec};
 pub use config_freshness::ConfigFreshness;
-pub use directory::{Directory, EntryEvent, TargetChange};
+pub use directory::{Directory, EntryEvent, RestoredTargets, TargetChange};
 pub use fleet::{
     Choice, Demand, Fleet, FleetOptions, Need, PeerLoad, PeerSnapshot, PlacedRequest, Placement,
     RefusalReason, ZoneDigest, lowest_hashes,
@@ -39,4 +43,6 @@
 pub use pending_queries::{CompletedQuery, PendingQueries};
 pub use route::{CallKind, RouteSpec, RouteTable, WeightedService};
 pub use shutdown::admits_during_shutdown;
+pub use store_era::{EraCheck, StoreEra};
+pub use store_position::StorePosition;
 pub use target::TargetEntry;
--- a/crates/almondcroft-core/src/gateway/config_freshness.rs
+++ b/crates/almondcroft-core/src/gateway/config_freshness.rs
@@ -6,8 +6,16 @@
 /// Fraction of the maximum age that is reserved as a margin for delays between decision and arrival.
 const MARGIN: f64 = 0.1;
 
+/// Time after a restoration of the store in which the operators write again what it lost.
+///
+/// Until then the store may confirm a configuration although it has lost a later one.
+const RESTORATION_TIME: Duration = Duration::from_secs(2);
+
 /// Tracks whether the configuration is recent enough to accept keys.
 ///
+/// A store that was restored from an older copy proves nothing about the configurations that it lost,
+/// so what it confirms shortly after is not accepted.
+///
 /// Times come from a clock that also counts while the VM is suspended, so a VM that resumes sees at
 /// once that its configuration has aged.
 ///
@@ -25,6 +33,7 @@
 pub struct ConfigFreshness {
     max_age: Option<Duration>,
     confirmed_at: Option<Timestamp>,
+    restored_at: Option<Timestamp>,
 }
 
 impl ConfigFreshness {
@@ -36,6 +45,7 @@
         Self {
             max_age,
             confirmed_at: None,
+            restored_at: None,
         }
     }
 
@@ -44,9 +54,19 @@
         self.max_age = max_age;
     }
 
+    /// Records that the store was restored from an older copy, at the latest at a time.
+    pub const fn record_restoration(&mut self, at: Timestamp) {
+        self.restored_at = Some(at);
+    }
+
     /// Records that the active configuration was the newest one at a time.
     pub fn confirm(&mut self, at: Timestamp) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+        let unproven = self
+            .restored_at
+            .is_some_and(|restored| at >= restored && at < restored + RESTORATION_TIME);
+        if !unproven {
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
     }
 
     /// Returns the latest time at which the configuration was known to be the newest.
--- a/crates/almondcroft-core/src/gateway/config_freshness/tests.rs
+++ b/crates/almondcroft-core/src/gateway/config_freshness/tests.rs
@@ -26,3 +26,15 @@
     freshness.confirm(SECOND);
     assert!(freshness.is_fresh(SECOND * 1_000));
 }
+
+#[test]
+fn confirm_after_restoration_waits_for_lost_configurations() {
+    let second = Duration::from_secs(1);
+    let mut freshness = ConfigFreshness::new(Some(second * 5));
+    freshness.confirm(second * 10);
+    freshness.record_restoration(second * 11);
+    freshness.confirm(second * 12);
+    assert_eq!(freshness.confirmed_at(), Some(second * 10));
+    freshness.confirm(second * 13);
+    assert_eq!(freshness.confirmed_at(), Some(second * 13));
+}
--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! Registered targets, tracked across outages of the store.
 
-use super::TargetEntry;
-use crate::{Revision, TargetId, Timestamp};
+use super::{StorePosition, TargetEntry};
+use crate::{Era, TargetId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -12,6 +12,11 @@
 /// Time within which live targets register again after an outage of the store.
 const REGISTRATION_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which a restored entry of a target that is known to be gone is not used.
+///
+/// The store removes the entries of stopped targets within it.
+const RESTORED_ENTRY_DELAY: Duration = Duration::from_secs(5);
+
 /// Reports the state of one entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryEvent {
@@ -49,31 +54,51 @@
     missing: bool,
 }
 
-/// Marks the revision up to which all changes are known, and a time at which it was the newest.
+/// Marks the position up to which all changes are known, and a time at which it was the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Checkpoint {
-    revision: Revision,
+    position: StorePosition,
     at: Timestamp,
 }
 
+/// What the first list after a restoration of the store showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RestoredTargets {
+    /// Number of targets in use whose entries the store lost.
+    pub lost: usize,
+    /// Number of entries of targets that are known to be gone or leaving, which are not believed.
+    pub outdated: usize,
+}
+
 /// Tracks the registered targets.
 ///
 /// While the store is unavailable, entries expire although their targets run. Targets whose entries
 /// are missing when it is available again therefore stay in use until they have had time to register.
 ///
-/// Like the store, a directory can list the changes since a revision, for other VMs.
+/// A store that was restored from an older copy begins a new era. Entries in it may be missing, as after
+/// an outage, or show targets as ready that have left since the copy was made. Such an entry does not
+/// bring a target back: one that is known to be leaving stays so for this incarnation, and one that is
+/// known to be gone is used only if its entry outlives the time in which those of stopped targets expire.
+///
+/// Like the store, a directory can list the changes since a position, for other VMs.
 #[derive(Debug, Default)]
 pub struct Directory {
     known: BTreeMap<TargetId, KnownTarget>,
     store_unavailable: bool,
     recovered_at: Option<Timestamp>,
+    /// Newest era of the store that is known.
+    era: Era,
     checkpoint: Option<Checkpoint>,
-    /// Checkpoint revision by which each target last changed, removed targets included.
-    changed: BTreeMap<TargetId, Revision>,
+    /// Checkpoint position by which each target last changed, removed targets included.
+    changed: BTreeMap<TargetId, StorePosition>,
+    /// Incarnations of removed targets.
+    removed: BTreeMap<TargetId, u64>,
+    /// Restored entries of targets that are known to be gone, and when each may be used.
+    held: BTreeMap<TargetId, (TargetEntry, Timestamp)>,
     /// Targets that changed since the last checkpoint.
     uncommitted: Vec<TargetId>,
-    /// Revision before which the history of removed targets is incomplete.
-    history_start: Revision,
+    /// Position before which the history of removed targets is incomplete.
+    history_start: StorePosition,
 }
 
 impl Directory {
@@ -89,28 +114,38 @@
         }
     }
 
-    /// Records that all changes up to a revision are applied, and a time at which it was the newest.
-    fn advance_checkpoint(&mut self, revision: Revision, at: Timestamp) {
-        let before = self.checkpoint;
-        if before.is_none() {
-            self.history_start = revision;
+    /// Records that the store was restored from an older copy and began an era.
+    ///
+    /// Views of earlier eras are ignored from now on, and targets may be missing until they have had
+    /// time to register again.
+    pub fn begin_era(&mut self, era: Era, now: Timestamp) {
+        if era > self.era {
+            self.era = era;
+            self.recovered_at = Some(now);
+        }
+    }
+
+    /// Records that all changes up to a position are applied, and a time at which it was the newest.
+    fn advance_checkpoint(&mut self, position: StorePosition, at: Timestamp) {
+        let before = self.checkpoint.unwrap_or(Checkpoint { position, at });
+        if self.checkpoint.is_none() || position.era > before.position.era {
+            self.history_start = position;
         }
-        let before = before.unwrap_or(Checkpoint { revision, at });
         let checkpoint = Checkpoint {
-            revision: before.revision.max(revision),
+            position: before.position.max(position),
             at: before.at.max(at),
         };
         self.checkpoint = Some(checkpoint);
         for id in std::mem::take(&mut self.uncommitted) {
-            self.changed.insert(id, checkpoint.revision);
+            self.changed.insert(id, checkpoint.position);
         }
         self.trim_history();
     }
 
-    /// Returns the revision up to which all changes are known.
+    /// Returns the position up to which all changes are known.
     #[must_use]
-    pub fn revision(&self) -> Option<Revision> {
-        self.checkpoint.map(|checkpoint| checkpoint.revision)
+    pub fn position(&self) -> Option<StorePosition> {
+        self.checkpoint.map(|checkpoint| checkpoint.position)
     }
 
     /// Returns the latest time at which the directory is known to have been complete.
@@ -119,19 +154,23 @@
         self.checkpoint.map(|checkpoint| checkpoint.at)
     }
 
-    /// Returns the latest state of each target that changed after a revision.
+    /// Returns the latest state of each target that changed after a position.
     ///
     /// Returns `None` if the changes are not known for certain: around an outage of the store, when
-    /// entries of running targets may be missing, and for revisions before the first list or before
-    /// the oldest removals that are kept.
+    /// entries of running targets may be missing, and for positions before the first list, in an
+    /// earlier era or before the oldest removals that are kept.
     #[must_use]
-    pub fn changes_since(&self, revision: Revision, now: Timestamp) -> Option<Vec<EntryEvent>> {
+    pub fn changes_since(
+        &self,
+        position: StorePosition,
+        now: Timestamp,
+    ) -> Option<Vec<EntryEvent>> {
         self.checkpoint?;
-        if revision < self.history_start || self.is_uncertain(now) {
+        if position < self.history_start || self.is_uncertain(now) {
             return None;
         }
-        let changed = self.changed.iter().filter(|(_, at)| **at > revision);
-        let event = |(id, _): (&TargetId, &Revision)| match self.known.get(id) {
+        let changed = self.changed.iter().filter(|(_, at)| **at > position);
+        let event = |(id, _): (&TargetId, &StorePosition)| match self.known.get(id) {
             Some(known) if !known.missing => EntryEvent::Present(known.entry.clone()),
             _ => EntryEvent::Absent(id.clone()),
         };
@@ -159,6 +198,7 @@
             let (id, at) = (id.clone(), *at);
             self.history_start = self.history_start.max(at);
             self.changed.remove(&id);
+            self.removed.remove(&id);
         }
     }
 
@@ -167,29 +207,79 @@
     /// A list older than the last checkpoint is ignored.
     pub fn apply_list(
         &mut self,
-        entries: Vec<TargetEntry>,
-        (revision, at): (Revision, Timestamp),
+        mut entries: Vec<TargetEntry>,
+        (position, at): (StorePosition, Timestamp),
         now: Timestamp,
     ) -> Vec<TargetChange> {
-        if self.is_outdated(revision) {
+        if self.is_outdated(position) {
             return Vec::new();
         }
+        let before = self.position();
+        if before.is_some_and(|before| before.era < position.era) {
+            self.begin_era(position.era, now);
+            self.hold_restored(&entries, now);
+        }
+        self.held.retain(|_, (held, _)| entries.contains(held));
+        entries.retain(|entry| !self.held.contains_key(&entry.id));
         let changes = self.replace(entries, now);
-        self.advance_checkpoint(revision, at);
+        self.advance_checkpoint(position, at);
         changes
     }
 
-    /// Applies all changes up to a revision, which were complete at a time.
+    /// Compares the list with which the store begins an era with the targets that are known.
+    #[must_use]
+    pub fn compare_restored(&self, entries: &[TargetEntry]) -> RestoredTargets {
+        let listed = |id: &TargetId| entries.iter().any(|entry| entry.id == *id);
+        let in_use = self.known.values().filter(|known| !known.entry.draining);
+        let outdated = entries
+            .iter()
+            .filter(|entry| self.has_ended(entry) || self.is_draining(entry));
+        RestoredTargets {
+            lost: in_use.filter(|known| !listed(&known.entry.id)).count(),
+            outdated: outdated.count(),
+        }
+    }
+
+    /// Holds back the restored entries of targets that are known to be gone.
+    fn hold_restored(&mut self, entries: &[TargetEntry], now: Timestamp) {
+        let ended = entries.iter().filter(|entry| self.has_ended(entry));
+        let until = now + RESTORED_ENTRY_DELAY;
+        let held = ended.map(|entry| (entry.id.clone(), (entry.clone(), until)));
+        self.held = held.collect();
+    }
+
+    /// Returns whether the incarnation of an entry is known to be gone.
+    fn has_ended(&self, entry: &TargetEntry) -> bool {
+        match self.known.get(&entry.id) {
+            Some(known) => known.entry.incarnation > entry.incarnation,
+            None => self.removed.get(&entry.id) == Some(&entry.incarnation),
+        }
+    }
+
+    /// Returns whether an entry shows a target as ready whose incarnation is known to be leaving.
+    fn is_draining(&self, entry: &TargetEntry) -> bool {
+        let known = self.known.get(&entry.id);
+        !entry.draining
+            && entry.incarnation > 0
+            && known.is_some_and(|known| {
+                known.entry.draining && known.entry.incarnation == entry.incarnation
+            })
+    }
+
+    /// Applies all changes up to a position, which were complete at a time.
     ///
     /// Only the latest state of each target counts. Changes can arrive from the store and from other
-    /// VMs at the same time, so changes older than the last checkpoint are ignored.
+    /// VMs at the same time, so changes older than the last checkpoint are ignored. The changes of a new
+    /// era are ignored too until a list of that era was applied: its revisions are not those before.
     pub fn apply_changes(
         &mut self,
         events: Vec<EntryEvent>,
-        (revision, at): (Revision, Timestamp),
+        (position, at): (StorePosition, Timestamp),
         now: Timestamp,
     ) -> Vec<TargetChange> {
-        if self.is_outdated(revision) {
+        let before = self.position();
+        let listed = before.is_none_or(|before| before.era == position.era);
+        if self.is_outdated(position) || !listed {
             return Vec::new();
         }
         let mut latest = BTreeMap::new();
@@ -198,13 +288,13 @@
         }
         let latest = latest.into_values();
         let changes = latest.flat_map(|event| self.apply(event, now)).collect();
-        self.advance_checkpoint(revision, at);
+        self.advance_checkpoint(position, at);
         changes
     }
 
-    fn is_outdated(&self, revision: Revision) -> bool {
-        self.checkpoint
-            .is_some_and(|checkpoint| revision < checkpoint.revision)
+    fn is_outdated(&self, position: StorePosition) -> bool {
+        let known = self.position().unwrap_or_default();
+        position.era < self.era || position < known
     }
 
     /// Replaces all entries.
@@ -238,6 +328,7 @@
         if !unchanged {
             self.uncommitted.push(event.target().clone());
         }
+        self.held.remove(event.target());
         match event {
             EntryEvent::Present(entry) => self.apply_present(entry),
             EntryEvent::Absent(id) => self.apply_absent(&id, now),
@@ -255,15 +346,25 @@
             .filter(|(_, known)| known.missing)
             .map(|(id, _)| id.clone())
             .collect();
-        missing
-            .into_iter()
-            .map(|id| {
-                self.known.remove(&id);
-                TargetChange::Gone(id)
-            })
+        missing.into_iter().map(|id| self.remove(id)).collect()
+    }
+
+    /// Uses restored entries that outlived the time in which those of stopped targets expire.
+    pub fn release_held(&mut self, now: Timestamp) -> Vec<TargetChange> {
+        let due = self.held.values().filter(|(_, until)| *until <= now);
+        let due: Vec<TargetEntry> = due.map(|(entry, _)| entry.clone()).collect();
+        due.into_iter()
+            .flat_map(|entry| self.apply(EntryEvent::Present(entry), now))
             .collect()
     }
 
+    fn remove(&mut self, id: TargetId) -> TargetChange {
+        if let Some(known) = self.known.remove(&id) {
+            self.removed.insert(id.clone(), known.entry.incarnation);
+        }
+        TargetChange::Gone(id)
+    }
+
     /// Returns whether entries of running targets may be missing.
     #[must_use]
     pub fn is_uncertain(&self, now: Timestamp) -> bool {
@@ -273,7 +374,9 @@
                 .is_some_and(|at| now < at + REGISTRATION_TIME)
     }
 
-    fn apply_present(&mut self, entry: TargetEntry) -> Vec<TargetChange> {
+    fn apply_present(&mut self, mut entry: TargetEntry) -> Vec<TargetChange> {
+        entry.draining |= self.is_draining(&entry);
+        self.removed.remove(&entry.id);
         let before = self.known.get(&entry.id);
         let restarted = before.is_some_and(|known| {
             known.entry.incarnation != entry.incarnation || known.entry.address != entry.address
@@ -308,8 +411,7 @@
             known.missing = true;
             return Vec::new();
         }
-        self.known.remove(id);
-        vec![TargetChange::Gone(id.clone())]
+        vec![self.remove(id.clone())]
     }
 }
 
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -16,6 +16,14 @@
     }
 }
 
+fn revision(revision: u64) -> StorePosition {
+    StorePosition { era: 1, revision }
+}
+
+fn restored(revision: u64) -> StorePosition {
+    StorePosition { era: 2, revision }
+}
+
 fn gone(id: &str) -> TargetChange {
     TargetChange::Gone(id.into())
 }
@@ -87,69 +95,75 @@
 fn changes_since_returns_latest_states() {
     let mut directory = Directory::default();
     directory.replace(vec![entry("a"), entry("b"), entry("c")], SECOND);
-    directory.advance_checkpoint(10, SECOND);
+    directory.advance_checkpoint(revision(10), SECOND);
     let leaving = TargetEntry {
         draining: true,
         ..entry("a")
     };
     directory.apply(EntryEvent::Present(leaving.clone()), SECOND);
-    directory.advance_checkpoint(12, SECOND);
+    directory.advance_checkpoint(revision(12), SECOND);
     directory.apply(EntryEvent::Absent("b".into()), SECOND);
-    directory.advance_checkpoint(15, SECOND);
+    directory.advance_checkpoint(revision(15), SECOND);
     let (a, b) = (EntryEvent::Present(leaving), EntryEvent::Absent("b".into()));
     assert_eq!(
-        directory.changes_since(10, SECOND),
+        directory.changes_since(revision(10), SECOND),
         Some(vec![a, b.clone()])
     );
-    assert_eq!(directory.changes_since(12, SECOND), Some(vec![b.clone()]));
+    assert_eq!(
+        directory.changes_since(revision(12), SECOND),
+        Some(vec![b.clone()])
+    );
     // For a revision between two checkpoints, the changes of the later checkpoint are returned.
-    assert_eq!(directory.changes_since(13, SECOND), Some(vec![b]));
-    assert_eq!(directory.changes_since(15, SECOND), Some(vec![]));
+    assert_eq!(directory.changes_since(revision(13), SECOND), Some(vec![b]));
+    assert_eq!(directory.changes_since(revision(15), SECOND), Some(vec![]));
 }
 
 #[test]
 fn changes_since_before_first_list() {
     let mut directory = Directory::default();
-    assert_eq!(directory.changes_since(0, SECOND), None);
+    assert_eq!(directory.changes_since(revision(0), SECOND), None);
     directory.replace(vec![entry("a")], SECOND);
-    directory.advance_checkpoint(10, SECOND);
-    assert_eq!(directory.changes_since(9, SECOND), None);
+    directory.advance_checkpoint(revision(10), SECOND);
+    assert_eq!(directory.changes_since(revision(9), SECOND), None);
 }
 
 #[test]
 fn changes_since_around_outage() {
     let mut directory = Directory::default();
     directory.replace(vec![entry("a"), entry("b")], SECOND);
-    directory.advance_checkpoint(10, SECOND);
+    directory.advance_checkpoint(revision(10), SECOND);
     directory.mark_store_unavailable();
-    assert_eq!(directory.changes_since(10, SECOND * 5), None);
+    assert_eq!(directory.changes_since(revision(10), SECOND * 5), None);
     directory.mark_store_available(SECOND * 9);
     directory.apply(EntryEvent::Absent("a".into()), SECOND * 9);
-    directory.advance_checkpoint(12, SECOND * 9);
-    assert_eq!(directory.changes_since(10, SECOND * 10), None);
+    directory.advance_checkpoint(revision(12), SECOND * 9);
+    assert_eq!(directory.changes_since(revision(10), SECOND * 10), None);
     // The result is the same before and after the missing target is removed.
     let gone = EntryEvent::Absent("a".into());
     assert_eq!(
-        directory.changes_since(10, SECOND * 12),
+        directory.changes_since(revision(10), SECOND * 12),
         Some(vec![gone.clone()])
     );
     directory.remove_missing(SECOND * 12);
-    assert_eq!(directory.changes_since(10, SECOND * 12), Some(vec![gone]));
+    assert_eq!(
+        directory.changes_since(revision(10), SECOND * 12),
+        Some(vec![gone])
+    );
 }
 
 #[test]
 fn changes_since_forgets_oldest_removals() {
     let mut directory = Directory::default();
     directory.replace(vec![], SECOND);
-    directory.advance_checkpoint(1, SECOND);
+    directory.advance_checkpoint(revision(1), SECOND);
     for number in 0..=MAX_REMOVED {
         let id = format!("t-{number}");
         directory.apply(EntryEvent::Present(entry(&id)), SECOND);
         directory.apply(EntryEvent::Absent(id.into()), SECOND);
-        directory.advance_checkpoint(2 + number as u64, SECOND);
+        directory.advance_checkpoint(revision(2 + number as u64), SECOND);
     }
-    assert_eq!(directory.changes_since(1, SECOND), None);
-    let changes = directory.changes_since(2, SECOND);
+    assert_eq!(directory.changes_since(revision(1), SECOND), None);
+    let changes = directory.changes_since(revision(2), SECOND);
     assert_eq!(changes.map(|events| events.len()), Some(MAX_REMOVED));
 }
 
@@ -157,43 +171,179 @@
 fn advance_checkpoint_keeps_latest_time() {
     let mut directory = Directory::default();
     assert_eq!(directory.complete_at(), None);
-    directory.advance_checkpoint(10, SECOND * 4);
-    directory.advance_checkpoint(9, SECOND * 3);
+    directory.advance_checkpoint(revision(10), SECOND * 4);
+    directory.advance_checkpoint(revision(9), SECOND * 3);
     assert_eq!(directory.complete_at(), Some(SECOND * 4));
-    assert_eq!(directory.revision(), Some(10));
+    assert_eq!(directory.position(), Some(revision(10)));
 }
 
 #[test]
 fn apply_changes_keeps_latest_states() {
     let mut directory = Directory::default();
-    directory.apply_list(vec![entry("a")], (10, SECOND), SECOND);
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
     let restarted = TargetEntry {
         incarnation: 2,
         ..entry("a")
     };
     directory.apply_changes(
         vec![EntryEvent::Present(restarted.clone())],
-        (14, SECOND),
+        (revision(14), SECOND),
         SECOND,
     );
     // The response of the store to an earlier request arrives after newer changes from another VM.
     let old = vec![EntryEvent::Absent("a".into())];
-    assert_eq!(directory.apply_changes(old, (12, SECOND), SECOND), []);
+    assert_eq!(
+        directory.apply_changes(old, (revision(12), SECOND), SECOND),
+        []
+    );
     // Overlapping changes end in the same state.
     let overlap = vec![
         EntryEvent::Absent("a".into()),
         EntryEvent::Present(restarted),
     ];
-    assert_eq!(directory.apply_changes(overlap, (15, SECOND), SECOND), []);
+    assert_eq!(
+        directory.apply_changes(overlap, (revision(15), SECOND), SECOND),
+        []
+    );
 }
 
 #[test]
 fn apply_list_ignores_old_list() {
     let mut directory = Directory::default();
-    directory.apply_list(vec![entry("a")], (10, SECOND), SECOND);
-    assert_eq!(directory.apply_list(vec![], (9, SECOND), SECOND), []);
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
     assert_eq!(
-        directory.apply_list(vec![], (11, SECOND), SECOND),
+        directory.apply_list(vec![], (revision(9), SECOND), SECOND),
+        []
+    );
+    assert_eq!(
+        directory.apply_list(vec![], (revision(11), SECOND), SECOND),
         [gone("a")]
     );
 }
+
+#[test]
+fn apply_list_of_new_era_with_lower_revision() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a")], (revision(530), SECOND), SECOND);
+    let entries = vec![entry("a"), entry("b")];
+    let changes = directory.apply_list(entries, (restored(500), SECOND), SECOND);
+    assert_eq!(changes, [TargetChange::Joined(entry("b"))]);
+    assert_eq!(directory.position(), Some(restored(500)));
+    assert_eq!(directory.changes_since(revision(530), SECOND * 9), None);
+    // A late response from before the restoration.
+    assert_eq!(
+        directory.apply_list(vec![], (revision(531), SECOND), SECOND),
+        []
+    );
+    let absent = vec![EntryEvent::Absent("a".into())];
+    assert_eq!(
+        directory.apply_changes(absent, (revision(532), SECOND), SECOND),
+        []
+    );
+}
+
+#[test]
+fn apply_list_of_earlier_era_once_a_later_one_began() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
+    directory.begin_era(2, SECOND);
+    assert_eq!(
+        directory.apply_list(vec![], (revision(11), SECOND), SECOND),
+        []
+    );
+}
+
+#[test]
+fn apply_changes_of_new_era_before_its_list() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
+    // Revisions 8 to 10 were given out again, so changes after 10 are not all.
+    let absent = vec![EntryEvent::Absent("a".into())];
+    assert_eq!(
+        directory.apply_changes(absent, (restored(11), SECOND), SECOND),
+        []
+    );
+    assert_eq!(directory.position(), Some(revision(10)));
+}
+
+#[test]
+fn restored_list_keeps_lost_target_until_it_registers() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a"), entry("b")], (revision(10), SECOND), SECOND);
+    assert_eq!(directory.compare_restored(&[]).lost, 2);
+    assert_eq!(
+        directory.apply_list(vec![], (restored(8), SECOND), SECOND),
+        []
+    );
+    let again = vec![EntryEvent::Present(entry("a"))];
+    assert_eq!(
+        directory.apply_changes(again, (restored(9), SECOND), SECOND * 2),
+        []
+    );
+    assert_eq!(directory.remove_missing(SECOND * 2), []);
+    assert_eq!(directory.remove_missing(SECOND * 3), [gone("b")]);
+}
+
+#[test]
+fn restored_entry_of_gone_target_is_used_only_if_it_stays() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a"), entry("b")], (revision(10), SECOND), SECOND);
+    directory.apply_list(vec![], (revision(12), SECOND), SECOND);
+    let entries = vec![entry("a"), entry("b")];
+    assert_eq!(directory.compare_restored(&entries).outdated, 2);
+    let again = entries.clone();
+    assert_eq!(
+        directory.apply_list(entries, (restored(10), SECOND), SECOND),
+        []
+    );
+    directory.apply_list(again, (restored(10), SECOND), SECOND * 2);
+    assert_eq!(directory.release_held(SECOND * 5), []);
+    let expired = vec![EntryEvent::Absent("a".into())];
+    assert_eq!(
+        directory.apply_changes(expired, (restored(11), SECOND), SECOND * 5),
+        []
+    );
+    assert_eq!(
+        directory.release_held(SECOND * 6),
+        [TargetChange::Joined(entry("b"))]
+    );
+}
+
+#[test]
+fn restored_entry_of_leaving_target_does_not_bring_it_back() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
+    let leaving = TargetEntry {
+        draining: true,
+        ..entry("a")
+    };
+    let events = vec![EntryEvent::Present(leaving)];
+    directory.apply_changes(events, (revision(11), SECOND), SECOND);
+    let list = vec![entry("a")];
+    assert_eq!(
+        directory.apply_list(list, (restored(10), SECOND), SECOND),
+        []
+    );
+    let restarted = TargetEntry {
+        incarnation: 2,
+        ..entry("a")
+    };
+    let events = vec![EntryEvent::Present(restarted.clone())];
+    let changes = directory.apply_changes(events, (restored(12), SECOND), SECOND);
+    assert_eq!(changes, [gone("a"), TargetChange::Joined(restarted)]);
+}
+
+#[test]
+fn restored_entry_of_earlier_incarnation_is_held() {
+    let mut directory = Directory::default();
+    let restarted = TargetEntry {
+        incarnation: 2,
+        ..entry("a")
+    };
+    directory.apply_list(vec![restarted], (revision(10), SECOND), SECOND);
+    let list = vec![entry("a")];
+    assert_eq!(
+        directory.apply_list(list, (restored(8), SECOND), SECOND),
+        []
+    );
+}
--- a/crates/almondcroft-core/src/id.rs
+++ b/crates/almondcroft-core/src/id.rs
@@ -25,6 +25,9 @@
 /// Revision number of a configuration, increased with each accepted one, or of the contents of the
 /// platform's store; a higher revision replaces a lower one.
 pub type Revision = u64;
+/// Number of times that the platform's store was restored from an older copy; within an era,
+/// [`Revision`]s rise.
+pub type Era = u64;
 /// Identifies one run of a process; never reused.
 pub type Incarnation = u64;
 /// A point in time on the clock of the running program, as the duration since the clock's start: the
--- a/crates/almondcroft-core/src/lib.rs
+++ b/crates/almondcroft-core/src/lib.rs
@@ -38,7 +38,7 @@
 mod verdict;
 
 pub use id::{
-    ContractId, CustomerId, Incarnation, ModelId, RegionId, RequestId, Revision, ServiceId,
+    ContractId, CustomerId, Era, Incarnation, ModelId, RegionId, RequestId, Revision, ServiceId,
     TargetId, Timestamp, VmId, ZoneId,
 };
 pub use ledger::{Claim, ClaimAnswer, ClaimShard, Outcome};
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 //! and keeps no state.
 
 use almondcroft_core::gateway::{EntryEvent, GatewayConfig};
-use almondcroft_core::{CustomerId, ModelId, Revision, TargetId, Timestamp, ZoneId};
+use almondcroft_core::{CustomerId, Era, ModelId, Revision, TargetId, Timestamp, ZoneId};
 use almondcroft_proto::http1::{Headers, RequestHead, ResponseHead};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -187,6 +187,13 @@
     /// Returns the call that removes an entry VM.
     fn unregister(&self, vm: &str) -> ControlCall;
 
+    /// Reads the era of the store, which each of its responses states; `None` if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns the text if it is not an era.
+    fn read_era(&self, head: &ResponseHead) -> Result<Option<Era>, String>;
+
     /// Reads the response to [`Registry::list`].
     ///
     /// # Errors
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -16,12 +16,13 @@
 use crate::clock;
 use crate::runtime::{sleep, spawn};
 use crate::state::{Departure, Gateway, lock};
-use crate::store::{CALL_TIMEOUT, StoreClient, StoreError};
+use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
 use almondcroft_core::gateway::GossipFanout;
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
 use message::{Datagram, SnapshotMessage};
+use rand::Rng;
 use rand::seq::index;
 use smol::Async;
 use std::io;
@@ -42,6 +43,9 @@
 /// known.
 const ALONE_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time over which VMs spread their registrations after a restoration of the store.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(2);
+
 /// Maximum size of a datagram, in bytes; targets beyond the few hundred that fit are left out.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -72,7 +76,7 @@
     }
     let mut client = StoreClient::new(gateway.settings.store);
     let call = gateway.registry.unregister(&gateway.settings.vm);
-    if let Err(error) = client.call(&call, CALL_TIMEOUT).await {
+    if let Err(error) = client.call(&gateway, &call, CALL_TIMEOUT).await {
         // The stale entry costs each peer one datagram per round.
         log::info!(event = "unregister-failed", error:% = error; "");
     }
@@ -244,7 +248,7 @@
         gateway.mark_peers_listed();
         if !registered && !gateway.lifecycle.is_draining() {
             let call = gateway.registry.register(&own, &entry);
-            registered = match client.call(&call, CALL_TIMEOUT).await {
+            registered = match client.call(&gateway, &call, CALL_TIMEOUT).await {
                 Ok(_) | Err(StoreError::Status(CONFLICT_STATUS)) => true,
                 Err(error) => {
                     log::info!(event = "register-failed", error:% = error; "");
@@ -254,12 +258,17 @@
         }
         let first = clock::now() < started_at + ALONE_LIST_INTERVAL;
         let alone = lock(&gateway.peers).is_empty();
-        sleep(if alone || first {
+        let interval = sleep(if alone || first {
             ALONE_LIST_INTERVAL
         } else {
             LIST_INTERVAL
-        })
-        .await;
+        });
+        let restored = async {
+            gateway.store_restored().await;
+            let spread = rand::rng().random_range(0.0..1.0);
+            sleep(REGISTRATION_SPREAD.mul_f64(spread)).await;
+        };
+        or(restored, interval).await;
     }
 }
 
@@ -269,7 +278,7 @@
     client: &mut StoreClient,
     call: &ControlCall,
 ) -> Result<Option<VmEntry>, StoreError> {
-    let body = client.call(call, CALL_TIMEOUT).await?;
+    let StoreResponse { body, .. } = client.call(gateway, call, CALL_TIMEOUT).await?;
     let batch = gateway
         .registry
         .read_list(ObjectKind::Vms, &body, clock::now())
--- a/crates/almondcroft-gateway/src/gossip/message/query.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/query.rs
@@ -1,15 +1,19 @@
 //! Queries between VMs about the contents of the platform's store.
 
-use almondcroft_core::gateway::{EntryEvent, TargetEntry};
-use almondcroft_core::{RegionId, Revision, ServiceId, TargetId, Timestamp, ZoneId};
+use almondcroft_core::gateway::{EntryEvent, StorePosition, TargetEntry};
+use almondcroft_core::{Era, RegionId, Revision, ServiceId, TargetId, Timestamp, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Asks for the newest configuration's revision and for the changes of targets since a revision.
+/// Asks for the newest configuration's revision and for the changes of targets since a position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Query {
     pub(crate) nonce: u64,
+    /// Era of the store in which the targets are known.
+    #[serde(default)]
+    pub(crate) era: Era,
+    /// Revision in that era.
     pub(crate) targets: Revision,
 }
 
@@ -17,6 +21,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Response {
     pub(crate) nonce: u64,
+    /// Newest era of the store that the VM knows.
+    #[serde(default)]
+    pub(crate) era: Era,
     /// Revision of the VM's configuration, and the time since it was last confirmed as the newest.
     pub(crate) config: Option<(Revision, AgeMs)>,
     /// Changes of targets; `None` if they are unknown or do not fit into a datagram.
@@ -27,10 +34,12 @@
     pub(crate) targets_uncertain: bool,
 }
 
-/// Lists the targets that changed up to a revision.
+/// Lists the targets that changed up to a position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TargetUpdate {
-    pub(crate) revision: Revision,
+    #[serde(default)]
+    era: Era,
+    revision: Revision,
     pub(crate) age: AgeMs,
     present: Vec<TargetRecord>,
     gone: Vec<TargetId>,
@@ -65,13 +74,14 @@
 
 impl TargetUpdate {
     pub(crate) fn new(
-        revision: Revision,
+        position: StorePosition,
         age: AgeMs,
         events: Vec<EntryEvent>,
         now: Timestamp,
     ) -> Self {
         let mut update = Self {
-            revision,
+            era: position.era,
+            revision: position.revision,
             age,
             present: Vec::new(),
             gone: Vec::new(),
@@ -85,6 +95,13 @@
         update
     }
 
+    pub(crate) const fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+
     pub(crate) fn into_events(self, now: Timestamp) -> Vec<EntryEvent> {
         let present = self.present.into_iter();
         let present = present.map(|entry| EntryEvent::Present(entry.into_target(now)));
--- a/crates/almondcroft-gateway/src/gossip/message/query/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/query/tests.rs
@@ -22,7 +22,11 @@
         EntryEvent::Present(target(SECOND * 103)),
         EntryEvent::Absent("i-2".into()),
     ];
-    let update = TargetUpdate::new(40, 1, events, SECOND * 100);
+    let position = StorePosition {
+        era: 1,
+        revision: 40,
+    };
+    let update = TargetUpdate::new(position, 1, events, SECOND * 100);
     let bytes = serde_json::to_vec(&update).unwrap();
     let read: TargetUpdate = serde_json::from_slice(&bytes).unwrap();
     let events = read.into_events(SECOND * 5);
@@ -36,7 +40,11 @@
 #[test]
 fn into_events_of_warm_target_is_equal() {
     let events = vec![EntryEvent::Present(target(Timestamp::ZERO))];
-    let update = TargetUpdate::new(40, 1, events.clone(), SECOND * 100);
+    let position = StorePosition {
+        era: 1,
+        revision: 40,
+    };
+    let update = TargetUpdate::new(position, 1, events.clone(), SECOND * 100);
     assert_eq!(update.into_events(SECOND * 5), events);
 }
 
--- a/crates/almondcroft-gateway/src/gossip/watchers.rs
+++ b/crates/almondcroft-gateway/src/gossip/watchers.rs
@@ -10,6 +10,7 @@
 use crate::runtime::sleep;
 use crate::state::{Gateway, lock};
 use almondcroft_core::VmId;
+use almondcroft_core::gateway::StorePosition;
 use rand::seq::IndexedRandom;
 use smol::Async;
 use std::net::{SocketAddr, UdpSocket};
@@ -35,9 +36,11 @@
         let Some(address) = address_of(&gateway, watcher) else {
             continue;
         };
+        let known = gateway.targets_position();
         let query = Query {
             nonce: lock(&gateway.pending_queries).start(now, &mut rand::rng()),
-            targets: gateway.targets_revision(),
+            era: known.era,
+            targets: known.revision,
         };
         send(&socket, &Datagram::Query(query).encode(), address);
     }
@@ -50,11 +53,16 @@
 /// Returns the encoded response to a query.
 pub(super) fn respond(gateway: &Gateway, query: &Query) -> Vec<u8> {
     let now = clock::now();
-    let (update, targets_uncertain) = gateway.target_updates_since(query.targets, now);
+    let since = StorePosition {
+        era: query.era,
+        revision: query.targets,
+    };
+    let (update, targets_uncertain) = gateway.target_updates_since(since, now);
     let targets = update
-        .map(|(revision, at, events)| TargetUpdate::new(revision, age_ms(at, now), events, now));
+        .map(|(position, at, events)| TargetUpdate::new(position, age_ms(at, now), events, now));
     let mut response = Response {
         nonce: query.nonce,
+        era: gateway.store_era(),
         config: gateway
             .config_confirmation()
             .map(|(revision, at)| (revision, age_ms(at, now))),
@@ -75,17 +83,20 @@
     let Some(query) = lock(&gateway.pending_queries).complete(response.nonce) else {
         return;
     };
+    if !gateway.observe_peer_era(response.era) {
+        return;
+    }
     let now = clock::now();
     let observed_at = |age| query.observed_at(Duration::from_millis(age));
     if let Some((revision, age)) = response.config {
         gateway.record_peer_confirmation(revision, observed_at(age));
     }
     if let Some(update) = response.targets {
-        let (revision, at) = (update.revision, observed_at(update.age));
+        let (position, at) = (update.position(), observed_at(update.age));
         let events = update.into_events(now);
         gateway.change_targets(|directory| {
             directory.mark_store_available(now);
-            directory.apply_changes(events, (revision, at), now)
+            directory.apply_changes(events, (position, at), now)
         });
     } else if response.targets_uncertain {
         gateway.change_targets(|directory| {
--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -127,7 +127,7 @@
         (BOOTSTRAP_COPY_TIME, BOOTSTRAP_POLL_DELAY)
     } else if !gateway.has_read(kind) {
         (FIRST_COPY_TIME, POLL_DELAY)
-    } else if kind == ObjectKind::Config && gateway.is_config_announced() {
+    } else if gateway.is_newer_expected(kind) {
         (COPY_TIME, POLL_DELAY)
     } else {
         // Without a reason to expect one soon, polling would only add load during an outage.
@@ -217,7 +217,8 @@
             let after = gateway.config().map_or(0, |config| config.revision);
             let body = get(source, format!("/config/{after}")).await?;
             let view = readable(ConfigView::decode(&body), source)?;
-            if view.revision() < gateway.newest_revision() {
+            let is_current = gateway.observe_peer_era(view.era());
+            if !is_current || view.revision() < gateway.newest_revision() {
                 return None;
             }
             view.into_copy(gateway, sent_at)
@@ -225,7 +226,8 @@
         ObjectKind::Targets => {
             let body = get(source, "/targets".to_owned()).await?;
             let view: TargetsView = readable(serde_json::from_slice(&body), source)?;
-            Some(StoreCopy::Targets(view.update))
+            let is_current = gateway.observe_peer_era(view.update.position().era);
+            is_current.then_some(StoreCopy::Targets(view.update))
         }
         ObjectKind::Vms => None,
     }
--- a/crates/almondcroft-gateway/src/peer_view/message.rs
+++ b/crates/almondcroft-gateway/src/peer_view/message.rs
@@ -4,7 +4,7 @@
 use crate::adapter::ObjectKind;
 use crate::gossip::{AgeMs, TargetUpdate, age_ms};
 use crate::state::Gateway;
-use almondcroft_core::{Revision, Timestamp};
+use almondcroft_core::{Era, Revision, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +21,9 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct ViewHead {
+    /// Newest era of the store that the VM knows.
+    #[serde(default)]
+    era: Era,
     revision: Revision,
     /// Time since it was last confirmed as the newest.
     age: AgeMs,
@@ -35,6 +38,7 @@
     pub(super) fn of(gateway: &Gateway, after: Revision, now: Timestamp) -> Option<Self> {
         let (revision, at) = gateway.config_confirmation()?;
         let mut head = ViewHead {
+            era: gateway.store_era(),
             revision,
             age: age_ms(at, now),
             list: None,
@@ -53,6 +57,10 @@
         })
     }
 
+    pub(super) const fn era(&self) -> Era {
+        self.head.era
+    }
+
     pub(super) const fn revision(&self) -> Revision {
         self.head.revision
     }
@@ -103,9 +111,9 @@
 impl TargetsView {
     /// Returns all targets; `None` if they are not known for certain.
     pub(super) fn of(gateway: &Gateway, now: Timestamp) -> Option<Self> {
-        let (revision, at, events) = gateway.all_targets(now)?;
+        let (position, at, events) = gateway.all_targets(now)?;
         Some(Self {
-            update: TargetUpdate::new(revision, age_ms(at, now), events, now),
+            update: TargetUpdate::new(position, age_ms(at, now), events, now),
         })
     }
 }
--- a/crates/almondcroft-gateway/src/peer_view/message/tests.rs
+++ b/crates/almondcroft-gateway/src/peer_view/message/tests.rs
@@ -3,6 +3,7 @@
 
 fn view(list: Option<bool>, body: &[u8]) -> ConfigView {
     let head = ViewHead {
+        era: 1,
         revision: 7,
         age: 30,
         list,
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -11,7 +11,7 @@
 use crate::settings::{Bounds, GatewaySettings};
 use almondcroft_core::gateway::{
     ConfigFreshness, Demand, Directory, Fleet, FleetOptions, FleetRetryBudget, FleetSends,
-    GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts,
+    GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts, StoreEra,
     TargetChange,
 };
 use almondcroft_core::quarantine::Quarantine;
@@ -50,6 +50,8 @@
     config_document: Mutex<Option<ConfigDocument>>,
     config_freshness: Mutex<ConfigFreshness>,
     directory: Mutex<Directory>,
+    store_era: Mutex<StoreEra>,
+    restoration_signal: (Sender<()>, Receiver<()>),
     targets_listed: AtomicBool,
     peers_listed: AtomicBool,
     waiters: Mutex<HashMap<RequestId, Sender<Placement>>>,
@@ -88,6 +90,8 @@
             config_document: Mutex::default(),
             config_freshness: Mutex::new(ConfigFreshness::new(settings.bounds.revoke())),
             directory: Mutex::default(),
+            store_era: Mutex::default(),
+            restoration_signal: bounded(1),
             targets_listed: AtomicBool::new(false),
             peers_listed: AtomicBool::new(false),
             waiters: Mutex::default(),
@@ -138,9 +142,11 @@
             .map(|at| now.saturating_sub(at))
     }
 
-    /// Records that the active configuration was the newest at a time.
+    /// Records that the active configuration was the newest at a time, unless a peer has a later one.
     pub(crate) fn confirm_config(&self, at: Timestamp) {
-        lock(&self.config_freshness).confirm(at);
+        if !self.is_config_announced() {
+            lock(&self.config_freshness).confirm(at);
+        }
     }
 
     /// Activates a configuration unless a later one is already active; returns whether it did.
@@ -409,7 +415,11 @@
 
     /// Runs the periodic tasks and updates the gauges.
     pub(crate) fn tick(&self, now: Timestamp) {
-        self.change_targets(|directory| directory.remove_missing(now));
+        self.change_targets(|directory| {
+            let mut changes = directory.remove_missing(now);
+            changes.extend(directory.release_held(now));
+            changes
+        });
         let placements = lock(&self.fleet).tick(now);
         self.deliver(placements);
         self.pool.close_expired(now);
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -2,9 +2,12 @@
 
 use super::{Gateway, lock};
 use crate::adapter::ObjectKind;
+use crate::clock;
 use crate::peer_view::ConfigDocument;
-use almondcroft_core::gateway::EntryEvent;
-use almondcroft_core::{Revision, Timestamp, VmId};
+use almondcroft_core::gateway::{
+    EntryEvent, EraCheck, RestoredTargets, StorePosition, TargetEntry,
+};
+use almondcroft_core::{Era, Revision, Timestamp, VmId};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -20,10 +23,79 @@
 /// a call of the VM's own.
 const VALIDITY_FRACTION: f64 = 0.55;
 
-/// Changes of targets up to a revision, with the time at which they were complete.
-pub(crate) type DirectoryUpdate = (Revision, Timestamp, Vec<EntryEvent>);
+/// Changes of targets up to a position, with the time at which they were complete.
+pub(crate) type DirectoryUpdate = (StorePosition, Timestamp, Vec<EntryEvent>);
 
 impl Gateway {
+    /// Returns the newest era of the store that is known; zero if the store states none.
+    pub(crate) fn store_era(&self) -> Era {
+        lock(&self.store_era).known().unwrap_or_default()
+    }
+
+    /// Records the era that a response of the store states, and returns the era of its contents.
+    ///
+    /// Returns `None` if the response is from an earlier era than the known one. A response without an
+    /// era belongs to the known one.
+    pub(crate) fn observe_store_era(&self, stated: Option<Era>) -> Option<Era> {
+        let Some(era) = stated else {
+            let known = self.store_era();
+            if known > 0 {
+                log::warn!(event = "store-era-missing", era = known; "");
+            }
+            return Some(known);
+        };
+        self.observe_era(era, "store").then_some(era)
+    }
+
+    /// Records the era that the store or a peer states; returns whether it is the newest one.
+    fn observe_era(&self, era: Era, source: &str) -> bool {
+        let now = clock::now();
+        let mut known = lock(&self.store_era);
+        let before = known.known().unwrap_or_default();
+        let check = known.observe(era, now);
+        drop(known);
+        match check {
+            EraCheck::Current => true,
+            EraCheck::Outdated => {
+                log::info!(event = "store-era-outdated", era = before, stated = era, source = source; "");
+                false
+            }
+            EraCheck::Risen => {
+                log::warn!(event = "store-era", era = era, from = before, source = source; "");
+                lock(&self.config_freshness).record_restoration(now);
+                self.change_targets(|directory| {
+                    directory.begin_era(era, now);
+                    Vec::new()
+                });
+                // If the channel is full, a signal is already pending.
+                let _ = self.restoration_signal.0.try_send(());
+                true
+            }
+        }
+    }
+
+    /// Compares the targets that a restored store lists with those that are known.
+    pub(crate) fn compare_restored(&self, entries: &[TargetEntry]) -> RestoredTargets {
+        lock(&self.directory).compare_restored(entries)
+    }
+
+    /// Records the era that a peer states; returns whether it is the newest one.
+    ///
+    /// A peer that has not read the store yet states zero.
+    pub(crate) fn observe_peer_era(&self, era: Era) -> bool {
+        match era {
+            0 => self.store_era() == 0,
+            era => self.observe_era(era, "vm"),
+        }
+    }
+
+    /// Waits until the store was restored from an older copy.
+    pub(crate) async fn store_restored(&self) {
+        if self.restoration_signal.1.recv().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns the revision of the active configuration and when it was last confirmed as the
     /// newest.
     pub(crate) fn config_confirmation(&self) -> Option<(Revision, Timestamp)> {
@@ -47,6 +119,15 @@
         held < self.newest_revision()
     }
 
+    /// Returns whether peers will soon have newer objects of a kind than this VM.
+    pub(crate) fn is_newer_expected(&self, kind: ObjectKind) -> bool {
+        match kind {
+            ObjectKind::Config => self.is_config_announced(),
+            ObjectKind::Targets => self.targets_position().era < self.store_era(),
+            ObjectKind::Vms => false,
+        }
+    }
+
     /// Returns whether the objects of a kind were read once.
     pub(crate) fn has_read(&self, kind: ObjectKind) -> bool {
         match kind {
@@ -64,7 +145,7 @@
     /// Records that a peer confirmed a revision of the configuration as the newest at a time.
     pub(crate) fn record_peer_confirmation(&self, revision: Revision, at: Timestamp) {
         self.record_config_revision(revision);
-        if self.config().is_some_and(|held| held.revision >= revision) {
+        if self.config().is_some_and(|held| held.revision == revision) {
             self.confirm_config(at);
         }
     }
@@ -139,25 +220,25 @@
         let directory = lock(&self.directory);
         let entries = directory.entries(now)?;
         let events = entries.into_iter().map(EntryEvent::Present).collect();
-        Some((directory.revision()?, directory.complete_at()?, events))
+        Some((directory.position()?, directory.complete_at()?, events))
     }
 
-    /// Returns the revision up to which the targets are known.
-    pub(crate) fn targets_revision(&self) -> Revision {
-        lock(&self.directory).revision().unwrap_or_default()
+    /// Returns the position up to which the targets are known.
+    pub(crate) fn targets_position(&self) -> StorePosition {
+        lock(&self.directory).position().unwrap_or_default()
     }
 
-    /// Returns the changes of targets since a revision, and whether the store is or recently was
+    /// Returns the changes of targets since a position, and whether the store is or recently was
     /// unavailable.
     pub(crate) fn target_updates_since(
         &self,
-        since: Revision,
+        since: StorePosition,
         now: Timestamp,
     ) -> (Option<DirectoryUpdate>, bool) {
         let directory = lock(&self.directory);
         let update = directory.changes_since(since, now).and_then(|events| {
-            let revision = directory.revision()?;
-            Some((revision, directory.complete_at()?, events))
+            let position = directory.position()?;
+            Some((position, directory.complete_at()?, events))
         });
         (update, directory.is_uncertain(now))
     }
--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -4,6 +4,8 @@
 use crate::connection::Connection;
 use crate::exchange::round_trip;
 use crate::runtime::within;
+use crate::state::Gateway;
+use almondcroft_core::Era;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +28,10 @@
     Status(u16),
     /// The response cannot be read.
     Unreadable(String),
+    /// The response is from before a restoration of the store.
+    Outdated,
+    /// The store was restored since the position that the call refers to.
+    Restored,
 }
 
 impl std::fmt::Display for StoreError {
@@ -34,10 +40,20 @@
             Self::Unreachable(kind) => f.write_str(kind),
             Self::Status(status) => write!(f, "status-{status}"),
             Self::Unreadable(reason) => f.write_str(reason),
+            Self::Outdated => f.write_str("outdated-era"),
+            Self::Restored => f.write_str("restored"),
         }
     }
 }
 
+/// A successful response of the store.
+#[derive(Debug)]
+pub(crate) struct StoreResponse {
+    pub(crate) body: Vec<u8>,
+    /// Era of the store in which it responded.
+    pub(crate) era: Era,
+}
+
 /// Client of the store.
 pub(crate) struct StoreClient {
     address: SocketAddr,
@@ -52,12 +68,15 @@
         }
     }
 
-    /// Sends a request and returns the body of a successful response.
+    /// Sends a request and returns a successful response.
+    ///
+    /// The era that the response states is recorded, whatever its status.
     pub(crate) async fn call(
         &mut self,
+        gateway: &Gateway,
         call: &ControlCall,
         timeout: Duration,
-    ) -> Result<Vec<u8>, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let idle = self.connection.take().filter(Connection::is_idle);
         let mut connection = match idle {
             Some(connection) => connection,
@@ -76,8 +95,15 @@
         if head.keeps_alive() {
             self.connection = Some(connection);
         }
+        let stated = gateway.registry.read_era(&head).unwrap_or_else(|text| {
+            log::warn!(event = "store-era-unreadable", text = text.as_str(); "");
+            None
+        });
+        let era = gateway
+            .observe_store_era(stated)
+            .ok_or(StoreError::Outdated)?;
         match head.status {
-            200..300 => Ok(body),
+            200..300 => Ok(StoreResponse { body, era }),
             status => Err(StoreError::Status(status)),
         }
     }
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -5,8 +5,8 @@
 use crate::peer_view::{self, ConfigDocument, StoreCopy};
 use crate::runtime::{sleep, spawn};
 use crate::state::Gateway;
-use crate::store::{CALL_TIMEOUT, StoreClient, StoreError};
-use almondcroft_core::gateway::EntryEvent;
+use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
+use almondcroft_core::gateway::{EntryEvent, StorePosition, TargetEntry};
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
 use rand::Rng;
@@ -60,6 +60,13 @@
 /// read the next one.
 const MAX_COPY_AGE: f64 = 0.75;
 
+/// Minimum delay after a restoration of the store before a VM that queries watchers reads again; copies
+/// are available once targets have had time to register.
+const RESTORED_READ_DELAY: Duration = Duration::from_millis(2_200);
+
+/// Maximum random addition to [`RESTORED_READ_DELAY`], so that a large fleet does not read all at once.
+const RESTORED_READ_SPREAD: Duration = Duration::from_secs(1);
+
 /// Status of a watch whose revision the store no longer has.
 const HISTORY_GONE_STATUS: u16 = 410;
 
@@ -74,7 +81,8 @@
             disconnected: false,
             recent_changes: VecDeque::new(),
             outdated: false,
-            revision: 0,
+            stored_config: 0,
+            position: StorePosition::default(),
         };
         spawn(async move { follower.run().await });
     }
@@ -91,20 +99,22 @@
     recent_changes: VecDeque<Timestamp>,
     /// Whether the newest configuration is unreadable, so that the active one is outdated.
     outdated: bool,
-    /// Revision of the store up to which the objects are known.
-    revision: Revision,
+    /// Newest configuration that the store is known to hold in its current era.
+    stored_config: Revision,
+    /// Position of the store up to which the objects are known.
+    position: StorePosition,
 }
 
 impl Follower {
     async fn run(&mut self) {
         loop {
             let read = match self.copy().await {
-                Some(revision) => Ok(revision),
+                Some(position) => Ok(position),
                 None => self.list().await,
             };
             match read {
-                Ok(revision) => {
-                    self.revision = revision;
+                Ok(position) => {
+                    self.position = position;
                     self.follow().await;
                 }
                 Err(error) => self.back_off(&error).await,
@@ -113,7 +123,7 @@
     }
 
     /// Reads all objects of the kind from a peer; returns `None` if the store must be called.
-    async fn copy(&mut self) -> Option<Revision> {
+    async fn copy(&mut self) -> Option<StorePosition> {
         let (copy, sent_at) = peer_view::read(&self.gateway, self.kind).await?;
         let now = clock::now();
         let age = copy.age();
@@ -124,23 +134,30 @@
         self.record_response();
         match copy {
             StoreCopy::Config(batch, document, _) => {
-                let revision = batch.revision;
+                let position = StorePosition {
+                    era: self.gateway.store_era(),
+                    revision: batch.revision,
+                };
                 self.gateway.set_config_document(document);
-                self.apply_changes(batch.items, revision, confirmed_at);
-                Some(revision)
+                self.apply_changes(batch.items, position, confirmed_at);
+                Some(position)
             }
             StoreCopy::ConfigUnchanged(revision, _) => {
                 let held = self.gateway.config()?.revision;
                 if held == revision && !self.outdated {
+                    self.stored_config = held;
                     self.gateway.confirm_config(confirmed_at);
                 }
-                Some(self.revision)
+                // The store's revision of the copy is unknown, so a watch starts with a list.
+                let era = self.gateway.store_era();
+                let start = StorePosition { era, revision: 0 };
+                Some(self.position.max(start))
             }
             StoreCopy::Targets(update) => {
-                let revision = update.revision;
+                let position = update.position();
                 let items = update.into_events(now).into_iter().map(Item::Target);
-                self.apply_list(items.collect(), revision, confirmed_at);
-                Some(revision)
+                self.apply_list(items.collect(), position, confirmed_at);
+                Some(position)
             }
         }
     }
@@ -151,15 +168,21 @@
             if self.wait_while_valid().await {
                 match self.kind {
                     ObjectKind::Targets => {
-                        self.revision = self.revision.max(self.gateway.targets_revision());
+                        self.position = self.position.max(self.gateway.targets_position());
                     }
                     ObjectKind::Config | ObjectKind::Vms => return,
                 }
             }
-            match self.watch(self.revision).await {
-                Ok(next) => self.revision = next,
+            if self.is_restored() {
+                self.await_restored_copies().await;
+                return;
+            }
+            match self.watch(self.position).await {
+                Ok(next) => self.position = next,
+                Err(StoreError::Restored) => {}
                 Err(StoreError::Status(HISTORY_GONE_STATUS)) => {
-                    log::info!(event = "history-gone", kind = self.kind.as_str(), revision = self.revision; "");
+                    log::info!(event = "history-gone", kind = self.kind.as_str(),
+                        era = self.position.era, revision = self.position.revision; "");
                     return;
                 }
                 Err(error @ StoreError::Unreadable(_)) => {
@@ -171,10 +194,26 @@
         }
     }
 
+    /// Returns whether the store was restored since the objects were read, so that they must be read
+    /// again as a whole.
+    fn is_restored(&self) -> bool {
+        self.position.era < self.gateway.store_era()
+    }
+
+    /// Waits until peers have copies of the restored objects, if this VM reads from them.
+    async fn await_restored_copies(&self) {
+        if self.gateway.queried_watchers(clock::now()).is_some() {
+            let spread = rand::rng().random_range(0.0..1.0);
+            sleep(RESTORED_READ_DELAY + RESTORED_READ_SPREAD.mul_f64(spread)).await;
+        }
+    }
+
     /// Waits while data from watchers is valid; returns whether it had to wait.
     async fn wait_while_valid(&self) -> bool {
         let mut waited = false;
-        while let Some(remaining) = self.gateway.remaining_validity(self.kind, clock::now()) {
+        while !self.is_restored()
+            && let Some(remaining) = self.gateway.remaining_validity(self.kind, clock::now())
+        {
             waited = true;
             match self.kind {
                 ObjectKind::Config => or(sleep(remaining), self.gateway.config_announced()).await,
@@ -198,14 +237,15 @@
     }
 
     /// Lists all objects of the kind.
-    async fn list(&mut self) -> Result<Revision, StoreError> {
+    async fn list(&mut self) -> Result<StorePosition, StoreError> {
         let sent_at = clock::now();
         let mut items = Vec::new();
         let mut after = None;
-        let mut first_revision = None;
+        let mut first_position = None;
         loop {
             let call = self.gateway.registry.list(self.kind, after.as_deref());
-            let body = self.client.call(&call, CALL_TIMEOUT).await?;
+            let call = self.client.call(&self.gateway, &call, CALL_TIMEOUT);
+            let StoreResponse { body, era } = call.await?;
             let batch = self
                 .gateway
                 .registry
@@ -214,7 +254,14 @@
             self.keep_document(&batch, true, body);
             // The watch starts at the revision of the first page, so it repeats changes made while
             // listing.
-            first_revision.get_or_insert(batch.revision);
+            let position = StorePosition {
+                era,
+                revision: batch.revision,
+            };
+            let first = *first_position.get_or_insert(position);
+            if first.era < era {
+                return Err(StoreError::Restored);
+            }
             items.extend(batch.items);
             after = batch.next;
             if after.is_none() {
@@ -222,17 +269,24 @@
             }
         }
         self.record_response();
-        let revision = first_revision.unwrap_or_default();
-        self.apply_list(items, revision, sent_at);
-        Ok(revision)
+        let position = first_position.unwrap_or_default();
+        self.apply_list(items, position, sent_at);
+        Ok(position)
     }
 
-    /// Waits for changes; returns the revision for the next watch.
-    async fn watch(&mut self, since: Revision) -> Result<Revision, StoreError> {
+    /// Waits for changes; returns the position for the next watch.
+    ///
+    /// Changes since a revision of an earlier era are no continuation, even if the store has that
+    /// revision again.
+    async fn watch(&mut self, since: StorePosition) -> Result<StorePosition, StoreError> {
         let sent_at = clock::now();
         let wait = self.watch_wait();
-        let call = self.gateway.registry.watch(self.kind, since, wait);
-        let body = self.client.call(&call, wait + WATCH_SLACK).await?;
+        let call = self.gateway.registry.watch(self.kind, since.revision, wait);
+        let call = self.client.call(&self.gateway, &call, wait + WATCH_SLACK);
+        let StoreResponse { body, era } = call.await?;
+        if era > since.era {
+            return Err(StoreError::Restored);
+        }
         let batch = self
             .gateway
             .registry
@@ -250,11 +304,12 @@
             items, revision, ..
         } = batch;
         let changed = !items.is_empty();
-        self.apply_changes(items, revision, confirmed_at);
+        let position = StorePosition { era, revision };
+        self.apply_changes(items, position, confirmed_at);
         if changed && self.kind == ObjectKind::Targets {
             self.batch_changes().await;
         }
-        Ok(revision.max(since))
+        Ok(position.max(since))
     }
 
     /// Keeps a response that contains the configuration, for peers.
@@ -289,7 +344,7 @@
         }
     }
 
-    fn apply_list(&mut self, items: Vec<Item>, revision: Revision, confirmed_at: Timestamp) {
+    fn apply_list(&mut self, items: Vec<Item>, position: StorePosition, confirmed_at: Timestamp) {
         if self.kind == ObjectKind::Targets {
             let present = items.into_iter().filter_map(|item| match item {
                 Item::Target(EntryEvent::Present(entry)) => Some(entry),
@@ -298,18 +353,44 @@
                     None
                 }
             });
-            let entries = present.collect();
+            let entries: Vec<TargetEntry> = present.collect();
+            self.log_restored_targets(&entries, position);
             let now = clock::now();
-            let at = (revision, confirmed_at);
+            let at = (position, confirmed_at);
             self.gateway
                 .change_targets(|directory| directory.apply_list(entries, at, now));
             self.gateway.mark_targets_listed();
         } else {
-            self.apply_changes(items, revision, confirmed_at);
+            self.stored_config = 0;
+            self.apply_changes(items, position, confirmed_at);
+            self.log_restored_config(position);
+        }
+    }
+
+    fn log_restored_targets(&self, entries: &[TargetEntry], position: StorePosition) {
+        let known = self.gateway.targets_position();
+        if known.revision > 0 && known.era < position.era {
+            let restored = self.gateway.compare_restored(entries);
+            log::warn!(event = "store-restored", kind = self.kind.as_str(), era = position.era,
+                revision = position.revision, revision_before = known.revision, lost = restored.lost,
+                outdated = restored.outdated; "");
+        }
+    }
+
+    fn log_restored_config(&self, position: StorePosition) {
+        let held = self.gateway.config().map_or(0, |config| config.revision);
+        if self.stored_config < held {
+            log::warn!(event = "store-restored", kind = self.kind.as_str(), era = position.era,
+                revision = position.revision, stored = self.stored_config, held = held; "");
         }
     }
 
-    fn apply_changes(&mut self, items: Vec<Item>, revision: Revision, confirmed_at: Timestamp) {
+    fn apply_changes(
+        &mut self,
+        items: Vec<Item>,
+        position: StorePosition,
+        confirmed_at: Timestamp,
+    ) {
         let now = clock::now();
         let mut events = Vec::new();
         for item in items {
@@ -317,6 +398,7 @@
                 Item::Config(config) => {
                     let revision = config.revision;
                     self.outdated = false;
+                    self.stored_config = self.stored_config.max(revision);
                     if self.gateway.offer_config(*config) {
                         log::info!(event = "config", revision = revision; "");
                         let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
@@ -331,11 +413,12 @@
             }
         }
         if self.kind == ObjectKind::Targets {
-            let at = (revision, confirmed_at);
+            let at = (position, confirmed_at);
             self.gateway
                 .change_targets(|directory| directory.apply_changes(events, at, now));
         }
-        let up_to_date = self.gateway.config().is_some() && !self.outdated;
+        let held = self.gateway.config().map(|config| config.revision);
+        let up_to_date = held == Some(self.stored_config) && !self.outdated;
         if self.kind == ObjectKind::Config && up_to_date {
             self.gateway.confirm_config(confirmed_at);
         }
@@ -351,7 +434,8 @@
     fn record_response(&mut self) {
         self.backoff = INITIAL_BACKOFF;
         if std::mem::take(&mut self.disconnected) {
-            log::info!(event = "store-regained", kind = self.kind.as_str(); "");
+            log::info!(event = "store-regained", kind = self.kind.as_str(),
+                era = self.gateway.store_era(); "");
         }
         if self.kind == ObjectKind::Targets {
             let now = clock::now();
@@ -364,7 +448,8 @@
 
     async fn back_off(&mut self, error: &StoreError) {
         if !std::mem::replace(&mut self.disconnected, true) {
-            log::warn!(event = "store-lost", kind = self.kind.as_str(), error:% = error; "");
+            log::warn!(event = "store-lost", kind = self.kind.as_str(), error:% = error,
+                era = self.gateway.store_era(); "");
         }
         if self.kind == ObjectKind::Targets {
             self.gateway.change_targets(|directory| {
