feat(fleet): engines say in their answers that they leave or want no requests

An engine may state in any answer that it is leaving, and with a 503 for how many seconds it wants nothing. Both were ignored: the VM learned of a leave from the store only, so not at all while the store was down, and sent again to a full engine after 150 ms.

- A leave notice in any answer to a request or a copy call (not in a 421, which another target sent) marks that incarnation as leaving: no new requests, its generations move off, the other VMs are told by gossip.
An entry that shows the same incarnation as ready does not bring it back; a new incarnation is used.
- Retry-After of a 503 keeps this VM's requests, resumed generations and backup copies away for that time, at most ten minutes; copy calls that take generations off the engine go on.
Requests that no other target can run in time are refused at once (reason target-backoff), waiting ones too, with a return time from the first end.

Whether other VMs should keep away too was not measured; they do not.

--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -202,6 +202,19 @@
         }
     }
 
+    /// Records that an incarnation of a target said itself that it is leaving, before its entry does.
+    pub fn record_leaving(&mut self, target: &TargetId, incarnation: u64) -> Vec<TargetChange> {
+        let known = self.known.get_mut(target);
+        let Some(known) = known.filter(|known| known.entry.incarnation == incarnation) else {
+            return Vec::new();
+        };
+        if std::mem::replace(&mut known.entry.draining, true) {
+            return Vec::new();
+        }
+        self.uncommitted.push(target.clone());
+        vec![TargetChange::Leaving(target.clone())]
+    }
+
     /// Applies a list of all entries that was complete at a time.
     ///
     /// A list older than the last checkpoint is ignored.
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -347,3 +347,24 @@
         []
     );
 }
+
+#[test]
+fn record_leaving_outlives_the_entry_that_shows_the_target_as_ready() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
+    let leaving = [TargetChange::Leaving("a".into())];
+    assert_eq!(directory.record_leaving(&"a".into(), 1), leaving);
+    assert_eq!(directory.record_leaving(&"a".into(), 1), []);
+    assert_eq!(directory.record_leaving(&"a".into(), 2), []);
+    let warmer = TargetEntry {
+        cold_until: SECOND * 3,
+        ..entry("a")
+    };
+    let events = vec![EntryEvent::Present(warmer)];
+    let changes = directory.apply_changes(events, (revision(11), SECOND), SECOND);
+    assert!(
+        !changes
+            .iter()
+            .any(|change| matches!(change, TargetChange::Joined(_)))
+    );
+}
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -49,6 +49,8 @@
     Overload,
     /// Its deadline has passed.
     Late,
+    /// All targets of the service asked for no requests until it would be too late.
+    Backoff,
 }
 
 impl RefusalReason {
@@ -59,6 +61,7 @@
             Self::NoTarget => "no-target",
             Self::Overload => "overload",
             Self::Late => "late",
+            Self::Backoff => "target-backoff",
         }
     }
 }
@@ -343,6 +346,57 @@
         }
     }
 
+    /// Records that a target asked for no requests for a time, and refuses waiting requests that no other
+    /// target can run in time.
+    pub fn record_backoff(
+        &mut self,
+        target: &str,
+        time: Duration,
+        now: Timestamp,
+    ) -> Vec<PlacedRequest> {
+        let Some(state) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        state.record_requested_backoff(time, now);
+        let service = state.entry.service.clone();
+        self.refuse_until_backoff_ends(&service, now)
+    }
+
+    /// Returns whether a target asked for no requests at this time.
+    #[must_use]
+    pub fn is_backing_off(&self, target: &str, now: Timestamp) -> bool {
+        let state = self.targets.get(target);
+        state.is_some_and(|state| now < state.requested_backoff())
+    }
+
+    /// Returns how long all targets of a service still want no requests; zero if one accepts them.
+    fn backoff_wait(&self, service: &str, now: Timestamp) -> Duration {
+        let usable = |state: &&TargetState| state.entry.service == service && !state.leaving;
+        let ends = self.targets.values().filter(usable);
+        let first_end = ends.map(TargetState::requested_backoff).min();
+        first_end.unwrap_or_default().saturating_sub(now)
+    }
+
+    fn refuse_until_backoff_ends(
+        &mut self,
+        service: &ServiceId,
+        now: Timestamp,
+    ) -> Vec<PlacedRequest> {
+        let wait = self.backoff_wait(service, now);
+        let wait_fraction = self.options.wait_fraction;
+        let Some(queue) = self.queues.get_mut(service).filter(|_| !wait.is_zero()) else {
+            return Vec::new();
+        };
+        let refused = queue.take_expired(now + wait, wait_fraction);
+        refused
+            .into_iter()
+            .map(|waiting| PlacedRequest {
+                request: waiting.demand.id,
+                placement: refusal(RefusalReason::Backoff, retry_after(wait)),
+            })
+            .collect()
+    }
+
     /// Does the work that is due at a time.
     ///
     /// Removes stale peers and targets that have left, and places or refuses waiting requests.
@@ -397,9 +451,14 @@
         if now >= demand.deadline {
             return Some(refusal(RefusalReason::Late, MIN_RETRY_AFTER));
         }
+        let wait = self.backoff_wait(&demand.service, now);
+        let wait_limit = demand.caller_timeout.mul_f64(self.options.wait_fraction);
+        if wait > wait_limit || now + wait >= demand.deadline {
+            return Some(refusal(RefusalReason::Backoff, retry_after(wait)));
+        }
         let queue = self.queues.get(&demand.service)?;
         let wait = queue.estimated_wait(demand);
-        if wait > demand.caller_timeout.mul_f64(self.options.wait_fraction) {
+        if wait > wait_limit {
             return Some(refusal(RefusalReason::Overload, retry_after(wait)));
         }
         None
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -18,6 +18,9 @@
 /// Back-off of a target that refused a request because it was full.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Longest back-off that a target can ask for.
+const MAX_REQUESTED_BACKOFF: Duration = Duration::from_mins(10);
+
 /// Weight of the newest outcome in the moving average of a target's failure rate.
 const OUTCOME_WEIGHT: f64 = 0.1;
 
@@ -113,6 +116,8 @@
     pub(super) token_time: Option<Duration>,
     hard_failures: u32,
     backoff_until: Timestamp,
+    /// End of the time for which the target asked for no requests.
+    requested_backoff: Timestamp,
     /// Requests that do not belong to this VM, and when the target reported them.
     reported_load: Option<(f64, Timestamp)>,
 }
@@ -130,6 +135,7 @@
             token_time: None,
             hard_failures: 0,
             backoff_until: Timestamp::ZERO,
+            requested_backoff: Timestamp::ZERO,
             reported_load: None,
         }
     }
@@ -137,11 +143,19 @@
     pub(super) fn update_entry(&mut self, entry: TargetEntry) {
         self.leaving = entry.draining;
         self.noticed_at = self.noticed_at.filter(|_| entry.draining);
+        if self.entry.incarnation != entry.incarnation {
+            self.requested_backoff = Timestamp::ZERO;
+        }
         self.entry = entry;
     }
 
     pub(super) fn accepts_requests(&self, now: Timestamp) -> bool {
-        !self.leaving && now >= self.backoff_until
+        !self.leaving && now >= self.backoff_until && now >= self.requested_backoff
+    }
+
+    /// Returns the end of the time for which the target asked for no requests.
+    pub(super) const fn requested_backoff(&self) -> Timestamp {
+        self.requested_backoff
     }
 
     /// Sums up this VM's requests and copies at the target.
@@ -276,6 +290,12 @@
         }
     }
 
+    /// Records that the target asked for no requests for a time.
+    pub(super) fn record_requested_backoff(&mut self, time: Duration, now: Timestamp) {
+        let until = now + time.min(MAX_REQUESTED_BACKOFF);
+        self.requested_backoff = self.requested_backoff.max(until);
+    }
+
     pub(super) fn record_refusal(&mut self, now: Timestamp) {
         self.backoff_until = self.backoff_until.max(now + REFUSAL_BACKOFF);
     }
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -1,3 +1,4 @@
+mod backoff;
 mod digest;
 mod link;
 mod overload;
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -77,6 +77,10 @@
     pub load: Option<(u32, u32)>,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the target states that it is leaving.
+    pub leaving: bool,
+    /// Time for which the target asks for no further requests.
+    pub retry_after: Option<Duration>,
 }
 
 /// A small request of the gateway's own, to an engine or to the store.
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -94,6 +94,7 @@
             Some(response) => response?,
             None => return Err(SendError::may_have_run("target-timeout")),
         };
+        gateway.observe_response(&send.target, &head, &meta);
         Ok(Self {
             head,
             meta,
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -219,14 +219,18 @@
         let (head, body) = round_trip(&mut connection, address, call, MAX_RESPONSE_BODY)
             .await
             .ok()?;
+        let meta = self.gateway.dialect.read_response(&head);
+        if meta.leaving {
+            self.gateway
+                .observe_response(&self.source.target, &head, &meta);
+        }
         if head.keeps_alive() {
-            let keep_alive = self.gateway.dialect.read_response(&head).keep_alive;
             pool::release(
                 &self.gateway,
                 address,
                 &self.call.service,
                 connection,
-                keep_alive,
+                meta.keep_alive,
             );
         } else if !last {
             // A leaving target closes each connection, and the next copy follows at once.
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -229,10 +229,13 @@
         }
     }
 
-    /// Returns the engine with the backup and the copy there, unless that engine is leaving too.
+    /// Returns the engine with the backup and the copy there, unless that engine is leaving too or wants
+    /// no requests.
     fn backup_copy(&self) -> Option<(Choice, CopyLocation)> {
         let fleet = lock(&self.gateway.fleet);
-        let target = self.backup.as_ref().filter(|id| !fleet.is_leaving(id))?;
+        let usable =
+            |id: &&TargetId| !fleet.is_leaving(id) && !fleet.is_backing_off(id, clock::now());
+        let target = self.backup.as_ref().filter(usable)?;
         let choice = fleet.choice_for(target)?;
         let copy = (choice.address, self.call.external_id().to_owned());
         Some((choice, copy))
@@ -434,6 +437,9 @@
             options.push((self.choice.clone(), copy));
         }
         options.extend(self.backup_copy());
+        let (fleet, now) = (lock(&self.gateway.fleet), clock::now());
+        options.retain(|(choice, _)| !fleet.is_backing_off(&choice.target, now));
+        drop(fleet);
         options
     }
 
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 mod store_view;
 
-use crate::adapter::{Dialect, Registry, VmEntry};
+use crate::adapter::{Dialect, Registry, ResponseMeta, VmEntry};
 use crate::clock;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
@@ -16,6 +16,7 @@
 };
 use almondcroft_core::quarantine::Quarantine;
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
+use almondcroft_proto::http1::ResponseHead;
 use async_channel::{Receiver, Sender, bounded};
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,6 +26,12 @@
 /// Time for which gossip messages include a leaving target; long enough for many gossip rounds.
 const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 
+/// Status of the response of another target than the expected one.
+const MISDIRECTED_STATUS: u16 = 421;
+
+/// Status with which a target turns requests away.
+const UNAVAILABLE_STATUS: u16 = 503;
+
 /// A leaving target and its incarnation.
 pub(crate) type Departure = (TargetId, u64);
 
@@ -225,6 +232,42 @@
         }
     }
 
+    /// Applies what a target stated about itself in a response, whatever the response's status.
+    pub(crate) fn observe_response(
+        &self,
+        target: &TargetId,
+        head: &ResponseHead,
+        meta: &ResponseMeta,
+    ) {
+        // Another target responded, which has taken over the address.
+        if head.status == MISDIRECTED_STATUS {
+            return;
+        }
+        let now = clock::now();
+        if meta.leaving {
+            self.record_leaving_response(target, now);
+        }
+        if head.status == UNAVAILABLE_STATUS
+            && let Some(time) = meta.retry_after
+        {
+            log::info!(event = "target-backoff", target_id = target.as_str(),
+                seconds = time.as_secs_f64(); "");
+            let placements = lock(&self.fleet).record_backoff(target, time, now);
+            self.deliver(placements);
+        }
+    }
+
+    fn record_leaving_response(&self, target: &TargetId, now: Timestamp) {
+        let Some(incarnation) = lock(&self.fleet).incarnation(target) else {
+            return;
+        };
+        let changes = lock(&self.directory).record_leaving(target, incarnation);
+        if !changes.is_empty() {
+            self.announce_departure((target.clone(), incarnation), now);
+            self.mark_target_leaving(target, "answer");
+        }
+    }
+
     /// Marks a target as leaving, and notifies the requests that run there.
     pub(crate) fn mark_target_leaving(&self, target: &TargetId, source: &str) {
         let mut fleet = lock(&self.fleet);
@@ -250,12 +293,17 @@
         if self.queried_watchers(now).is_some() {
             return;
         }
-        if let Some(incarnation) = lock(&self.fleet).incarnation(target) {
-            lock(&self.departures).push_back((now, (target.clone(), incarnation)));
-            self.request_gossip();
+        let incarnation = lock(&self.fleet).incarnation(target);
+        if let Some(incarnation) = incarnation {
+            self.announce_departure((target.clone(), incarnation), now);
         }
     }
 
+    fn announce_departure(&self, departure: Departure, now: Timestamp) {
+        lock(&self.departures).push_back((now, departure));
+        self.request_gossip();
+    }
+
     /// Lists the targets that this VM recently saw leaving.
     pub(crate) fn departures(&self, now: Timestamp) -> Vec<Departure> {
         let mut departures = lock(&self.departures);
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -53,7 +53,12 @@
             "store-lost" => {
                 line.vm == vm && (is_near(line) || config_lost.is_some_and(|lost| lost == *line))
             }
-            "store-regained" | "log-dropped" => line.vm == vm && is_near(line),
+            "store-regained" | "store-era" | "store-restored" | "log-dropped" => {
+                line.vm == vm && is_near(line)
+            }
+            "target-backoff" => {
+                line.vm == vm && targets.contains(line.get("target_id")) && is_near(line)
+            }
             // Every VM logs these events for every target; the first line of each is enough.
             "target-leaving" | "target-gone" => {
                 let target = line.get("target_id");
@@ -104,9 +109,8 @@
     match reason {
         "no-config" | "config-stale" => Cause::ConfigStale,
         "no-route" | "unknown-key" => Cause::NotPermitted,
-        "overload" | "late" | "no-target" | "no-service" | "target-refused" | "connect" => {
-            Cause::NoCapacity
-        }
+        "overload" | "late" | "no-target" | "no-service" | "target-refused" | "connect"
+        | "target-backoff" => Cause::NoCapacity,
         "quarantined" => Cause::Quarantined,
         "stopping" => Cause::Stopping,
         "memory" => Cause::Memory,
