feat(ledger): claims that a restored store has forgotten are not granted again

A claim was proven by the store's acknowledgement. A store that comes back from an older copy has lost such claims and gives out their versions again, so a retried order ran a second time at a VM that knew only the log, and a VM that wrote by an old version could overwrite the claims of others.

- Segments name the era in which they were written.
Once an era has begun, a key issued before it (by its UUIDv7 time, 2 s margin; a key without a time for the whole retention) that is not in the log gets Unavailable { loaded: false }: may-have-run.
- A write that took effect in a later era than its base proves nothing.
- What a VM remembers of the lost log (claims, outcomes) it appends again.
- The daemon reads the era of each response of the object API (header store-era); a lower one is refused, a missing one changes nothing.
It reads the configuration again from version 0 in a new era.
- The object API stand-in comes back from a copy of a given age (PUT /admin/restore); at-most-once simulation with that fault.

An empty log of a store whose era is above 1 counts as possibly forgotten, so the first use of a shard refuses keys issued before it.

--- a/crates/almondcroft-core/benches/slopes.rs
+++ b/crates/almondcroft-core/benches/slopes.rs
@@ -54,6 +54,7 @@
         vm: "entry-123".into(),
         incarnation: 1,
         at: Duration::from_secs(1_000),
+        issued_at: None,
         deadline: Duration::from_secs(1_010),
     }
 }
--- a/crates/almondcroft-core/src/ledger/claim.rs
+++ b/crates/almondcroft-core/src/ledger/claim.rs
@@ -25,6 +25,9 @@
     /// When the claim was made.
     #[serde(rename = "t")]
     pub at: Timestamp,
+    /// When the caller made the key; `None` if the key does not say.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub issued_at: Option<Timestamp>,
     /// Latest time at which the attempt ends.
     #[serde(rename = "d")]
     pub deadline: Timestamp,
--- a/crates/almondcroft-core/src/ledger/segment.rs
+++ b/crates/almondcroft-core/src/ledger/segment.rs
@@ -1,7 +1,7 @@
 //! Segments of a shard's log, each stored as one object.
 
 use super::{Claim, KeyHash, Nonce, Outcome};
-use crate::Timestamp;
+use crate::{Era, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// One entry of a shard's log.
@@ -64,6 +64,12 @@
     pub sealed: bool,
     /// When the last entry was appended.
     pub last: Timestamp,
+    /// Era of the store in which the last entry was appended.
+    #[serde(default)]
+    pub era: Era,
+    /// Claims on keys issued before this time may have been lost with a restoration of the store.
+    #[serde(default)]
+    pub unproven_before: Timestamp,
     /// The entries, in order.
     pub entries: Vec<Entry>,
 }
--- a/crates/almondcroft-core/src/ledger/shard.rs
+++ b/crates/almondcroft-core/src/ledger/shard.rs
@@ -5,13 +5,16 @@
 mod options;
 
 use super::{Claim, ClaimAnswer, ClaimTable, Entry, Expected, Segment};
-use crate::Timestamp;
+use crate::{Era, Timestamp};
 use std::collections::{BTreeMap, VecDeque};
 
 pub use action::ShardAction;
 pub use event::{CallId, ShardEvent, Ticket};
 pub use options::ShardOptions;
 
+/// Highest era of a store that was never restored.
+const FIRST_ERA: Era = 1;
+
 /// Maximum number of doublings of the delay between reads while the store fails.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
@@ -65,6 +68,14 @@
 pub struct ClaimShard {
     options: ShardOptions,
     table: ClaimTable,
+    /// What was known before the log has to be read again after a restoration of the store.
+    remembered: Option<ClaimTable>,
+    /// Era of the store in which the log was last read or written.
+    era: Option<Era>,
+    /// Claims on keys issued before this time may have been lost with a restoration of the store.
+    unproven_before: Timestamp,
+    /// Segment, by index and version, whose older era was taken into account.
+    outdated_segment: Option<(u64, u64)>,
     tail: Option<Tail>,
     sealed: BTreeMap<u64, Timestamp>,
     pending: VecDeque<Pending>,
@@ -87,6 +98,10 @@
         Self {
             options,
             table: ClaimTable::default(),
+            remembered: None,
+            era: None,
+            unproven_before: Timestamp::ZERO,
+            outdated_segment: None,
             tail: None,
             sealed: BTreeMap::new(),
             pending: VecDeque::new(),
@@ -146,11 +161,15 @@
                 });
             }
             ShardEvent::Append(entry) => self.queue_entry(entry),
-            ShardEvent::Timeout { ticket } => self.time_out_claim(ticket, actions),
-            ShardEvent::Loaded { id, segments } => {
+            ShardEvent::Timeout { ticket } => self.time_out_claim(ticket, now, actions),
+            ShardEvent::Loaded { id, era, segments } => {
                 if matches!(self.call_state, CallState::Loading(current) if current == id) {
                     self.call_state = CallState::Idle;
-                    self.merge(segments, now);
+                    let is_partial = self.tail.is_some();
+                    let restored = self.observe_era(era, now);
+                    if !(restored && is_partial) && self.era == Some(era) {
+                        self.merge(segments, now);
+                    }
                 }
             }
             ShardEvent::LoadFailed { id } => {
@@ -159,7 +178,7 @@
                     self.back_off(now);
                 }
             }
-            ShardEvent::Written { id, version } => self.apply_write(id, version, now),
+            ShardEvent::Written { id, era, version } => self.apply_write(id, era, version, now),
             ShardEvent::WriteFailed { id } => {
                 if matches!(&self.call_state, CallState::Writing(call) if call.id == id) {
                     self.call_state = CallState::Idle;
@@ -171,7 +190,7 @@
     }
 
     /// Answers a claim whose time limit has passed; releases it if it may be in the log already.
-    fn time_out_claim(&mut self, ticket: Ticket, actions: &mut Vec<ShardAction>) {
+    fn time_out_claim(&mut self, ticket: Ticket, now: Timestamp, actions: &mut Vec<ShardAction>) {
         let found = self
             .pending
             .iter()
@@ -179,7 +198,8 @@
         let Some(pending) = found.and_then(|index| self.pending.remove(index)) else {
             return;
         };
-        let loaded = self.append_confirmed && self.tail.is_some();
+        let proven = !self.is_unproven(&pending.claim, now);
+        let loaded = proven && self.append_confirmed && self.tail.is_some();
         let known = self.table.answer_claim(&pending.claim);
         let answer = known.unwrap_or(ClaimAnswer::Unavailable { loaded });
         let unavailable = matches!(answer, ClaimAnswer::Unavailable { .. });
@@ -213,7 +233,7 @@
         }
     }
 
-    fn apply_write(&mut self, id: CallId, version: u64, now: Timestamp) {
+    fn apply_write(&mut self, id: CallId, era: Era, version: u64, now: Timestamp) {
         let call_state = std::mem::replace(&mut self.call_state, CallState::Idle);
         let CallState::Writing(call) = call_state else {
             self.call_state = call_state;
@@ -223,7 +243,9 @@
             self.call_state = CallState::Writing(call);
             return;
         }
-        if self.is_outdated(now) {
+        // A write that took effect in a later era than its base proves nothing: the version that it
+        // replaced may have been another one of the same number.
+        if self.observe_era(era, now) || self.era != Some(era) || self.is_outdated(now) {
             self.tail = None;
             self.in_sync = false;
             return;
@@ -265,6 +287,64 @@
         }
     }
 
+    /// Records the era of the store; returns whether the store was restored since the log was read.
+    fn observe_era(&mut self, era: Era, now: Timestamp) -> bool {
+        let restored = self.era.is_some_and(|known| known < era);
+        self.era = self.era.max(Some(era));
+        if restored {
+            self.forget_log(now);
+        }
+        restored
+    }
+
+    /// Prepares for reading the whole log again, which may have lost entries.
+    fn forget_log(&mut self, now: Timestamp) {
+        self.mark_unproven(now);
+        let known = std::mem::take(&mut self.table);
+        self.remembered.get_or_insert(known);
+        self.tail = None;
+        self.in_sync = false;
+    }
+
+    fn mark_unproven(&mut self, now: Timestamp) {
+        self.unproven_before = self.unproven_before.max(now + self.options.clock_margin);
+    }
+
+    /// Returns whether an earlier claim on the same key may have been lost.
+    fn is_unproven(&self, claim: &Claim, now: Timestamp) -> bool {
+        match claim.issued_at {
+            Some(issued_at) => issued_at < self.unproven_before,
+            None => {
+                !self.unproven_before.is_zero()
+                    && now < self.unproven_before + self.options.retention
+            }
+        }
+    }
+
+    /// Takes into account that a segment was last written before the store was restored, or in a log
+    /// that had lost claims.
+    fn check_segment(&mut self, (index, version, segment): &(u64, u64, Segment), now: Timestamp) {
+        self.unproven_before = self.unproven_before.max(segment.unproven_before);
+        let seen = self.outdated_segment == Some((*index, *version));
+        if !seen && Some(segment.era) < self.era {
+            self.outdated_segment = Some((*index, *version));
+            self.mark_unproven(now);
+        }
+    }
+
+    /// Appends again what is remembered and missing in the log that was read.
+    fn restore_lost_entries(&mut self) {
+        let Some(remembered) = self.remembered.take() else {
+            return;
+        };
+        for entry in remembered.entries_missing_in(&self.table) {
+            self.table.apply(&entry);
+            if self.queued.len() < self.options.max_queued {
+                self.queued.push_back(entry);
+            }
+        }
+    }
+
     /// Applies the segments of a load, unless they are older than the known tail.
     fn merge(&mut self, segments: Vec<(u64, u64, Segment)>, now: Timestamp) {
         self.failures = 0;
@@ -272,9 +352,16 @@
         if self.is_stale(&segments) {
             return;
         }
-        if self.tail.is_none() {
+        let is_full = self.tail.is_none();
+        if is_full {
             self.append_confirmed = false;
             self.table = ClaimTable::default();
+            match segments.last() {
+                Some(last) => self.check_segment(last, now),
+                // Whether an empty log of a restored store was always empty is not known.
+                None if self.era > Some(FIRST_ERA) => self.mark_unproven(now),
+                None => {}
+            }
             self.sealed.clear();
             self.set_tail(Tail {
                 index: segments.first().map_or(0, |(index, _, _)| *index),
@@ -284,12 +371,22 @@
             });
         }
         for (index, version, segment) in segments {
+            let found = (index, version, segment);
+            if !is_full {
+                self.check_segment(&found, now);
+            }
+            let (index, version, segment) = found;
+            if self.is_overwritten(index, &segment) {
+                self.forget_log(now);
+                return;
+            }
             if !self.merge_segment(index, version, segment) {
                 // The segments don't continue the known log, so the whole log is read again.
                 self.tail = None;
                 return;
             }
         }
+        self.restore_lost_entries();
         self.in_sync = true;
         self.synced_at = now;
     }
@@ -308,6 +405,13 @@
         read.is_none_or(|(_, version, _)| version < known)
     }
 
+    /// Returns whether a segment lacks known entries: a VM that did not know of the restoration of the
+    /// store wrote it from what it had read before.
+    fn is_overwritten(&self, index: u64, segment: &Segment) -> bool {
+        let known = self.tail.as_ref().filter(|tail| tail.index == index);
+        known.is_some_and(|tail| !segment.entries.starts_with(&tail.segment.entries))
+    }
+
     fn merge_segment(&mut self, index: u64, version: u64, segment: Segment) -> bool {
         let Some(tail) = &self.tail else {
             return false;
@@ -333,7 +437,7 @@
     }
 
     fn advance(&mut self, now: Timestamp, actions: &mut Vec<ShardAction>) {
-        self.answer_settled(actions);
+        self.answer_settled(now, actions);
         if self.in_sync {
             self.delete_expired(now, actions);
         }
@@ -350,11 +454,20 @@
         }
     }
 
-    fn answer_settled(&mut self, actions: &mut Vec<ShardAction>) {
+    fn answer_settled(&mut self, now: Timestamp, actions: &mut Vec<ShardAction>) {
+        let mut pending = std::mem::take(&mut self.pending);
         let (table, in_sync) = (&self.table, self.in_sync);
         let mut refresh = false;
-        self.pending.retain(|pending| {
-            let Some(answer) = table.answer_claim(&pending.claim) else {
+        pending.retain(|pending| {
+            let unproven = self.is_unproven(&pending.claim, now);
+            let answer = match table.answer_claim(&pending.claim) {
+                None | Some(ClaimAnswer::Granted) if unproven && in_sync => {
+                    Some(ClaimAnswer::Unavailable { loaded: false })
+                }
+                Some(ClaimAnswer::Granted) if unproven => None,
+                answer => answer,
+            };
+            let Some(answer) = answer else {
                 return true;
             };
             // Of all answers, only this one can become outdated.
@@ -369,6 +482,7 @@
             });
             false
         });
+        self.pending = pending;
         // Another VM may have appended the outcome, so the log is read again for the next claim or
         // entry.
         if refresh && matches!(self.call_state, CallState::Idle) {
@@ -447,6 +561,8 @@
             next.segment.entries.push(entry);
         }
         next.segment.last = now;
+        next.segment.era = self.era.unwrap_or_default();
+        next.segment.unproven_before = self.unproven_before;
         next.segment.sealed = next.bytes >= self.options.segment_bytes;
         (next, queued_count)
     }
@@ -456,3 +572,6 @@
         self.last_id
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/almondcroft-core/src/ledger/shard/event.rs
+++ b/crates/almondcroft-core/src/ledger/shard/event.rs
@@ -1,5 +1,6 @@
 //! Events that a shard handles.
 
+use crate::Era;
 use crate::ledger::{Claim, Entry, Segment};
 
 /// Identifies a pending claim and its answer; chosen by the driver.
@@ -28,6 +29,8 @@
     Loaded {
         /// The store call.
         id: CallId,
+        /// Era of the store.
+        era: Era,
         /// Index, version and contents of each segment, in order of their index.
         segments: Vec<(u64, u64, Segment)>,
     },
@@ -40,6 +43,8 @@
     Written {
         /// The store call.
         id: CallId,
+        /// Era of the store.
+        era: Era,
         /// The segment's new version.
         version: u64,
     },
--- a/crates/almondcroft-core/src/ledger/shard/options.rs
+++ b/crates/almondcroft-core/src/ledger/shard/options.rs
@@ -15,6 +15,8 @@
     pub segment_bytes: usize,
     /// Maximum number of entries appended by one write.
     pub max_batch: usize,
+    /// Time by which the clocks of callers may be ahead.
+    pub clock_margin: Duration,
     /// Maximum number of outcomes and releases that wait to be appended; further ones are dropped.
     pub max_queued: usize,
 }
@@ -27,6 +29,7 @@
             retry_delay: Duration::from_millis(50),
             segment_bytes: 32 * 1024,
             max_batch: 256,
+            clock_margin: Duration::from_secs(2),
             max_queued: 10_000,
         }
     }
@@ -54,6 +57,13 @@
         self
     }
 
+    /// Sets the time by which the clocks of callers may be ahead.
+    #[must_use]
+    pub const fn clock_margin(mut self, margin: Duration) -> Self {
+        self.clock_margin = margin;
+        self
+    }
+
     /// Sets the maximum number of entries appended by one write.
     #[must_use]
     pub const fn max_batch(mut self, entries: usize) -> Self {
--- a/crates/almondcroft-core/src/ledger/store.rs
+++ b/crates/almondcroft-core/src/ledger/store.rs
@@ -1,5 +1,6 @@
 //! The object store interface that the ledger requires.
 
+use crate::Era;
 use snafu::Snafu;
 use std::{future::Future, pin::Pin};
 
@@ -19,6 +20,26 @@
     pub version: u64,
     /// Contents of the object.
     pub bytes: Vec<u8>,
+    /// Era of the store; versions rise only within an era.
+    pub era: Era,
+}
+
+/// A confirmed update.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Written {
+    /// The object's new version.
+    pub version: u64,
+    /// Era of the store.
+    pub era: Era,
+}
+
+/// The keys of a list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// The keys, in ascending order.
+    pub keys: Vec<String>,
+    /// Era of the store.
+    pub era: Era,
 }
 
 /// The reason why a store call failed.
@@ -45,12 +66,17 @@
     /// Reads an object.
     fn get<'a>(&'a self, key: &'a str) -> StoreFuture<'a, Option<Stored>>;
 
-    /// Writes an object if it has the expected version; returns the new version.
-    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>, expected: Expected) -> StoreFuture<'a, u64>;
+    /// Writes an object if it has the expected version.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        bytes: Vec<u8>,
+        expected: Expected,
+    ) -> StoreFuture<'a, Written>;
 
     /// Deletes an object regardless of its version.
     fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()>;
 
     /// Lists the keys that begin with `prefix`, in ascending order.
-    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Vec<String>>;
+    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Listed>;
 }
--- a/crates/almondcroft-core/src/ledger/table.rs
+++ b/crates/almondcroft-core/src/ledger/table.rs
@@ -12,9 +12,25 @@
     incarnation: Incarnation,
     at: Timestamp,
     deadline: Timestamp,
+    issued_at: Option<Timestamp>,
     outcome: Option<Box<Outcome>>,
 }
 
+impl Record {
+    fn claim(&self, key: KeyHash) -> Claim {
+        Claim {
+            key,
+            body: self.body,
+            nonce: self.nonce,
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            at: self.at,
+            issued_at: self.issued_at,
+            deadline: self.deadline,
+        }
+    }
+}
+
 /// Maps each key to the attempt that holds it and to that attempt's outcome.
 #[derive(Debug, Clone, Default)]
 pub struct ClaimTable {
@@ -54,6 +70,7 @@
             incarnation: claim.incarnation,
             at: claim.at,
             deadline: claim.deadline,
+            issued_at: claim.issued_at,
             outcome: None,
         });
     }
@@ -92,6 +109,25 @@
             .is_some_and(|record| record.nonce == nonce)
     }
 
+    /// Returns the entries of this table on keys that another one lacks.
+    #[must_use]
+    pub fn entries_missing_in(&self, other: &Self) -> Vec<Entry> {
+        let missing = self
+            .records
+            .iter()
+            .filter(|(key, _)| !other.records.contains_key(*key));
+        let mut entries = Vec::new();
+        for (key, record) in missing {
+            entries.push(Entry::Claim(record.claim(*key)));
+            entries.extend(record.outcome.as_ref().map(|outcome| Entry::Outcome {
+                key: *key,
+                nonce: record.nonce,
+                outcome: outcome.as_ref().clone(),
+            }));
+        }
+        entries
+    }
+
     /// Removes the keys claimed before `horizon`.
     pub fn remove_before(&mut self, horizon: Timestamp) {
         self.records.retain(|_, record| record.at >= horizon);
--- a/crates/almondcroft-core/tests/ledger_contract.rs
+++ b/crates/almondcroft-core/tests/ledger_contract.rs
@@ -5,6 +5,8 @@
 //!   with the same key ran either.
 //! - An outcome in an answer is that of the only run.
 //!
+//! The faults include a store that comes back from an older copy.
+//!
 //! `ALMONDCROFT_SCHEDULES` sets the number of schedules and `ALMONDCROFT_SEED` their seed.
 
 #[path = "ledger_contract/simulation.rs"]
@@ -107,3 +109,11 @@
         ..Protections::default()
     });
 }
+
+#[test]
+fn contract_without_era() {
+    assert_check_fails(Protections {
+        era: false,
+        ..Protections::default()
+    });
+}
--- a/crates/almondcroft-core/tests/ledger_contract/simulation.rs
+++ b/crates/almondcroft-core/tests/ledger_contract/simulation.rs
@@ -24,6 +24,8 @@
     pub(crate) claim_first: bool,
     /// A key is accepted with one body only.
     pub(crate) body_check: bool,
+    /// The store states its era.
+    pub(crate) era: bool,
 }
 
 impl Default for Protections {
@@ -33,6 +35,7 @@
             reread_log: true,
             claim_first: true,
             body_check: true,
+            era: true,
         }
     }
 }
@@ -88,6 +91,10 @@
 pub(crate) struct Simulation {
     protections: Protections,
     many_appenders: bool,
+    era: u64,
+    /// What the store held at an earlier time.
+    backup: (BTreeMap<u64, Vec<(u64, Segment)>>, u64),
+    issued: HashMap<u64, Timestamp>,
     now: Timestamp,
     vms: Vec<Vm>,
     objects: BTreeMap<u64, Vec<(u64, Segment)>>,
@@ -104,6 +111,7 @@
         .interval(Duration::from_millis(5))
         .segment_bytes(500)
         .max_batch(4)
+        .clock_margin(Duration::from_millis(1))
 }
 
 impl Simulation {
@@ -115,6 +123,9 @@
         Self {
             protections,
             many_appenders,
+            era: 1,
+            backup: (BTreeMap::new(), 0),
+            issued: HashMap::new(),
             now: Duration::from_secs(1_000_000),
             vms: (0..VMS).map(|_| vm(1)).collect(),
             objects: BTreeMap::new(),
@@ -148,10 +159,24 @@
                 self.restart(pick);
                 Ok(())
             }
+            228..231 => {
+                self.backup = (self.objects.clone(), self.version);
+                Ok(())
+            }
+            231..233 => {
+                self.restore();
+                Ok(())
+            }
             _ => self.tick(pick),
         }
     }
 
+    /// Lets the store come back from its backup.
+    fn restore(&mut self) {
+        (self.objects, self.version) = self.backup.clone();
+        self.era += u64::from(self.protections.era);
+    }
+
     fn tick(&mut self, pick: usize) -> Check {
         self.now += Duration::from_millis(60);
         self.handle_event(pick % VMS, ShardEvent::Tick)
@@ -203,6 +228,7 @@
         } else {
             0
         };
+        let issued_at = *self.issued.entry(attempt.key).or_insert(self.now);
         let claim = Claim {
             key: [attempt.key, 0],
             body,
@@ -210,6 +236,7 @@
             vm: format!("vm-{}", attempt.vm).into(),
             incarnation: attempt.incarnation,
             at: self.now,
+            issued_at: Some(issued_at),
             deadline: self.now + Duration::from_secs(10),
         };
         let ticket = attempt_index as u64;
@@ -347,6 +374,7 @@
                     object.push((self.version, segment.clone()));
                     ShardEvent::Written {
                         id: call.id,
+                        era: self.era,
                         version: self.version,
                     }
                 } else {
@@ -371,6 +399,7 @@
                 }
                 ShardEvent::Loaded {
                     id: call.id,
+                    era: self.era,
                     segments: std::mem::take(found),
                 }
             }
@@ -398,7 +427,7 @@
         self.calls[index].awaited = false;
         self.deliver(
             &call,
-            failure_event(&call, self.protections.reread_log, self.version),
+            failure_event(&call, self.protections.reread_log, self.era, self.version),
         )
     }
 
@@ -411,7 +440,7 @@
         let call = self.calls.swap_remove(index);
         self.deliver(
             &call,
-            failure_event(&call, self.protections.reread_log, self.version),
+            failure_event(&call, self.protections.reread_log, self.era, self.version),
         )
     }
 
@@ -515,13 +544,14 @@
 }
 
 /// Returns the event by which a VM handles a call without a response.
-fn failure_event(call: &Call, reread_log: bool, version: u64) -> ShardEvent {
+fn failure_event(call: &Call, reread_log: bool, era: u64, version: u64) -> ShardEvent {
     let id = call.id;
     match &call.kind {
         CallKind::Load { .. } => ShardEvent::LoadFailed { id },
         CallKind::Write { .. } if reread_log => ShardEvent::WriteFailed { id },
         CallKind::Write { .. } => ShardEvent::Written {
             id,
+            era,
             version: version + 1,
         },
     }
--- a/crates/almondcroft-proto/src/object.rs
+++ b/crates/almondcroft-proto/src/object.rs
@@ -18,6 +18,10 @@
 /// Path prefix of watches.
 pub const WATCH_PATH: &str = "/watch/";
 
+/// Header with the era of the store, in all of its responses; it rises by one each time that the store
+/// is restored from an older copy.
+pub const ERA_HEADER: &str = "store-era";
+
 /// Key of the current configuration.
 pub const CONFIG_KEY: &str = "config/head";
 /// Key prefix of the [`VmStatus`] objects, in which VMs confirm the revision they applied.
--- a/crates/almondcroft-standin/src/object_api.rs
+++ b/crates/almondcroft-standin/src/object_api.rs
@@ -2,10 +2,11 @@
 
 use crate::request::{json_response, query_param, read_body, replace_from_body, reset_connection};
 use crate::server::{CrashFlag, Server, ServerError};
-use almondcroft_proto::object::{KeyList, OBJECTS_PATH, WATCH_PATH};
+use almondcroft_core::{Era, Timestamp};
+use almondcroft_proto::object::{ERA_HEADER, KeyList, OBJECTS_PATH, WATCH_PATH};
 use almondcroftd::{Clock, sleep};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -17,6 +18,12 @@
 /// Time between two polls of a watched object.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Greatest age of a copy from which the object API can be restored.
+const MAX_COPY_AGE: Duration = Duration::from_mins(1);
+
+/// Era of an object API that was never restored.
+const FIRST_ERA: Era = 1;
+
 /// Longest time for which a watch is held open, in milliseconds.
 const MAX_HOLD_MS: u64 = 60_000;
 
@@ -36,6 +43,14 @@
     pub stale_reads: bool,
 }
 
+/// Age of the copy from which the object API is restored.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Restoration {
+    /// Age in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Numbers of calls by kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CallCounts {
@@ -73,14 +88,63 @@
 struct Inner {
     objects: BTreeMap<String, Object>,
     version: u64,
+    /// Number of restorations.
+    restorations: Era,
+    /// The changes, oldest first.
+    changes: VecDeque<Change>,
     faults: StoreFaults,
     counts: CallCounts,
 }
 
+/// A change of an object, with what it replaced.
+#[derive(Debug)]
+struct Change {
+    at: Timestamp,
+    key: String,
+    before: Option<Object>,
+    version_before: u64,
+}
+
+impl Inner {
+    fn replace(&mut self, key: &str, object: Option<Object>, at: Timestamp) {
+        let before = match object {
+            Some(object) => self.objects.insert(key.to_owned(), object),
+            None => self.objects.remove(key),
+        };
+        let change = Change {
+            at,
+            key: key.to_owned(),
+            before,
+            version_before: self.version,
+        };
+        self.changes.push_back(change);
+        while self
+            .changes
+            .front()
+            .is_some_and(|oldest| oldest.at + MAX_COPY_AGE < at)
+        {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Undoes all changes from a time on and begins a new era.
+    fn restore(&mut self, at: Timestamp) {
+        while let Some(change) = self.changes.pop_back_if(|change| change.at >= at) {
+            match change.before {
+                Some(object) => self.objects.insert(change.key, object),
+                None => self.objects.remove(&change.key),
+            };
+            self.version = change.version_before;
+        }
+        self.restorations += 1;
+    }
+}
+
 /// Objects, faults and call counts of a running object API.
 #[derive(Debug, Default)]
 pub struct StoreState {
     inner: Mutex<Inner>,
+    clock: Clock,
 }
 
 impl StoreState {
@@ -93,6 +157,16 @@
         self.lock().faults = faults;
     }
 
+    /// Comes back from a copy of a given age, in a new era; later writes are lost.
+    pub fn restore(&self, age: Duration) {
+        let at = self.clock.now().saturating_sub(age);
+        self.lock().restore(at);
+    }
+
+    fn era(&self) -> Era {
+        FIRST_ERA + self.lock().restorations
+    }
+
     /// Returns the numbers of calls so far.
     #[must_use]
     pub fn counts(&self) -> CallCounts {
@@ -109,22 +183,34 @@
     let state = Arc::new(StoreState::default());
     state.set_faults(settings.faults);
     let handler_state = Arc::clone(&state);
-    let clock = Clock::new();
     let handler = move |conn: Conn| {
         let state = Arc::clone(&handler_state);
-        async move { route(conn, state, clock).await }
+        async move {
+            let era = state.era();
+            let mut conn = route(conn, Arc::clone(&state)).await;
+            if state.era() != era {
+                return reset_connection(conn);
+            }
+            conn.response_headers_mut()
+                .insert(ERA_HEADER, era.to_string());
+            conn
+        }
     };
     let server = Server::start(settings.listen, CrashFlag::default(), handler)?;
     Ok((server, state))
 }
 
-async fn route(conn: Conn, state: Arc<StoreState>, clock: Clock) -> Conn {
+async fn route(conn: Conn, state: Arc<StoreState>) -> Conn {
     let path = conn.path().to_owned();
     match (conn.method(), path.as_str()) {
         (Method::Get, "/admin/counts") => return json_response(conn, &state.counts()),
         (Method::Put, "/admin/faults") => {
             return replace_from_body(conn, |faults| state.set_faults(faults)).await;
         }
+        (Method::Put, "/admin/restore") => {
+            let restore = |Restoration { age_ms }| state.restore(Duration::from_millis(age_ms));
+            return replace_from_body(conn, restore).await;
+        }
         _ => {}
     }
     let faults = state.lock().faults.clone();
@@ -136,7 +222,7 @@
         return conn.with_status(503).halt();
     }
     if let Some(key) = path.strip_prefix(WATCH_PATH) {
-        return watch(conn, &state, clock, key).await;
+        return watch(conn, &state, key).await;
     }
     let Some(key) = path.strip_prefix(OBJECTS_PATH) else {
         return conn.with_status(404).halt();
@@ -208,18 +294,16 @@
         inner.counts.conflicts += 1;
         return conn.with_status(412).halt();
     }
-    inner.version += 1;
-    let version = inner.version;
-    let previous = inner
-        .objects
-        .remove(key)
-        .map(|object| (object.version, object.bytes));
+    let version = inner.version + 1;
+    let previous = inner.objects.get(key);
+    let previous = previous.map(|object| (object.version, object.bytes.clone()));
     let object = Object {
         version,
         bytes,
         previous,
     };
-    inner.objects.insert(key.to_owned(), object);
+    inner.replace(key, Some(object), state.clock.now());
+    inner.version = version;
     if inner.faults.lose_answers > 0 {
         inner.faults.lose_answers -= 1;
         drop(inner);
@@ -232,21 +316,26 @@
 fn delete(conn: Conn, state: &StoreState, key: &str) -> Conn {
     let mut inner = state.lock();
     inner.counts.writes += 1;
-    let existed = inner.objects.remove(key).is_some();
+    let existed = inner.objects.contains_key(key);
+    if existed {
+        inner.replace(key, None, state.clock.now());
+    }
     drop(inner);
     conn.with_status(if existed { 204 } else { 404 }).halt()
 }
 
-async fn watch(conn: Conn, state: &StoreState, clock: Clock, key: &str) -> Conn {
+async fn watch(conn: Conn, state: &StoreState, key: &str) -> Conn {
     state.lock().counts.watches += 1;
     let after: u64 = query_param(&conn, "after").unwrap_or(0);
     let hold: u64 = query_param(&conn, "hold_ms").unwrap_or(MAX_HOLD_MS);
-    let end = clock.now() + Duration::from_millis(hold.min(MAX_HOLD_MS));
+    let end = state.clock.now() + Duration::from_millis(hold.min(MAX_HOLD_MS));
     loop {
         match poll_watch(state, key, after) {
             WatchPoll::Unavailable => return conn.with_status(503).halt(),
             WatchPoll::Newer(object) => return object_response(conn, object.version, object.bytes),
-            WatchPoll::Unchanged if clock.now() >= end => return conn.with_status(204).halt(),
+            WatchPoll::Unchanged if state.clock.now() >= end => {
+                return conn.with_status(204).halt();
+            }
             WatchPoll::Unchanged => {}
         }
         sleep(WATCH_POLL_INTERVAL).await;
--- a/crates/almondcroft-standin/tests/calls.rs
+++ b/crates/almondcroft-standin/tests/calls.rs
@@ -210,3 +210,42 @@
         assert_eq!(after.status, 200, "the customer's limit is released");
     });
 }
+
+#[test]
+fn call_forgotten_by_a_restored_store_is_not_made_again() {
+    block_on(async {
+        let mut deployment = LocalDeployment::start(1, 1).await.unwrap();
+        let caller = Caller::default();
+        let url = deployment.vm_urls()[0].clone();
+        caller.call(&url, "orders", Some(&key()), ORDER).await;
+        almondcroftd::sleep(std::time::Duration::from_millis(600)).await;
+        let forgotten: Vec<String> = (0..12).map(|_| key()).collect();
+        for key in &forgotten {
+            let reply = caller.call(&url, "orders", Some(key), ORDER).await;
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+        let executions = deployment.orders_state.executions().len();
+        deployment
+            .store_state
+            .restore(std::time::Duration::from_millis(300));
+        // Only the VM that made the calls remembers them.
+        deployment.vms[0].crash();
+        deployment.add_vm(1).await.unwrap();
+        deployment.publish_vm_list();
+        almondcroftd::sleep(std::time::Duration::from_secs(3)).await;
+        let url = deployment.vm_urls()[1].clone();
+        for key in &forgotten {
+            let reply = caller.call(&url, "orders", Some(key), ORDER).await;
+            assert_ne!(verdict(&reply), "not-run", "{reply:?}");
+        }
+        assert_eq!(deployment.orders_state.executions().len(), executions);
+        // The shards' logs are empty or old, so keys count as proven only some time after their first use.
+        almondcroftd::sleep(std::time::Duration::from_secs(3)).await;
+        let mut served = 0;
+        for _ in 0..12 {
+            let reply = caller.call(&url, "orders", Some(&key()), ORDER).await;
+            served += usize::from(reply.status == 200);
+        }
+        assert!(served > 0);
+    });
+}
--- a/crates/almondcroft/examples/claim_key.rs
+++ b/crates/almondcroft/examples/claim_key.rs
@@ -23,7 +23,11 @@
                 let segments = found
                     .map(|(index, (version, segment))| (*index, *version, segment.clone()))
                     .collect();
-                Ok(ShardEvent::Loaded { id, segments })
+                Ok(ShardEvent::Loaded {
+                    id,
+                    era: 1,
+                    segments,
+                })
             }
             ShardAction::Write {
                 id,
@@ -40,7 +44,11 @@
                 self.version += 1;
                 self.objects.insert(index, (self.version, segment));
                 let version = self.version;
-                Ok(ShardEvent::Written { id, version })
+                Ok(ShardEvent::Written {
+                    id,
+                    era: 1,
+                    version,
+                })
             }
             ShardAction::Delete { .. } => Ok(ShardEvent::Tick),
             ShardAction::Answer { answer, .. } => Err(answer),
@@ -57,6 +65,7 @@
         vm: vm.into(),
         incarnation: 1,
         at: now,
+        issued_at: Some(now),
         deadline: now + Duration::from_secs(10),
     };
     let mut actions = shard.handle(
--- a/crates/almondcroft/src/lib.rs
+++ b/crates/almondcroft/src/lib.rs
@@ -20,6 +20,7 @@
 //!     vm: "entry-1".into(),
 //!     incarnation: 1,
 //!     at: now,
+//!     issued_at: Some(now),
 //!     deadline: now + Duration::from_secs(10),
 //! };
 //! let mut shard = ClaimShard::new(ShardOptions::default());
@@ -29,11 +30,11 @@
 //! let ShardAction::Load { id, from: None } = actions[0] else { panic!() };
 //!
 //! // Then it appends the claim.
-//! let actions = shard.handle(ShardEvent::Loaded { id, segments: Vec::new() }, now);
+//! let actions = shard.handle(ShardEvent::Loaded { id, era: 1, segments: Vec::new() }, now);
 //! let ShardAction::Write { id, .. } = actions[0] else { panic!() };
 //!
 //! // Once the store has confirmed it, the call may run.
-//! let actions = shard.handle(ShardEvent::Written { id, version: 1 }, now);
+//! let actions = shard.handle(ShardEvent::Written { id, era: 1, version: 1 }, now);
 //! assert!(matches!(
 //!     actions[0],
 //!     ShardAction::Answer { ticket: 1, answer: ClaimAnswer::Granted }
--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -128,6 +128,7 @@
             vm: app.settings.vm.clone(),
             incarnation: app.incarnation,
             at: now,
+            issued_at: key_time(key),
             deadline: self.deadline,
         };
         if let Some(outcome) = self.wait_for_claim(app, &claim).await? {
--- a/crates/almondcroftd/src/claims/driver.rs
+++ b/crates/almondcroftd/src/claims/driver.rs
@@ -3,9 +3,10 @@
 use crate::clock::Clock;
 use crate::runtime::{sleep, spawn};
 use crate::store::HttpStore;
+use almondcroft_core::Era;
 use almondcroft_core::ledger::{
-    Claim, ClaimAnswer, ClaimShard, Entry, ObjectStore, Segment, ShardAction, ShardEvent,
-    ShardOptions, StoreError, Ticket,
+    Claim, ClaimAnswer, ClaimShard, Entry, Listed, ObjectStore, Segment, ShardAction, ShardEvent,
+    ShardOptions, StoreError, Ticket, Written,
 };
 use almondcroft_proto::object::CLAIMS_PREFIX;
 use async_channel::{Receiver, Sender};
@@ -118,7 +119,7 @@
                 let commands = self.commands.clone();
                 spawn(async move {
                     let event = match load_segments(&store, &prefix, from).await {
-                        Ok(segments) => ShardEvent::Loaded { id, segments },
+                        Ok((era, segments)) => ShardEvent::Loaded { id, era, segments },
                         Err(_) => ShardEvent::LoadFailed { id },
                     };
                     let _ = commands.try_send(Command::Event(event));
@@ -135,7 +136,7 @@
                 spawn(async move {
                     let bytes = serde_json::to_vec(&segment).expect("a segment serializes");
                     let event = match store.put(&key, bytes, expected).await {
-                        Ok(version) => ShardEvent::Written { id, version },
+                        Ok(Written { era, version }) => ShardEvent::Written { id, era, version },
                         Err(_) => ShardEvent::WriteFailed { id },
                     };
                     let _ = commands.try_send(Command::Event(event));
@@ -159,18 +160,18 @@
 /// Segments, each after its index and the version of its object.
 type Segments = Vec<(u64, u64, Segment)>;
 
-/// Reads all segments of a shard, or those from an index on.
+/// Reads all segments of a shard, or those from an index on, with the era in which all were read.
 async fn load_segments(
     store: &HttpStore,
     prefix: &str,
     from: Option<u64>,
-) -> Result<Segments, StoreError> {
+) -> Result<(Era, Segments), StoreError> {
     let mut segments = Vec::new();
-    let mut index = match from {
-        Some(index) => index,
+    let (mut index, era) = match from {
+        Some(index) => (index, store.era()),
         None => match first_index(store, prefix).await? {
-            Some(index) => index,
-            None => return Ok(segments),
+            (Some(index), era) => (index, era),
+            (None, era) => return Ok((era, segments)),
         },
     };
     while let Some(stored) = store.get(&segment_key(prefix, index)).await? {
@@ -183,13 +184,16 @@
         }
         index += 1;
     }
-    Ok(segments)
+    if store.era() > era {
+        return Err(StoreError::Refused);
+    }
+    Ok((era, segments))
 }
 
-async fn first_index(store: &HttpStore, prefix: &str) -> Result<Option<u64>, StoreError> {
-    let keys = store.list(prefix).await?;
+async fn first_index(store: &HttpStore, prefix: &str) -> Result<(Option<u64>, Era), StoreError> {
+    let Listed { keys, era } = store.list(prefix).await?;
     let first = keys
         .iter()
         .filter_map(|key| key.strip_prefix(prefix)?.parse().ok());
-    Ok(first.min())
+    Ok((first.min(), era))
 }
--- a/crates/almondcroftd/src/config_sync.rs
+++ b/crates/almondcroftd/src/config_sync.rs
@@ -17,11 +17,15 @@
 pub(crate) fn start(app: &Arc<App>) {
     let app = Arc::clone(app);
     crate::runtime::spawn(async move {
-        let mut version = 0;
+        let (mut version, mut era) = (0, 0);
         while !app.lifecycle.is_crashed() {
+            // Versions of an earlier era are given out again.
+            if era < app.store.era() {
+                (version, era) = (0, app.store.era());
+            }
             match app.store.watch(CONFIG_KEY, version, WATCH_TIMEOUT).await {
                 Ok(Some(stored)) => {
-                    version = stored.version;
+                    (version, era) = (stored.version, stored.era);
                     apply(&app, &stored.bytes).await;
                 }
                 Ok(None) => {}
--- a/crates/almondcroftd/src/store.rs
+++ b/crates/almondcroftd/src/store.rs
@@ -1,9 +1,14 @@
 //! Client of the platform's object API.
 
+use crate::clock::Clock;
 use crate::http::{CallError, Outbound};
-use almondcroft_core::Verdict;
-use almondcroft_core::ledger::{Expected, ObjectStore, StoreError, StoreFuture, Stored};
-use almondcroft_proto::object::{KeyList, OBJECTS_PATH, WATCH_PATH};
+use almondcroft_core::gateway::{EraCheck, StoreEra};
+use almondcroft_core::ledger::{
+    Expected, Listed, ObjectStore, StoreError, StoreFuture, Stored, Written,
+};
+use almondcroft_core::{Era, Verdict};
+use almondcroft_proto::object::{ERA_HEADER, KeyList, OBJECTS_PATH, WATCH_PATH};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use trillium::Method;
 use trillium_client::Conn;
@@ -22,6 +27,7 @@
 pub struct HttpStore {
     base: String,
     outbound: Outbound,
+    era: Arc<Mutex<StoreEra>>,
 }
 
 impl HttpStore {
@@ -31,6 +37,35 @@
         Self {
             base: base.trim_end_matches('/').to_owned(),
             outbound,
+            era: Arc::default(),
+        }
+    }
+
+    /// Records the era that a response states, and returns the era of its contents.
+    ///
+    /// Returns `None` if the response is from an earlier era than the known one. A response without a
+    /// readable era belongs to the known one.
+    fn observe_era(&self, conn: &Conn) -> Option<Era> {
+        let text = conn.response_headers().get_str(ERA_HEADER);
+        let stated = text.and_then(|text| text.trim().parse().ok());
+        let mut era = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = era.known().unwrap_or_default();
+        let Some(stated) = stated else {
+            if text.is_some() || known > 0 {
+                log::warn!(event = "store-era-unreadable", era = known, text = text.unwrap_or("-"); "");
+            }
+            return Some(known);
+        };
+        match era.observe(stated, Clock::new().now()) {
+            EraCheck::Current => Some(stated),
+            EraCheck::Risen => {
+                log::warn!(event = "store-era", era = stated, from = known; "");
+                Some(stated)
+            }
+            EraCheck::Outdated => {
+                log::info!(event = "store-era-outdated", era = known, stated = stated; "");
+                None
+            }
         }
     }
 
@@ -39,12 +74,16 @@
     /// # Errors
     ///
     /// Returns a [`StoreError`] if the store did not confirm the write.
-    pub async fn put_unconditional(&self, key: &str, bytes: Vec<u8>) -> Result<u64, StoreError> {
+    pub async fn put_unconditional(
+        &self,
+        key: &str,
+        bytes: Vec<u8>,
+    ) -> Result<Written, StoreError> {
         let url = format!("{}{OBJECTS_PATH}{key}", self.base);
         let call = self
             .outbound
             .call(Method::Put, &url, &[], bytes, STORE_TIMEOUT);
-        parse_put_response(call.await)
+        self.parse_put_response(call.await)
     }
 
     /// Waits until an object has a version above `after`; returns `None` if `timeout` passes first.
@@ -67,7 +106,54 @@
         let call = self
             .outbound
             .call(Method::Get, &url, &[], Vec::new(), limit);
-        read_response(call.await).await
+        self.read_response(call.await).await
+    }
+
+    fn parse_put_response(&self, response: Result<Conn, CallError>) -> Result<Written, StoreError> {
+        let conn = response.map_err(store_error)?;
+        let era = self.observe_era(&conn);
+        let result = match status(&conn) {
+            200 | 201 => version(&conn)
+                .zip(era)
+                .map(|(version, era)| Written { version, era })
+                .ok_or(StoreError::Unknown),
+            409 | 412 => Err(StoreError::Conflict),
+            429 | 503 => Err(StoreError::Refused),
+            _ => Err(StoreError::Unknown),
+        };
+        crate::runtime::spawn(async move { conn.recycle().await });
+        result
+    }
+
+    async fn read_response(
+        &self,
+        response: Result<Conn, CallError>,
+    ) -> Result<Option<Stored>, StoreError> {
+        let conn = response.map_err(store_error)?;
+        let era = self.observe_era(&conn).ok_or(StoreError::Refused)?;
+        match status(&conn) {
+            200 => {}
+            204 | 404 => {
+                conn.recycle().await;
+                return Ok(None);
+            }
+            _ => return Err(StoreError::Refused),
+        }
+        let version = version(&conn).ok_or(StoreError::Unknown)?;
+        let bytes = Outbound::read_body(conn, MAX_OBJECT_BYTES, STORE_TIMEOUT)
+            .await
+            .map_err(store_error)?;
+        Ok(Some(Stored {
+            version,
+            bytes,
+            era,
+        }))
+    }
+
+    /// Returns the newest era that is known; zero if the store states none.
+    pub(crate) fn era(&self) -> Era {
+        let era = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        era.known().unwrap_or_default()
     }
 }
 
@@ -78,11 +164,16 @@
             let call = self
                 .outbound
                 .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
-            read_response(call.await).await
+            self.read_response(call.await).await
         })
     }
 
-    fn put<'a>(&'a self, key: &'a str, bytes: Vec<u8>, expected: Expected) -> StoreFuture<'a, u64> {
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        bytes: Vec<u8>,
+        expected: Expected,
+    ) -> StoreFuture<'a, Written> {
         Box::pin(async move {
             let url = format!("{}{OBJECTS_PATH}{key}", self.base);
             let version;
@@ -97,7 +188,7 @@
             let call = self
                 .outbound
                 .call(Method::Put, &url, &headers, bytes, STORE_TIMEOUT);
-            parse_put_response(call.await)
+            self.parse_put_response(call.await)
         })
     }
 
@@ -111,13 +202,14 @@
         })
     }
 
-    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Vec<String>> {
+    fn list<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Listed> {
         Box::pin(async move {
             let url = format!("{}{OBJECTS_PATH}?prefix={prefix}", self.base);
             let call = self
                 .outbound
                 .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
             let conn = call.await.map_err(store_error)?;
+            let era = self.observe_era(&conn).ok_or(StoreError::Refused)?;
             if status(&conn) != 200 {
                 return Err(StoreError::Refused);
             }
@@ -125,7 +217,10 @@
                 .await
                 .map_err(store_error)?;
             let list: KeyList = serde_json::from_slice(&bytes).map_err(|_| StoreError::Refused)?;
-            Ok(list.keys)
+            Ok(Listed {
+                keys: list.keys,
+                era,
+            })
         })
     }
 }
@@ -144,32 +239,3 @@
         Verdict::MayHaveRun | Verdict::Ran => StoreError::Unknown,
     }
 }
-
-fn parse_put_response(response: Result<Conn, CallError>) -> Result<u64, StoreError> {
-    let conn = response.map_err(store_error)?;
-    let result = match status(&conn) {
-        200 | 201 => version(&conn).ok_or(StoreError::Unknown),
-        409 | 412 => Err(StoreError::Conflict),
-        429 | 503 => Err(StoreError::Refused),
-        _ => Err(StoreError::Unknown),
-    };
-    crate::runtime::spawn(async move { conn.recycle().await });
-    result
-}
-
-async fn read_response(response: Result<Conn, CallError>) -> Result<Option<Stored>, StoreError> {
-    let conn = response.map_err(store_error)?;
-    match status(&conn) {
-        200 => {}
-        204 | 404 => {
-            conn.recycle().await;
-            return Ok(None);
-        }
-        _ => return Err(StoreError::Refused),
-    }
-    let version = version(&conn).ok_or(StoreError::Unknown)?;
-    let bytes = Outbound::read_body(conn, MAX_OBJECT_BYTES, STORE_TIMEOUT)
-        .await
-        .map_err(store_error)?;
-    Ok(Some(Stored { version, bytes }))
-}
--- a/crates/almondctl/src/apply.rs
+++ b/crates/almondctl/src/apply.rs
@@ -230,7 +230,8 @@
     ///
     /// A restored store may hold a lower one; VMs do not apply a revision lower than their own.
     async fn highest_confirmed_revision(&self) -> Revision {
-        let keys = self.store.list(STATUS_PREFIX).await.unwrap_or_default();
+        let keys = self.store.list(STATUS_PREFIX).await;
+        let keys = keys.map(|listed| listed.keys).unwrap_or_default();
         let mut highest = 0;
         for key in keys {
             let stored = self.store.get(&key).await.ok().flatten();
--- a/crates/almondctl/src/status.rs
+++ b/crates/almondctl/src/status.rs
@@ -66,7 +66,8 @@
             ConfigObject::from_bytes(&stored.bytes).map_or(0, |object| object.config.revision)
         });
     let mut vms = Vec::new();
-    for key in store.list(STATUS_PREFIX).await.unwrap_or_default() {
+    let keys = store.list(STATUS_PREFIX).await;
+    for key in keys.map(|listed| listed.keys).unwrap_or_default() {
         let Ok(Some(stored)) = store.get(&key).await else {
             continue;
         };
