fix(shutdown): accept no caller whose request could not be answered

A stopping VM accepted connections until its process ended, and callers come as long as the load balancer uses VMs that are not ready.

The listener closes once nothing is open (or the grace period is nearly over); then the VM waits again for what was accepted just before.

--- a/crates/almondcroft-gateway/src/listener.rs
+++ b/crates/almondcroft-gateway/src/listener.rs
@@ -2,6 +2,8 @@
 
 use crate::connection::Connection;
 use crate::runtime::{sleep, spawn};
+use async_channel::Receiver;
+use futures_lite::future::or;
 use smol::Async;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::future::Future;
@@ -28,6 +30,19 @@
     Async::new(TcpListener::from(socket))
 }
 
+/// Accepts connections until a channel closes; the socket is closed then.
+pub(crate) async fn accept_until<F, Served>(
+    listener: Async<TcpListener>,
+    closed: Receiver<()>,
+    serve: F,
+) where
+    F: Fn(Connection) -> Served,
+    Served: Future<Output = ()> + Send + 'static,
+{
+    let closing = async { while closed.recv().await.is_ok() {} };
+    or(closing, accept(listener, serve)).await;
+}
+
 /// Accepts connections and serves each in a task of its own.
 pub(crate) async fn accept<F, Served>(listener: Async<TcpListener>, serve: F)
 where
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -3,11 +3,13 @@
 use crate::adapter::{Dialect, Registry};
 use crate::caller::{self, serve_pages};
 use crate::clock;
-use crate::listener::{accept, bind};
+use crate::listener::{accept, accept_until, bind};
 use crate::runtime::{block_on, sleep, spawn};
 use crate::settings::GatewaySettings;
 use crate::state::Gateway;
 use crate::{gossip, logging, peer_view, sync};
+use almondcroft_core::Timestamp;
+use async_channel::{Sender, bounded};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::io;
@@ -37,6 +39,8 @@
     gateway: Arc<Gateway>,
     listen: SocketAddr,
     ready: SocketAddr,
+    /// Closed once no more callers are accepted.
+    accepting: Sender<()>,
 }
 
 impl Program {
@@ -53,7 +57,9 @@
         let callers = bind(settings.listen)?;
         let ready = bind(settings.ready)?;
         let metrics = settings.metrics.map(bind).transpose()?;
+        let (accepting, closed) = bounded(1);
         let program = Self {
+            accepting,
             listen: callers.get_ref().local_addr()?,
             ready: ready.get_ref().local_addr()?,
             gateway: Gateway::new(settings, dialect, registry),
@@ -63,7 +69,7 @@
             vm = gateway.settings.vm.as_str(), zone = gateway.settings.zone.as_str(),
             listen:% = program.listen; "");
         let served = Arc::clone(gateway);
-        spawn(accept(callers, move |connection| {
+        spawn(accept_until(callers, closed, move |connection| {
             caller::serve(Arc::clone(&served), connection)
         }));
         for listener in [Some(ready), metrics].into_iter().flatten() {
@@ -107,17 +113,28 @@
             connections = lifecycle.connections(); "");
         spawn(gossip::unregister(Arc::clone(&self.gateway)));
         let started_at = clock::now();
+        self.wait_until_idle(started_at).await;
+        self.accepting.close();
+        // A caller that was accepted just before may send a request.
+        sleep(STOP_POLL).await;
+        self.wait_until_idle(started_at).await;
+        log::info!(event = "stopped", requests = lifecycle.requests(),
+            connections = lifecycle.connections(); "");
+    }
+
+    /// Waits until the shutdown has lasted its minimum time and nothing is open, or the grace period is
+    /// nearly over.
+    async fn wait_until_idle(&self, started_at: Timestamp) {
+        let lifecycle = &self.gateway.lifecycle;
         let grace = self.gateway.bounds().grace();
         loop {
             let elapsed = clock::now().saturating_sub(started_at);
             let idle = lifecycle.requests() == 0 && lifecycle.connections() == 0;
             if (idle && elapsed >= MIN_STOP_TIME) || elapsed + STOP_MARGIN >= grace {
-                break;
+                return;
             }
             sleep(STOP_POLL).await;
         }
-        log::info!(event = "stopped", requests = lifecycle.requests(),
-            connections = lifecycle.connections(); "");
     }
 }
 
