--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -293,9 +293,7 @@
                 }
             }
         }
-        if exchange.decoder.is_close_delimited() {
-            self.request_log.log_close_delimited(0);
-        }
+        self.request_log.log_close_delimited(&exchange.decoder, 0);
         let now = clock::now();
         if exchange.head.status < 500 {
             let elapsed = now.saturating_sub(sent_at);
@@ -324,9 +322,7 @@
             match within(time_left, exchange.read(&mut buffer)).await {
                 Some(Ok(true)) => sent = self.writer.send_part(&buffer).await.is_ok(),
                 Some(Ok(false)) => {
-                    if exchange.decoder.is_close_delimited() {
-                        self.request_log.log_close_delimited(0);
-                    }
+                    self.request_log.log_close_delimited(&exchange.decoder, 0);
                     let complete = self.writer.finish_response().await.is_ok();
                     self.request_log.log_end(
                         exchange.head.status,
--- a/crates/almondcroft-gateway/src/dispatch/request_log.rs
+++ b/crates/almondcroft-gateway/src/dispatch/request_log.rs
@@ -7,6 +7,7 @@
 use crate::state::Gateway;
 use almondcroft_core::gateway::Choice;
 use almondcroft_core::{Revision, TargetId, Timestamp, Verdict};
+use almondcroft_proto::http1::BodyDecoder;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -78,10 +79,13 @@
             events = self.event_count; "");
     }
 
-    /// Logs that a body without length or chunks ended with its connection.
+    /// Logs the end of a body if it has neither length nor chunks, so that it ended with its connection.
     ///
     /// `rest_bytes` is the size of an incomplete event at its end.
-    pub(crate) fn log_close_delimited(&self, rest_bytes: usize) {
+    pub(crate) fn log_close_delimited(&self, decoder: &BodyDecoder, rest_bytes: usize) {
+        if !decoder.is_close_delimited() {
+            return;
+        }
         log::info!(event = "close-delimited", request = self.external_id.as_str(),
             target_id = self.target.as_deref().unwrap_or("-"), events = self.event_count,
             rest_bytes = rest_bytes; "");
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -138,9 +138,8 @@
                     None
                 }
                 Step::Complete => {
-                    if self.is_close_delimited() {
-                        request_log.log_close_delimited(self.splitter.pending().len());
-                    }
+                    let rest_bytes = self.splitter.pending().len();
+                    request_log.log_close_delimited(&self.exchange.decoder, rest_bytes);
                     let defect = self.end_defect();
                     if defect.is_none() {
                         return self.finish(writer, request_log).await;
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -243,16 +243,15 @@
         if head.status == MISDIRECTED_STATUS {
             return;
         }
-        let now = clock::now();
         if meta.leaving {
-            self.record_leaving_response(target, now);
+            self.record_leaving_response(target, clock::now());
         }
         if head.status == UNAVAILABLE_STATUS
             && let Some(time) = meta.retry_after
         {
             log::info!(event = "target-backoff", target_id = target.as_str(),
                 seconds = time.as_secs_f64(); "");
-            let placements = lock(&self.fleet).record_backoff(target, time, now);
+            let placements = lock(&self.fleet).record_backoff(target, time, clock::now());
             self.deliver(placements);
         }
     }
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -49,10 +49,9 @@
 
     /// Records the era that the store or a peer states; returns whether it is the newest one.
     fn observe_era(&self, era: Era, source: &str) -> bool {
-        let now = clock::now();
         let mut known = lock(&self.store_era);
         let before = known.known().unwrap_or_default();
-        let check = known.observe(era, now);
+        let check = known.observe(era);
         drop(known);
         match check {
             EraCheck::Current => true,
@@ -62,6 +61,7 @@
             }
             EraCheck::Risen => {
                 log::warn!(event = "store-era", era = era, from = before, source = source; "");
+                let now = clock::now();
                 lock(&self.config_freshness).record_restoration(now);
                 self.change_targets(|directory| {
                     directory.begin_era(era, now);
--- a/crates/almondcroftd/src/store.rs
+++ b/crates/almondcroftd/src/store.rs
@@ -1,6 +1,5 @@
 //! Client of the platform's object API.
 
-use crate::clock::Clock;
 use crate::http::{CallError, Outbound};
 use almondcroft_core::gateway::{EraCheck, StoreEra};
 use almondcroft_core::ledger::{
@@ -56,7 +55,7 @@
             }
             return Some(known);
         };
-        match era.observe(stated, Clock::new().now()) {
+        match era.observe(stated) {
             EraCheck::Current => Some(stated),
             EraCheck::Risen => {
                 log::warn!(event = "store-era", era = stated, from = known; "");
