feat(gateway): log the prompt parts and the events of requests whose engine crashed

The lines of a crash did not tell what the prompts of the crashed requests have in common, nor whether a request had begun to write. The dialect reads the ids of the parts of a prompt; the crash line names them, and how many events the caller had received. No decision changes.

--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -21,6 +21,8 @@
     pub max_output: u32,
     /// Number of output tokens that the caller expects.
     pub output_hint: Option<u32>,
+    /// Ids of the parts of the prompt, in order; other prompts may contain all but the last.
+    pub parts: Vec<SmolStr>,
 }
 
 /// What the headers of a caller's request state.
--- a/crates/almondcroft-gateway/src/call.rs
+++ b/crates/almondcroft-gateway/src/call.rs
@@ -39,6 +39,13 @@
         self.customer.as_ref().map_or("-", |c| c.id.as_str())
     }
 
+    /// Returns the ids of the parts of the prompt for logs, or `-` if there are none.
+    pub(crate) fn part_names(&self) -> String {
+        let generation = self.meta.generation.as_ref();
+        let names = generation.map_or(String::new(), |generation| generation.parts.join(","));
+        if names.is_empty() { "-".into() } else { names }
+    }
+
     /// Returns the time after which a response is of no use to the caller.
     pub(crate) fn deadline(&self) -> Timestamp {
         let limit = self.route.timeout;
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -348,7 +348,7 @@
             Verdict::NotRun => Attempt::NotRun(error.kind),
             Verdict::MayHaveRun | Verdict::Ran => {
                 if error.kind != "target-timeout" {
-                    check_crash(self.gateway, &self.call, choice);
+                    check_crash(self.gateway, &self.call, choice, 0);
                     return Attempt::MayHaveRun(error.kind);
                 }
                 Attempt::MayHaveRun("timeout")
@@ -484,7 +484,9 @@
 }
 
 /// Checks in the background whether a target broke a connection because it crashed.
-pub(crate) fn check_crash(gateway: &Arc<Gateway>, call: &Arc<Call>, choice: &Choice) {
+///
+/// `events` is the number of events that the caller received.
+pub(crate) fn check_crash(gateway: &Arc<Gateway>, call: &Arc<Call>, choice: &Choice, events: u64) {
     let (gateway, call) = (Arc::clone(gateway), Arc::clone(call));
     let (target, address) = (choice.target.clone(), choice.address);
     if lock(&gateway.fleet).is_leaving(&target) {
@@ -500,6 +502,7 @@
         let now = clock::now();
         let count = lock(&gateway.quarantine).record_crash(call.fingerprint, now);
         lock(&gateway.fleet).record_failure(&target, true, now);
-        log::info!(event = "crash", request = call.external_id(), target_id = target.as_str(), count = count; "");
+        log::info!(event = "crash", request = call.external_id(), target_id = target.as_str(), count = count,
+            events = events, parts = call.part_names().as_str(); "");
     });
 }
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -413,7 +413,12 @@
         if migrated.is_none() {
             request_log.log_fault(&self.choice.target, reason, Verdict::MayHaveRun);
             lock(&self.gateway.fleet).record_failure(&self.choice.target, true, clock::now());
-            check_crash(self.gateway, self.call, &self.choice);
+            check_crash(
+                self.gateway,
+                self.call,
+                &self.choice,
+                request_log.event_count,
+            );
         }
         for (choice, copy) in self.resume_options(migrated) {
             if self
