fix(quarantine): refuse requests that share a part of their prompt which crashes engines

Cause: the quarantine identified a request by path, customer and body, so each of these requests had a fingerprint of its own, and no count reached the limit (31 of 32 crash lines with count=1). Class: the identity of a failure was taken to be the identity of the whole request.

Change: crashes count against the parts of the prompts whose response had just begun, or had yet to, when their engine crashed. A response that its engine survives for a second clears its parts. A part in three crashes is suspect; a request with one is refused unless suspect parts that it does not contain explain the crashes, so sound requests that share other parts are served. One request tests the part at once, later ones after 30 s, doubled each time. VMs exchange the evidence with their gossip; resumptions of a generation are checked too.

Evidence: prompt_part_that_crashes_engines_stops_reaching_them (four VMs, eight engines) failed before (17 arrivals more than 2 s after the fifth crash, 30 crashes), and passes. In the core, 5,000 random mixes of two VMs: at most three crashes later than 4 s after the fifth, at most a tenth of sound requests refused. Engines that crash together shut out no part (both levels).

--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -1,4 +1,17 @@
 //! Quarantine of requests that crash the targets that run them.
+//!
+//! | item | question that it answers |
+//! |---|---|
+//! | [`Quarantine`] | has this very request crashed targets? |
+//! | [`PromptQuarantine`] | does a part of its prompt crash targets, whatever else it contains? |
+
+mod part_evidence;
+mod part_record;
+mod prompt_quarantine;
+mod prompt_run;
+
+pub use part_evidence::PartEvidence;
+pub use prompt_quarantine::{CrashId, PartId, PromptQuarantine};
 
 use crate::Timestamp;
 use std::{collections::HashMap, time::Duration};
--- /dev/null
+++ b/crates/almondcroft-core/src/quarantine/part_evidence.rs
@@ -0,0 +1,17 @@
+//! What a VM tells its peers about a part of prompts.
+
+use super::prompt_quarantine::{CrashId, PartId};
+use std::time::Duration;
+
+/// Describes the crashes in which a part of prompts was involved; times are ages.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PartEvidence {
+    /// The part.
+    pub part: PartId,
+    /// The crashes since a response to a prompt with the part last survived, and their ages.
+    pub crashes: Vec<(CrashId, Duration)>,
+    /// Age of the start of that response.
+    pub survived: Option<Duration>,
+    /// Age of the last trial, and the number of trials that crashed their target.
+    pub trial: Option<(Duration, u32)>,
+}
--- /dev/null
+++ b/crates/almondcroft-core/src/quarantine/part_record.rs
@@ -0,0 +1,181 @@
+//! What is known of one part of prompts.
+
+use super::part_evidence::PartEvidence;
+use super::prompt_quarantine::{CRASH_LIMIT, CrashId, PartId};
+use crate::{RequestId, Timestamp};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time after which the result of a first trial is no longer expected.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time from a trial that crashed its target to the next one; doubles with each further one.
+const TRIAL_DELAY: Duration = Duration::from_secs(30);
+
+/// Upper limit of the time between two trials.
+const MAX_TRIAL_DELAY: Duration = Duration::from_mins(10);
+
+/// Time after its last change at which a record is dropped; longer than the time between two trials.
+const RETENTION: Duration = Duration::from_mins(30);
+
+/// Time for which a change is shared with peers even if the part is not suspect.
+const SHARING_TIME: Duration = Duration::from_secs(3);
+
+/// Maximum number of crashes of one part that are shared with peers.
+const MAX_SHARED_CRASHES: usize = 6;
+
+/// Difference below which two times denote the same event, as ages grow by the delay of each message.
+const TIME_TOLERANCE: Duration = Duration::from_millis(500);
+
+/// The crashes and trials of a part since a response to a prompt with it last survived.
+#[derive(Debug, Default)]
+pub(super) struct PartRecord {
+    pub(super) crashes: BTreeMap<CrashId, Timestamp>,
+    survived_at: Option<Timestamp>,
+    trial_at: Option<Timestamp>,
+    /// The request that tests the part, if it is one of this VM.
+    trial_request: Option<RequestId>,
+    failed_trials: u32,
+    changed_at: Timestamp,
+}
+
+impl PartRecord {
+    pub(super) fn is_suspect(&self) -> bool {
+        self.crashes.len() >= CRASH_LIMIT
+    }
+
+    /// Returns the time until a request may test the part.
+    pub(super) fn trial_wait(&self, request: &RequestId, now: Timestamp) -> Duration {
+        if self.trial_request.as_ref() == Some(request) {
+            return Duration::ZERO;
+        }
+        let delay = match self.failed_trials {
+            0 => TRIAL_TIMEOUT,
+            failed => (TRIAL_DELAY * 2_u32.pow((failed - 1).min(10))).min(MAX_TRIAL_DELAY),
+        };
+        self.trial_at
+            .map_or(Duration::ZERO, |at| (at + delay).saturating_sub(now))
+    }
+
+    /// Records that a request tests the part; returns whether it did not before.
+    pub(super) fn start_trial(&mut self, request: &RequestId, now: Timestamp) -> bool {
+        if self.trial_request.as_ref() == Some(request) {
+            return false;
+        }
+        self.trial_at = Some(now);
+        self.trial_request = Some(request.clone());
+        self.changed_at = now;
+        true
+    }
+
+    /// Records that the request that tests the part crashed its target.
+    pub(super) fn record_failed_trial(&mut self, now: Timestamp) {
+        if self.trial_request.take().is_some() {
+            self.failed_trials += 1;
+            self.changed_at = now;
+        }
+    }
+
+    /// Records a crash; returns whether it is new.
+    pub(super) fn record_crash(&mut self, crash: CrashId, at: Timestamp, now: Timestamp) -> bool {
+        if self.survived_at.is_some_and(|survived| at <= survived)
+            || self.crashes.contains_key(&crash)
+        {
+            return false;
+        }
+        self.crashes.insert(crash, at);
+        self.changed_at = now;
+        true
+    }
+
+    /// Records that a target survived the start of a response; returns whether this is news.
+    ///
+    /// It clears the part of all earlier crashes, as a part to blame for them crashes each target.
+    pub(super) fn record_survival(&mut self, started: Timestamp, now: Timestamp) -> bool {
+        let known = self.survived_at.map(|at| at + TIME_TOLERANCE);
+        if known.is_some_and(|known| started <= known) {
+            return false;
+        }
+        self.survived_at = Some(started);
+        let count = self.crashes.len();
+        self.crashes.retain(|_, at| *at > started);
+        let mut cleared = self.crashes.len() < count;
+        if self.trial_at.is_some_and(|at| at <= started) {
+            self.trial_at = None;
+            self.trial_request = None;
+            self.failed_trials = 0;
+            cleared = true;
+        }
+        if cleared {
+            self.changed_at = now;
+        }
+        cleared
+    }
+
+    /// Merges what a peer knows.
+    pub(super) fn merge(&mut self, evidence: &PartEvidence, now: Timestamp) {
+        if let Some(age) = evidence.survived {
+            self.record_survival(now.saturating_sub(age), now);
+        }
+        for (crash, age) in &evidence.crashes {
+            self.record_crash(*crash, now.saturating_sub(*age), now);
+        }
+        if let Some((age, failed)) = evidence.trial {
+            self.merge_trial(now.saturating_sub(age), failed, now);
+        }
+    }
+
+    fn merge_trial(&mut self, at: Timestamp, failed: u32, now: Timestamp) {
+        if self.survived_at.is_some_and(|survived| at <= survived) {
+            return;
+        }
+        let known = self.trial_at.map(|at| at + TIME_TOLERANCE);
+        if known.is_none_or(|known| at > known) {
+            self.trial_at = Some(at);
+            self.changed_at = now;
+        }
+        if failed > self.failed_trials {
+            self.failed_trials = failed;
+            self.changed_at = now;
+        }
+    }
+
+    /// Returns what peers should know, or `None` if they know it.
+    pub(super) fn evidence(&self, part: PartId, now: Timestamp) -> Option<PartEvidence> {
+        let is_recent = now < self.changed_at + SHARING_TIME;
+        if !is_recent && !self.is_suspect() {
+            return None;
+        }
+        let age = |at: Timestamp| now.saturating_sub(at);
+        let mut crashes: Vec<(CrashId, Duration)> = self
+            .crashes
+            .iter()
+            .map(|(crash, at)| (*crash, age(*at)))
+            .collect();
+        crashes.sort_unstable_by_key(|(_, age)| *age);
+        crashes.truncate(if is_recent {
+            MAX_SHARED_CRASHES
+        } else {
+            CRASH_LIMIT
+        });
+        Some(PartEvidence {
+            part,
+            crashes,
+            survived: self.survived_at.map(age),
+            trial: self.trial_at.map(|at| (age(at), self.failed_trials)),
+        })
+    }
+
+    pub(super) const fn changed_at(&self) -> Timestamp {
+        self.changed_at
+    }
+
+    pub(super) fn is_expired(&self, now: Timestamp) -> bool {
+        let retention = if self.crashes.is_empty() && self.trial_at.is_none() {
+            SHARING_TIME
+        } else {
+            RETENTION
+        };
+        now >= self.changed_at + retention
+    }
+}
--- a/crates/almondcroft-gateway/src/call.rs
+++ b/crates/almondcroft-gateway/src/call.rs
@@ -3,7 +3,7 @@
 use crate::adapter::{CallMeta, Generation};
 use crate::lifecycle::Guard;
 use almondcroft_core::gateway::{CallKind, CustomerSpec, RouteSpec};
-use almondcroft_core::quarantine::Fingerprint;
+use almondcroft_core::quarantine::{Fingerprint, PartId};
 use almondcroft_core::{RequestId, ServiceId, Timestamp};
 use almondcroft_proto::http1::RequestHead;
 use std::sync::Arc;
@@ -23,6 +23,8 @@
     pub(crate) customer: Option<Arc<CustomerSpec>>,
     pub(crate) received_at: Timestamp,
     pub(crate) fingerprint: Fingerprint,
+    /// The parts that its prompt may share with others.
+    pub(crate) parts: Vec<PartId>,
     pub(crate) order: Order,
     /// Counts the body against the memory budget as long as the call exists.
     pub(crate) _body_guard: Guard,
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::reply::Reply;
 use crate::runtime::{spawn, within};
 use crate::state::{Gateway, PlacementGuard, lock};
+use crate::target_run::{TargetRun, crash_id};
 use almondcroft_core::gateway::{Choice, Demand, Need, Placement};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::ResponseHead;
@@ -126,7 +127,14 @@
                 Err(reply) => return self.finish(last_response, reply).await,
             };
             let target = choice.target.clone();
-            match self.attempt(placement_guard, choice).await {
+            let run = match TargetRun::admit(self.gateway, &self.call, &target) {
+                Ok(run) => run,
+                Err(remaining) => {
+                    let reply = admit::part_refusal(remaining);
+                    return self.finish(last_response, reply).await;
+                }
+            };
+            match self.attempt(placement_guard, choice, run).await {
                 Attempt::Relayed(complete) => return complete,
                 Attempt::Response(head, body) => {
                     self.run_count += 1;
@@ -177,7 +185,12 @@
         }
     }
 
-    async fn attempt(&mut self, placement_guard: PlacementGuard, choice: Choice) -> Attempt {
+    async fn attempt(
+        &mut self,
+        placement_guard: PlacementGuard,
+        choice: Choice,
+        run: TargetRun,
+    ) -> Attempt {
         let now = clock::now();
         let time_left = self.call.time_left(now);
         let timeout = self.attempt_timeout(time_left);
@@ -192,10 +205,11 @@
         let opened = Exchange::open(self.gateway, &self.call, choice.address, &send, timeout).await;
         match opened {
             Ok(exchange) => {
-                self.handle_response(placement_guard, choice, backup, exchange, now)
+                let response = (exchange, run);
+                self.handle_response(placement_guard, choice, backup, response, now)
                     .await
             }
-            Err(error) => self.handle_send_error(&choice, error),
+            Err(error) => self.handle_send_error(&choice, &run, error),
         }
     }
 
@@ -224,7 +238,7 @@
         placement_guard: PlacementGuard,
         choice: Choice,
         backup: Option<Choice>,
-        exchange: Exchange,
+        (exchange, mut run): (Exchange, TargetRun),
         sent_at: Timestamp,
     ) -> Attempt {
         let now = clock::now();
@@ -234,6 +248,7 @@
         }
         let status = exchange.head.status;
         if exchange.meta.not_run || status == 421 {
+            run.record_not_run();
             lock(&self.gateway.fleet).record_refusal(target, now);
             self.request_log
                 .log_fault(target, "target-refused", Verdict::NotRun);
@@ -258,11 +273,12 @@
                 placement_guard,
                 choice,
                 backup.map(|choice| choice.target),
-                exchange,
+                (exchange, run),
             );
             let complete = relay.run(self.writer, &mut self.request_log).await;
             return Attempt::Relayed(complete);
         }
+        run.record_start();
         self.buffer_response(&choice, exchange, sent_at).await
     }
 
@@ -339,13 +355,16 @@
     }
 
     /// Handles a send that got no response.
-    fn handle_send_error(&mut self, choice: &Choice, error: SendError) -> Attempt {
+    fn handle_send_error(&mut self, choice: &Choice, run: &TargetRun, error: SendError) -> Attempt {
         let target = &choice.target;
         self.request_log
             .log_fault(target, error.kind, error.verdict);
         self.record_failure(target, true);
         match error.verdict {
-            Verdict::NotRun => Attempt::NotRun(error.kind),
+            Verdict::NotRun => {
+                run.record_not_run();
+                Attempt::NotRun(error.kind)
+            }
             Verdict::MayHaveRun | Verdict::Ran => {
                 if error.kind != "target-timeout" {
                     check_crash(self.gateway, &self.call, choice, 0);
@@ -492,6 +511,7 @@
     if lock(&gateway.fleet).is_leaving(&target) {
         return;
     }
+    let (crash, broke_at) = (crash_id(&gateway, &target), clock::now());
     spawn(async move {
         if Connection::connect(address, CRASH_CHECK_TIMEOUT)
             .await
@@ -502,7 +522,14 @@
         let now = clock::now();
         let count = lock(&gateway.quarantine).record_crash(call.fingerprint, now);
         lock(&gateway.fleet).record_failure(&target, true, now);
+        let suspects = lock(&gateway.prompt_quarantine).record_crash(crash, broke_at, now);
+        gateway.request_gossip();
         log::info!(event = "crash", request = call.external_id(), target_id = target.as_str(), count = count,
             events = events, parts = call.part_names().as_str(); "");
+        if !suspects.is_empty() {
+            log::warn!(event = "parts-suspect", request = call.external_id(),
+                target_id = target.as_str(), suspects = suspects.len(),
+                parts = call.part_names().as_str(); "");
+        }
     });
 }
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::reply::Reply;
 use crate::state::{Gateway, lock};
+use crate::target_run::shared_parts;
 use almondcroft_core::Revision;
 use almondcroft_core::gateway::{CustomerSpec, GatewayConfig, RouteSpec, admits_during_shutdown};
 use smol_str::SmolStr;
@@ -68,8 +69,15 @@
         let reply = Reply::refused("quarantined", remaining.min(QUARANTINE_RETRY));
         return Err(reject(reply));
     }
+    let request = gateway.next_id();
+    let generation = meta.generation.as_ref();
+    let parts = generation.map_or(Vec::new(), |generation| shared_parts(&generation.parts));
+    let remaining = lock(&gateway.prompt_quarantine).remaining(&request, &parts, clock::now());
+    if let Some(remaining) = remaining {
+        return Err(reject(part_refusal(remaining)));
+    }
     let call = Call {
-        id: gateway.next_id(),
+        id: request,
         head: received.head,
         meta,
         body: received.body,
@@ -78,6 +86,7 @@
         customer,
         received_at: received.received_at,
         fingerprint,
+        parts,
         order,
         _body_guard: received.body_guard,
     };
@@ -95,6 +104,11 @@
     Ok(call)
 }
 
+/// Returns the refusal of a request because of a part of its prompt.
+pub(super) fn part_refusal(remaining: Duration) -> Reply {
+    Reply::refused("part-quarantined", remaining.min(QUARANTINE_RETRY))
+}
+
 fn find_route(
     config: &GatewayConfig,
     received: &ReceivedRequest,
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -133,6 +133,8 @@
     for (fingerprint, count) in &message.crashes {
         quarantine.merge(*fingerprint, *count, now);
     }
+    drop(quarantine);
+    lock(&gateway.prompt_quarantine).merge(&message.part_evidence(), now);
 }
 
 async fn send_snapshots(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
@@ -140,6 +142,8 @@
         gateway,
         fanout: GossipFanout::default(),
         crashes: Vec::new(),
+        part_changes: 0,
+        part_trials: 0,
         departures: Vec::new(),
         config_revision: 0,
     };
@@ -166,6 +170,8 @@
     gateway: Arc<Gateway>,
     fanout: GossipFanout,
     crashes: Vec<(Fingerprint, u32)>,
+    part_changes: u64,
+    part_trials: u64,
     departures: Vec<Departure>,
     config_revision: Revision,
 }
@@ -176,6 +182,10 @@
         let gateway = &self.gateway;
         let snapshot = gateway.local_snapshot(now);
         let crashes = lock(&gateway.quarantine).crash_counts(now);
+        let quarantine = lock(&gateway.prompt_quarantine);
+        let parts = quarantine.evidence(now);
+        let (part_changes, part_trials) = (quarantine.change_count(), quarantine.trial_count());
+        drop(quarantine);
         let departures = gateway.departures(now);
         let config_revision = gateway
             .config_confirmation()
@@ -187,18 +197,20 @@
             .any(|departure| !self.departures.contains(departure));
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
-            .with_config(config_revision);
-        let urgent = config_changed || departed;
+            .with_config(config_revision)
+            .with_parts(parts);
+        let urgent = config_changed || departed || part_trials != self.part_trials;
         let peers = self.peer_addresses(urgent || !gateway.is_large_fleet());
         let indices = if urgent {
             (0..peers.len()).collect()
-        } else if changed || crashes != self.crashes {
+        } else if changed || crashes != self.crashes || part_changes != self.part_changes {
             let count = self.fanout.take(peers.len(), now);
             index::sample(&mut rand::rng(), peers.len(), count).into_vec()
         } else {
             self.fanout.refresh_peers(peers.len(), GOSSIP_INTERVAL)
         };
         self.crashes = crashes;
+        (self.part_changes, self.part_trials) = (part_changes, part_trials);
         self.departures = departures;
         self.config_revision = config_revision;
         let recipients = indices.into_iter().map(|index| peers[index]).collect();
--- a/crates/almondcroft-gateway/src/gossip/digests.rs
+++ b/crates/almondcroft-gateway/src/gossip/digests.rs
@@ -43,7 +43,9 @@
         let local = gateway.local_snapshot(now);
         let digest = lock(&gateway.fleet).zone_digest(local, now);
         let crashes = lock(&gateway.quarantine).crash_counts(now);
-        let bytes = DigestMessage::new(own.clone(), &digest, crashes).encode(MAX_DATAGRAM_BYTES);
+        let parts = lock(&gateway.prompt_quarantine).evidence(now);
+        let message = DigestMessage::new(own.clone(), &digest, crashes).with_parts(parts);
+        let bytes = message.encode(MAX_DATAGRAM_BYTES);
         for address in one_per_zone(&gateway) {
             send(&socket, &bytes, address);
         }
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -2,12 +2,13 @@
 
 mod query;
 
+use query::whole_millis;
 pub(crate) use query::{AgeMs, TargetUpdate, age_ms};
 pub(super) use query::{Query, Response};
 
 use crate::state::Departure;
 use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
-use almondcroft_core::quarantine::Fingerprint;
+use almondcroft_core::quarantine::{CrashId, Fingerprint, PartEvidence, PartId};
 use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -84,6 +85,47 @@
     pub(super) departures: Vec<Departure>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<PartMessage>,
+}
+
+/// Reports the crashes of a part of prompts: the part, the crashes with their ages, the age of the last
+/// response that a target survived, and the age of the last trial with the number of failed ones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct PartMessage(
+    PartId,
+    Vec<(CrashId, AgeMs)>,
+    Option<AgeMs>,
+    Option<(AgeMs, u32)>,
+);
+
+impl From<PartEvidence> for PartMessage {
+    fn from(evidence: PartEvidence) -> Self {
+        let crashes = evidence.crashes.into_iter();
+        Self(
+            evidence.part,
+            crashes
+                .map(|(crash, age)| (crash, whole_millis(age)))
+                .collect(),
+            evidence.survived.map(whole_millis),
+            evidence
+                .trial
+                .map(|(age, failed)| (whole_millis(age), failed)),
+        )
+    }
+}
+
+impl From<PartMessage> for PartEvidence {
+    fn from(PartMessage(part, crashes, survived, trial): PartMessage) -> Self {
+        let age = Duration::from_millis;
+        let crashes = crashes.into_iter();
+        Self {
+            part,
+            crashes: crashes.map(|(crash, ms)| (crash, age(ms))).collect(),
+            survived: survived.map(age),
+            trial: trial.map(|(ms, failed)| (age(ms), failed)),
+        }
+    }
 }
 
 impl SnapshotMessage {
@@ -123,9 +165,21 @@
             config: 0,
             departures,
             crashes,
+            parts: Vec::new(),
         }
     }
 
+    /// Sets what the VM knows of parts of prompts that crash targets.
+    pub(super) fn with_parts(mut self, parts: Vec<PartEvidence>) -> Self {
+        self.parts = parts.into_iter().map(PartMessage::from).collect();
+        self
+    }
+
+    /// Returns what the VM knows of parts of prompts that crash targets.
+    pub(super) fn part_evidence(&self) -> Vec<PartEvidence> {
+        self.parts.iter().cloned().map(PartEvidence::from).collect()
+    }
+
     /// Sets the revision of the VM's configuration.
     pub(super) const fn with_config(mut self, revision: Revision) -> Self {
         self.config = revision;
@@ -190,6 +244,12 @@
 }
 
 impl DigestMessage {
+    /// Sets what the zone knows of parts of prompts that crash targets.
+    pub(super) fn with_parts(mut self, parts: Vec<PartEvidence>) -> Self {
+        self.sums = self.sums.with_parts(parts);
+        self
+    }
+
     pub(super) fn new(vm: VmId, digest: &ZoneDigest, crashes: Vec<(Fingerprint, u32)>) -> Self {
         Self {
             sums: SnapshotMessage::new(vm, &digest.sums, crashes, Vec::new()),
--- a/crates/almondcroft-gateway/src/gossip/message/query.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/query.rs
@@ -68,7 +68,7 @@
     whole_millis(now.saturating_sub(at)).saturating_add(1)
 }
 
-fn whole_millis(time: Duration) -> u64 {
+pub(super) fn whole_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! |---|---|
 //! | `connection`, `pool`, `listener` | transport |
 //! | `caller`, `exchange`, `relay` | protocol |
-//! | `dispatch`, `migration`, `sync`, `gossip` | coordination |
+//! | `dispatch`, `target_run`, `migration`, `sync`, `gossip` | coordination |
 //! | `state`, `lifecycle`, `metrics` | state |
 //!
 //! ```no_run
@@ -49,6 +49,7 @@
 mod state;
 mod store;
 mod sync;
+mod target_run;
 
 pub use program::{Program, run};
 pub use runtime::block_on;
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::migration::{self, Migrated};
 use crate::runtime::{sleep, within};
 use crate::state::{Gateway, PlacementGuard, lock};
+use crate::target_run::TargetRun;
 use almondcroft_core::gateway::Choice;
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::EventSplitter;
@@ -79,6 +80,7 @@
     choice: Choice,
     backup: Option<TargetId>,
     exchange: Exchange,
+    run: TargetRun,
     splitter: EventSplitter,
     /// Whether the current stream has delivered a whole event.
     has_events: bool,
@@ -98,7 +100,7 @@
         placement_guard: PlacementGuard,
         choice: Choice,
         backup: Option<TargetId>,
-        exchange: Exchange,
+        (exchange, run): (Exchange, TargetRun),
     ) -> Self {
         let leave_notice = gateway.subscribe_leave_notice(&placement_guard.request);
         Self {
@@ -108,6 +110,7 @@
             choice,
             backup,
             exchange,
+            run,
             splitter: EventSplitter::default(),
             has_events: false,
             buffer: Vec::new(),
@@ -322,6 +325,7 @@
         let mut bytes = Vec::new();
         for event in self.splitter.push(&self.buffer) {
             self.has_events = true;
+            self.run.record_start();
             if let Some(id) = event.id {
                 if id <= self.last_event {
                     continue;
@@ -458,10 +462,15 @@
         request_log: &mut RequestLog,
     ) -> bool {
         let now = clock::now();
+        let Ok(run) = self.run.readmit(self.call, &choice.target) else {
+            request_log.log_fault(&choice.target, "part-quarantined", Verdict::NotRun);
+            return false;
+        };
         if !self
             .gateway
             .take_retry(&self.call.service, self.call.external_id(), now)
         {
+            run.record_not_run();
             return false;
         }
         let backup =
@@ -482,6 +491,7 @@
             Ok(exchange) if exchange.head.status == 200 && exchange.meta.stamped => exchange,
             Ok(exchange) => {
                 let kind = if exchange.meta.not_run {
+                    run.record_not_run();
                     "resume-refused"
                 } else {
                     "resume-failed"
@@ -491,6 +501,11 @@
             }
             Err(error) => {
                 request_log.log_fault(&choice.target, error.kind, error.verdict);
+                if error.verdict == Verdict::NotRun {
+                    run.record_not_run();
+                } else if error.kind != "target-timeout" {
+                    check_crash(self.gateway, self.call, choice, request_log.event_count);
+                }
                 return false;
             }
         };
@@ -508,6 +523,7 @@
         drop(fleet);
         self.gateway.deliver(placements);
         self.exchange = exchange;
+        self.run = run;
         self.splitter = EventSplitter::default();
         self.has_events = false;
         self.choice = choice.clone();
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -14,7 +14,7 @@
     GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts, StoreEra,
     TargetChange,
 };
-use almondcroft_core::quarantine::Quarantine;
+use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
 use almondcroft_proto::http1::ResponseHead;
 use async_channel::{Receiver, Sender, bounded};
@@ -50,6 +50,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) prompt_quarantine: Mutex<PromptQuarantine>,
     pub(crate) peers: Mutex<HashMap<VmId, VmEntry>>,
     pub(crate) pending_queries: Mutex<PendingQueries>,
     bounds: Mutex<Bounds>,
@@ -90,6 +91,7 @@
             pool: ConnectionPool::default(),
             fleet: Mutex::new(fleet),
             quarantine: Mutex::default(),
+            prompt_quarantine: Mutex::default(),
             peers: Mutex::default(),
             pending_queries: Mutex::default(),
             bounds: Mutex::new(settings.bounds),
@@ -467,6 +469,7 @@
             changes.extend(directory.release_held(now));
             changes
         });
+        lock(&self.prompt_quarantine).tick(now);
         let placements = lock(&self.fleet).tick(now);
         self.deliver(placements);
         self.pool.close_expired(now);
--- a/crates/almondctl/src/logs/cause.rs
+++ b/crates/almondctl/src/logs/cause.rs
@@ -18,7 +18,7 @@
     /// The request would have waited too long, or no target accepted it.
     #[serde(rename = "no-room")]
     NoCapacity,
-    /// The request has crashed targets before.
+    /// The request, or a part of its prompt, has crashed targets before.
     Quarantined,
     /// The VM was shutting down.
     Stopping,
@@ -109,7 +109,9 @@
             Self::NotPermitted => "The active configuration has no such route or customer key.",
             Self::BadRequest => "The request is invalid.",
             Self::NoCapacity => "No target had capacity for the request in time. It did not run.",
-            Self::Quarantined => "The request crashed targets before, so it is quarantined.",
+            Self::Quarantined => {
+                "The request, or a part of its prompt, crashed targets before, so it is quarantined."
+            }
             Self::Stopping => {
                 "The VM was shutting down and could not finish the request, which did not run."
             }
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -111,7 +111,7 @@
         "no-route" | "unknown-key" => Cause::NotPermitted,
         "overload" | "late" | "no-target" | "no-service" | "target-refused" | "connect"
         | "target-backoff" => Cause::NoCapacity,
-        "quarantined" => Cause::Quarantined,
+        "quarantined" | "part-quarantined" => Cause::Quarantined,
         "stopping" => Cause::Stopping,
         "memory" => Cause::Memory,
         _ => Cause::BadRequest,
