fix(quarantine): count no crash against a request whose response its engine had survived

Cause: the same as with parts of prompts, attribution to whatever ran on the engine. Now a crash counts against a request only if its response had not begun or had begun less than a second before; the crash line shows count=0 otherwise.

--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -367,7 +367,7 @@
             }
             Verdict::MayHaveRun | Verdict::Ran => {
                 if error.kind != "target-timeout" {
-                    check_crash(self.gateway, &self.call, choice, 0);
+                    check_crash(self.gateway, &self.call, choice, run, 0);
                     return Attempt::MayHaveRun(error.kind);
                 }
                 Attempt::MayHaveRun("timeout")
@@ -505,13 +505,20 @@
 /// Checks in the background whether a target broke a connection because it crashed.
 ///
 /// `events` is the number of events that the caller received.
-pub(crate) fn check_crash(gateway: &Arc<Gateway>, call: &Arc<Call>, choice: &Choice, events: u64) {
+pub(crate) fn check_crash(
+    gateway: &Arc<Gateway>,
+    call: &Arc<Call>,
+    choice: &Choice,
+    run: &TargetRun,
+    events: u64,
+) {
     let (gateway, call) = (Arc::clone(gateway), Arc::clone(call));
     let (target, address) = (choice.target.clone(), choice.address);
     if lock(&gateway.fleet).is_leaving(&target) {
         return;
     }
     let (crash, broke_at) = (crash_id(&gateway, &target), clock::now());
+    let is_suspect = !run.has_survived(broke_at);
     spawn(async move {
         if Connection::connect(address, CRASH_CHECK_TIMEOUT)
             .await
@@ -520,7 +527,11 @@
             return;
         }
         let now = clock::now();
-        let count = lock(&gateway.quarantine).record_crash(call.fingerprint, now);
+        let count = if is_suspect {
+            lock(&gateway.quarantine).record_crash(call.fingerprint, now)
+        } else {
+            0
+        };
         lock(&gateway.fleet).record_failure(&target, true, now);
         let suspects = lock(&gateway.prompt_quarantine).record_crash(crash, broke_at, now);
         gateway.request_gossip();
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -421,6 +421,7 @@
                 self.gateway,
                 self.call,
                 &self.choice,
+                &self.run,
                 request_log.event_count,
             );
         }
@@ -504,7 +505,8 @@
                 if error.verdict == Verdict::NotRun {
                     run.record_not_run();
                 } else if error.kind != "target-timeout" {
-                    check_crash(self.gateway, self.call, choice, request_log.event_count);
+                    let events = request_log.event_count;
+                    check_crash(self.gateway, self.call, choice, &run, events);
                 }
                 return false;
             }
--- a/crates/almondcroft-gateway/src/target_run.rs
+++ b/crates/almondcroft-gateway/src/target_run.rs
@@ -49,9 +49,7 @@
     ///
     /// Returns the time for which it is refused, unless its last target survived its start.
     pub(crate) fn readmit(&self, call: &Call, target: &TargetId) -> Result<Self, Duration> {
-        let now = clock::now();
-        let started_at = self.started_at;
-        if !started_at.is_some_and(|started| PromptQuarantine::has_survived(started, now)) {
+        if !self.has_survived(clock::now()) {
             return Self::admit(&self.gateway, call, target);
         }
         let run = Self::new(&self.gateway, call, target);
@@ -68,6 +66,12 @@
         }
     }
 
+    /// Returns whether the target survived the start of the response, so that a crash has another cause.
+    pub(crate) fn has_survived(&self, now: Timestamp) -> bool {
+        self.started_at
+            .is_some_and(|started| PromptQuarantine::has_survived(started, now))
+    }
+
     /// Records that the response has started.
     pub(crate) fn record_start(&mut self) {
         let now = clock::now();
