--- a/crates/almondcroft-gateway/src/target_run.rs
+++ b/crates/almondcroft-gateway/src/target_run.rs
@@ -74,8 +74,9 @@
 
     /// Records that the response has started.
     pub(crate) fn record_start(&mut self) {
-        let now = clock::now();
-        if self.started_at.replace(now).is_none() {
+        if self.started_at.is_none() {
+            let now = clock::now();
+            self.started_at = Some(now);
             lock(&self.gateway.prompt_quarantine).record_start(&self.request, self.target, now);
         }
     }
