fix(quarantine): release a trial that no target has run

Cause: the request that tested the part met only engines that had just crashed (connect refused, not run). The part stayed reserved for its result for 5 s. The VM now releases the trial at once; its peers wait 2.5 s, long enough for a prefill, the response's start and the survival of a second.

--- a/crates/almondcroft-core/src/quarantine/part_record.rs
+++ b/crates/almondcroft-core/src/quarantine/part_record.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Time after which the result of a first trial is no longer expected.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time from a trial that crashed its target to the next one; doubles with each further one.
 const TRIAL_DELAY: Duration = Duration::from_secs(30);
@@ -68,6 +68,14 @@
         true
     }
 
+    /// Records that a target has not run the request, so that another one may test the part.
+    pub(super) fn release_trial(&mut self, request: &RequestId) {
+        if self.trial_request.as_ref() == Some(request) && self.failed_trials == 0 {
+            self.trial_at = None;
+            self.trial_request = None;
+        }
+    }
+
     /// Records that the request that tests the part crashed its target.
     pub(super) fn record_failed_trial(&mut self, now: Timestamp) {
         if self.trial_request.take().is_some() {
--- a/crates/almondcroft-core/src/quarantine/prompt_quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine/prompt_quarantine.rs
@@ -127,7 +127,16 @@
 
     /// Records that a target has not run a request.
     pub fn record_not_run(&mut self, request: &RequestId, target: CrashId) {
-        self.runs.remove(&(target, request.clone()));
+        let run = self.runs.remove(&(target, request.clone()));
+        for part in run
+            .filter(|run| run.is_trial)
+            .iter()
+            .flat_map(|run| &run.parts)
+        {
+            if let Some(record) = self.parts.get_mut(part) {
+                record.release_trial(request);
+            }
+        }
     }
 
     /// Records that a request no longer runs at a target, for whatever reason.
--- a/crates/almondcroft-core/src/quarantine/prompt_quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/prompt_quarantine/tests.rs
@@ -118,6 +118,21 @@
     assert!(fleet.send(0, &[COMMON], false, millis(3_600)));
 }
 
+#[test]
+fn record_not_run_of_a_trial() {
+    let mut fleet = Fleet::default();
+    for step in 0..3_u64 {
+        fleet.send(0, &[FAULTY], true, millis(1_000 + step));
+    }
+    let now = millis(1_100);
+    let trial = "trial".into();
+    fleet.vms[0].admit(&trial, 90, &[FAULTY], now).unwrap();
+    assert!(!fleet.send(0, &[FAULTY], true, now));
+    fleet.vms[0].record_not_run(&trial, 90);
+    assert!(fleet.send(0, &[FAULTY], true, now));
+    assert!(!fleet.send(0, &[FAULTY], true, millis(30_000)));
+}
+
 #[test]
 fn record_crash_of_a_run_that_survived_long_ago() {
     let mut quarantine = PromptQuarantine::default();
