fix(quarantine): share the crash counts that are in force, not those with the lowest hashes

Cause: the 16 lowest of the fingerprints of ten minutes were shared with other VMs.

Now those in quarantine come first, then the newest. crash_counts_share_the_newest_of_many failed before.

--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -14,7 +14,7 @@
 pub use prompt_quarantine::{CrashId, PartId, PromptQuarantine};
 
 use crate::Timestamp;
-use std::{collections::HashMap, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 /// Identifies the content of a request, regardless of the caller that sends it.
 pub type Fingerprint = u64;
@@ -93,19 +93,23 @@
 
     /// Returns the fingerprints of recent crashes with their counts, to be shared with other VMs.
     ///
-    /// At most `MAX_SHARED` fingerprints are returned.
+    /// At most `MAX_SHARED` fingerprints are returned: first those in quarantine, then the newest.
     #[must_use]
     pub fn crash_counts(&self, now: Timestamp) -> Vec<(Fingerprint, u32)> {
         let recent = |crashes: &CrashRecord| crashes.last + QUARANTINE_TIME > now;
-        let mut counts: Vec<(Fingerprint, u32)> = self
+        let mut records: Vec<(&Fingerprint, &CrashRecord)> = self
             .crashes
             .iter()
             .filter(|(_, crashes)| recent(crashes))
-            .map(|(fingerprint, crashes)| (*fingerprint, crashes.count))
             .collect();
-        counts.sort_unstable();
-        counts.truncate(MAX_SHARED);
+        records.sort_unstable_by_key(|(fingerprint, crashes)| {
+            let is_refused = crashes.count >= CRASH_LIMIT;
+            (Reverse((is_refused, crashes.last)), **fingerprint)
+        });
+        let counts = records.into_iter().take(MAX_SHARED);
         counts
+            .map(|(fingerprint, crashes)| (*fingerprint, crashes.count))
+            .collect()
     }
 
     fn evict(&mut self, now: Timestamp) {
--- a/crates/almondcroft-core/src/quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/tests.rs
@@ -19,3 +19,17 @@
     quarantine.merge(7, 2, START);
     assert!(quarantine.remaining(7, START).is_some());
 }
+
+#[test]
+fn crash_counts_share_the_newest_of_many() {
+    let mut quarantine = Quarantine::default();
+    for fingerprint in 0..40 {
+        quarantine.record_crash(fingerprint, START);
+    }
+    quarantine.record_crash(u64::MAX, START);
+    quarantine.record_crash(u64::MAX, START);
+    quarantine.record_crash(1_000, START + Duration::from_secs(1));
+    let counts = quarantine.crash_counts(START + Duration::from_secs(2));
+    assert!(counts.contains(&(u64::MAX, 2)), "{counts:?}");
+    assert!(counts.contains(&(1_000, 1)), "{counts:?}");
+}
