--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -66,8 +66,20 @@
     pub resume: Option<Continuation>,
 }
 
+/// What a target's response states about the requests a second that it takes from all VMs together.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum StatedLimit {
+    /// It states no limit.
+    #[default]
+    None,
+    /// It takes this many.
+    PerSecond(f64),
+    /// What it states is not a number of requests.
+    Unreadable,
+}
+
 /// What the headers of a target's response state.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseMeta {
     /// Id of the request to which the target responds.
     pub id: Option<SmolStr>,
@@ -83,6 +95,8 @@
     pub leaving: bool,
     /// Time for which the target asks for no further requests.
     pub retry_after: Option<Duration>,
+    /// The limit on its requests that the target states.
+    pub rate_limit: StatedLimit,
 }
 
 /// A small request of the gateway's own, to an engine or to the store.
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 mod store_view;
 
-use crate::adapter::{Dialect, Registry, ResponseMeta, VmEntry};
+use crate::adapter::{Dialect, Registry, ResponseMeta, StatedLimit, VmEntry};
 use crate::clock;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
@@ -248,6 +248,7 @@
         if meta.leaving {
             self.record_leaving_response(target, clock::now());
         }
+        log_stated_limit(target, meta.rate_limit);
         if head.status == UNAVAILABLE_STATUS
             && let Some(time) = meta.retry_after
         {
@@ -487,6 +488,19 @@
     }
 }
 
+/// Logs the limit that a target states.
+fn log_stated_limit(target: &TargetId, stated: StatedLimit) {
+    match stated {
+        StatedLimit::None => {}
+        StatedLimit::PerSecond(limit) => {
+            log::info!(event = "target-limit", target_id = target.as_str(), limit = limit; "");
+        }
+        StatedLimit::Unreadable => {
+            log::info!(event = "target-limit-unreadable", target_id = target.as_str(); "");
+        }
+    }
+}
+
 fn gauge_value<T: TryInto<i64>>(number: T) -> i64 {
     number.try_into().unwrap_or(i64::MAX)
 }
