fix(fleet): keep to the limits that targets name, over all VMs

Cause: the gateway did not read the limit. Class: a target's statement about itself that concerns all VMs together was not known to any.

Change: the statement is read from each response and shared by gossip. The limit is dealt to a few VMs (three more than requests a second), in turn over the zones, as token buckets of one token each: no message for a request, and the sum holds while VMs do not hear of each other. What no share leaves a place for is refused at once (target-limit). A response without a limit ends it; nonsense changes nothing.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -35,8 +35,8 @@
 pub use config_freshness::ConfigFreshness;
 pub use directory::{Directory, EntryEvent, RestoredTargets, TargetChange};
 pub use fleet::{
-    Choice, Demand, Fleet, FleetOptions, Need, PeerLoad, PeerSnapshot, PlacedRequest, Placement,
-    RefusalReason, ZoneDigest, lowest_hashes,
+    Choice, Demand, Fleet, FleetOptions, LimitStatement, Need, PeerLoad, PeerSnapshot,
+    PlacedRequest, Placement, RefusalReason, ZoneDigest, lowest_hashes,
 };
 pub use fleet_retry_budget::{FleetRetryBudget, FleetSends, SendCounts};
 pub use gossip_fanout::GossipFanout;
--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -6,15 +6,19 @@
 
 mod choice;
 mod demand;
+mod limit_statement;
+mod limits;
 mod load;
 mod migration;
 mod options;
 mod peers;
 mod queue;
+mod rate_limiter;
 mod target_state;
 
 pub use choice::Choice;
 pub use demand::{Demand, Need};
+pub use limit_statement::LimitStatement;
 pub use load::{PeerLoad, PeerSnapshot, ZoneDigest};
 pub use options::FleetOptions;
 pub use peers::lowest_hashes;
@@ -51,6 +55,8 @@
     Late,
     /// All targets of the service asked for no requests until it would be too late.
     Backoff,
+    /// All targets of the service state limits, which leave no place in time.
+    Limit,
 }
 
 impl RefusalReason {
@@ -62,6 +68,7 @@
             Self::Overload => "overload",
             Self::Late => "late",
             Self::Backoff => "target-backoff",
+            Self::Limit => "target-limit",
         }
     }
 }
@@ -261,7 +268,7 @@
         let Some(state) = self.targets.get_mut(target) else {
             return Vec::new();
         };
-        state.add_migrated(request.clone(), in_flight);
+        state.add_migrated(request.clone(), in_flight, now);
         self.change_count += 1;
         self.assignments
             .insert(request.clone(), Assignment::new(target));
@@ -402,6 +409,7 @@
     /// Removes stale peers and targets that have left, and places or refuses waiting requests.
     pub fn tick(&mut self, now: Timestamp) -> Vec<PlacedRequest> {
         self.expire_peers(now);
+        self.update_shares(now);
         let has_left = |state: &TargetState| state.leaving && state.requests.is_empty();
         self.targets
             .retain(|_, state| !has_left(state) || state.entry.draining);
@@ -456,6 +464,18 @@
         if wait > wait_limit || now + wait >= demand.deadline {
             return Some(refusal(RefusalReason::Backoff, retry_after(wait)));
         }
+        let ahead = self
+            .queues
+            .get(&demand.service)
+            .map_or(0, AdmissionQueue::len);
+        match self.limit_wait(&demand.service, ahead, now) {
+            // Other VMs may have a share of the limits.
+            None => return Some(refusal(RefusalReason::Limit, MIN_RETRY_AFTER * 5)),
+            Some(wait) if wait > wait_limit || now + wait >= demand.deadline => {
+                return Some(refusal(RefusalReason::Limit, retry_after(wait)));
+            }
+            Some(_) => {}
+        }
         let queue = self.queues.get(&demand.service)?;
         let wait = queue.estimated_wait(demand);
         if wait > wait_limit {
@@ -480,7 +500,7 @@
             let demand = waiting.demand;
             let choice = self.choose(&demand, self.options.headroom, now);
             placements.push(match choice {
-                Some(choice) if now < demand.deadline => self.assign(demand, choice),
+                Some(choice) if now < demand.deadline => self.assign(demand, choice, now),
                 _ => PlacedRequest {
                     request: demand.id,
                     placement: refusal(RefusalReason::Overload, delay),
@@ -522,7 +542,7 @@
             let Some(waiting) = queue.and_then(|queue| queue.take(index)) else {
                 break;
             };
-            placements.push(self.assign(waiting.demand, choice));
+            placements.push(self.assign(waiting.demand, choice, now));
         }
         placements
     }
@@ -535,11 +555,11 @@
     }
 
     /// Assigns a request to the chosen target.
-    fn assign(&mut self, demand: Demand, choice: Choice) -> PlacedRequest {
+    fn assign(&mut self, demand: Demand, choice: Choice, now: Timestamp) -> PlacedRequest {
         let request = demand.id.clone();
         if let Some(state) = self.targets.get_mut(&choice.target) {
             self.change_count += u64::from(demand.need.tokens() > 0);
-            state.add_request(demand);
+            state.add_request(demand, now);
             self.assignments
                 .insert(request.clone(), Assignment::new(&choice.target));
         }
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet/limits.rs
@@ -0,0 +1,192 @@
+//! Limits that targets state on the requests a second that they take from all VMs together.
+//!
+//! They answer a target in need among sound ones, which get what it does not take. A few VMs, selected
+//! alike at all of them, get equal shares of a limit as token buckets; the others send nothing there. So
+//! the limit holds without messages for each request, also while VMs do not hear of each other, and a
+//! share stays large enough to be of use in a fleet of hundreds. VMs tell each other what a target stated.
+
+use super::limit_statement::{LastStatement, LimitStatement};
+use super::rate_limiter::RateLimiter;
+use super::target_state::TargetState;
+use super::{Fleet, split_mix, stable_hash};
+use crate::gateway::number::floor_to_usize;
+use crate::{TargetId, Timestamp, ZoneId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Requests a second that a target gets at least, so that it can state when its need is over.
+const MIN_PER_SECOND: f64 = 0.2;
+
+/// VMs that share a limit beyond one for each request a second.
+const EXTRA_SHARES: usize = 3;
+
+/// Time after which a statement that was not repeated no longer holds.
+const STATEMENT_RETENTION: Duration = Duration::from_secs(30);
+
+/// Time for which VMs tell each other that a target states no limit any more.
+const END_SHARING_TIME: Duration = Duration::from_secs(10);
+
+/// Difference below which two times denote the same statement, as ages grow by the delay of each message.
+const TIME_TOLERANCE: Duration = Duration::from_millis(500);
+
+impl Fleet {
+    /// Records the requests a second that a target states to take from all VMs together, `None` if it
+    /// states no limit; returns whether this is a change.
+    pub fn record_stated_limit(
+        &mut self,
+        target: &str,
+        per_second: Option<f64>,
+        now: Timestamp,
+    ) -> bool {
+        let Some(state) = self.targets.get_mut(target) else {
+            return false;
+        };
+        // Peers exchange thousandths.
+        let per_second = per_second.map(|limit| (limit * 1_000.0).round() / 1_000.0);
+        let known = state.last_statement.and_then(|last| last.per_second);
+        if per_second.is_none() && known.is_none() {
+            return false;
+        }
+        state.last_statement = Some(LastStatement {
+            per_second,
+            at: now,
+        });
+        let is_change = known != per_second;
+        if is_change {
+            self.update_share(&target.into(), now);
+        }
+        is_change
+    }
+
+    /// Records what peers know of the statements of targets.
+    pub fn merge_stated_limits(&mut self, statements: &[LimitStatement], now: Timestamp) {
+        for statement in statements {
+            let at = now.saturating_sub(statement.age);
+            let Some(state) = self.targets.get_mut(&statement.target) else {
+                continue;
+            };
+            let known = state.last_statement;
+            let is_news = match known {
+                None => statement.per_second.is_some(),
+                Some(known) if known.per_second == statement.per_second => {
+                    at > known.at + TIME_TOLERANCE
+                }
+                Some(known) => at > known.at,
+            };
+            if is_news && state.entry.incarnation == statement.incarnation {
+                state.last_statement = Some(LastStatement {
+                    per_second: statement.per_second,
+                    at,
+                });
+                if known.and_then(|known| known.per_second) != statement.per_second {
+                    self.update_share(&statement.target, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the statements of targets that peers should know.
+    #[must_use]
+    pub fn stated_limits(&self, now: Timestamp) -> Vec<LimitStatement> {
+        let statement = |(id, state): (&TargetId, &TargetState)| {
+            let last = state.last_statement?;
+            let age = now.saturating_sub(last.at);
+            let is_shared = last.per_second.is_some() || age < END_SHARING_TIME;
+            is_shared.then(|| LimitStatement {
+                target: id.clone(),
+                incarnation: state.entry.incarnation,
+                per_second: last.per_second,
+                age,
+            })
+        };
+        self.targets.iter().filter_map(statement).collect()
+    }
+
+    /// Adapts the shares to the VMs that are known, and forgets statements that were not repeated.
+    pub(super) fn update_shares(&mut self, now: Timestamp) {
+        let limited: Vec<TargetId> = self
+            .targets
+            .iter()
+            .filter(|(_, state)| state.last_statement.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for target in limited {
+            self.update_share(&target, now);
+        }
+    }
+
+    fn update_share(&mut self, target: &TargetId, now: Timestamp) {
+        let last = self
+            .targets
+            .get(target)
+            .and_then(|state| state.last_statement);
+        let last = last.filter(|last| now < last.at + STATEMENT_RETENTION);
+        let limit = last.and_then(|last| last.per_second);
+        let rate = limit.map(|limit| self.limit_share(target, limit.max(MIN_PER_SECOND)));
+        let seed = stable_hash((&self.vm, target));
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        state.last_statement = last;
+        let Some(rate) = rate else {
+            state.limiter = None;
+            return;
+        };
+        // Shares start at different fractions of a token, so that VMs do not send at the same time.
+        let fraction = f64::from(u16::try_from(split_mix(seed, 0) >> 48).unwrap_or_default())
+            / f64::from(u16::MAX);
+        let limiter = state.limiter.get_or_insert(RateLimiter::new(fraction, now));
+        limiter.set_rate(rate, now);
+    }
+
+    /// Returns this VM's share of a limit, in requests a second; zero for most VMs of a large fleet.
+    ///
+    /// The shares are dealt to the zones in turn, and within a zone to the VMs with the lowest hashes.
+    fn limit_share(&self, target: &TargetId, limit: f64) -> f64 {
+        let mut zones: BTreeMap<&ZoneId, usize> = BTreeMap::from([(&self.zone, 1)]);
+        for peer in self.peers.values() {
+            *zones.entry(&peer.zone).or_default() += 1;
+        }
+        for (zone, digest) in &self.zones {
+            zones.insert(zone, digest.vm_count);
+        }
+        let vm_count: usize = zones.values().sum();
+        let shares = vm_count.min(floor_to_usize(limit).saturating_add(EXTRA_SHARES));
+        let own_hash = stable_hash((target, &self.zone));
+        let others = zones.keys().filter(|zone| ***zone != self.zone);
+        let zones_before = others.filter(|zone| stable_hash((target, **zone)) < own_hash);
+        let position = zones_before.count();
+        let zone_shares = shares / zones.len() + usize::from(position < shares % zones.len());
+        let own_hash = stable_hash((target, &self.vm));
+        let neighbours = self.peers.iter().filter(|(_, peer)| peer.zone == self.zone);
+        let vms_before = neighbours.filter(|(vm, _)| stable_hash((target, *vm)) < own_hash);
+        if vms_before.count() >= zone_shares {
+            return 0.0;
+        }
+        let shares = u32::try_from(shares).unwrap_or(u32::MAX);
+        limit / f64::from(shares.max(1))
+    }
+
+    /// Returns how long a new request would wait for the limits of its service's targets, and `None` if
+    /// this VM has no share of any; zero if a target has no limit.
+    pub(super) fn limit_wait(
+        &self,
+        service: &str,
+        ahead: usize,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let usable = self
+            .targets
+            .values()
+            .filter(|state| state.entry.service == service && !state.leaving);
+        let limiters: Option<Vec<RateLimiter>> = usable.map(|state| state.limiter).collect();
+        match limiters {
+            None => Some(Duration::ZERO),
+            Some(limiters) if limiters.is_empty() => Some(Duration::ZERO),
+            Some(limiters) => {
+                let count = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
+                RateLimiter::wait_for(&limiters, count, now)
+            }
+        }
+    }
+}
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -1,5 +1,7 @@
 //! State of one target: its requests in flight, recent failures and back-off.
 
+use super::limit_statement::LastStatement;
+use super::rate_limiter::RateLimiter;
 use super::{Demand, PeerLoad};
 use crate::gateway::TargetEntry;
 use crate::{RequestId, Timestamp};
@@ -118,6 +120,10 @@
     backoff_until: Timestamp,
     /// End of the time for which the target asked for no requests.
     requested_backoff: Timestamp,
+    /// What the target last stated about the requests a second that it takes.
+    pub(super) last_statement: Option<LastStatement>,
+    /// This VM's share of the limit that the target states.
+    pub(super) limiter: Option<RateLimiter>,
     /// Requests that do not belong to this VM, and when the target reported them.
     reported_load: Option<(f64, Timestamp)>,
 }
@@ -136,6 +142,8 @@
             hard_failures: 0,
             backoff_until: Timestamp::ZERO,
             requested_backoff: Timestamp::ZERO,
+            last_statement: None,
+            limiter: None,
             reported_load: None,
         }
     }
@@ -145,12 +153,18 @@
         self.noticed_at = self.noticed_at.filter(|_| entry.draining);
         if self.entry.incarnation != entry.incarnation {
             self.requested_backoff = Timestamp::ZERO;
+            self.last_statement = None;
+            self.limiter = None;
         }
         self.entry = entry;
     }
 
     pub(super) fn accepts_requests(&self, now: Timestamp) -> bool {
-        !self.leaving && now >= self.backoff_until && now >= self.requested_backoff
+        let is_within_limit = self.limiter.is_none_or(|limiter| limiter.permits(now));
+        !self.leaving
+            && now >= self.backoff_until
+            && now >= self.requested_backoff
+            && is_within_limit
     }
 
     /// Returns the end of the time for which the target asked for no requests.
@@ -194,7 +208,15 @@
         self.reported_load = Some((f64::from(count.saturating_sub(own)), now));
     }
 
-    pub(super) fn add_request(&mut self, demand: Demand) {
+    /// Takes a token for a request that is sent here, if the target states a limit.
+    fn take_token(&mut self, now: Timestamp) {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.take(now);
+        }
+    }
+
+    pub(super) fn add_request(&mut self, demand: Demand, now: Timestamp) {
+        self.take_token(now);
         let in_flight = InFlightRequest {
             demand,
             produced: 0,
@@ -206,7 +228,13 @@
         self.requests.insert(in_flight.demand.id.clone(), in_flight);
     }
 
-    pub(super) fn add_migrated(&mut self, request: RequestId, in_flight: InFlightRequest) {
+    pub(super) fn add_migrated(
+        &mut self,
+        request: RequestId,
+        in_flight: InFlightRequest,
+        now: Timestamp,
+    ) {
+        self.take_token(now);
         let in_flight = InFlightRequest {
             reported_at: None,
             off_link: false,
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -1,5 +1,6 @@
 mod backoff;
 mod digest;
+mod limit;
 mod link;
 mod overload;
 mod throughput;
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -118,7 +118,7 @@
     if previous.is_none() {
         log::info!(event = "vm-heard", vm = message.vm.as_str(), address:% = from; "");
     }
-    merge_crashes(gateway, &message, now);
+    merge_observations(gateway, &message, now);
     for departure in &message.departures {
         gateway.apply_departure(departure, &message.vm);
     }
@@ -127,14 +127,15 @@
     lock(&gateway.fleet).apply_snapshot(vm, message.into_snapshot(now));
 }
 
-/// Records the requests that crashed targets of a peer or of a zone.
-fn merge_crashes(gateway: &Gateway, message: &SnapshotMessage, now: Timestamp) {
+/// Records what a peer or a zone knows of crashes of targets and of the limits that they state.
+fn merge_observations(gateway: &Gateway, message: &SnapshotMessage, now: Timestamp) {
     let mut quarantine = lock(&gateway.quarantine);
     for (fingerprint, count) in &message.crashes {
         quarantine.merge(*fingerprint, *count, now);
     }
     drop(quarantine);
     lock(&gateway.prompt_quarantine).merge(&message.part_evidence(), now);
+    lock(&gateway.fleet).merge_stated_limits(&message.stated_limits(), now);
 }
 
 async fn send_snapshots(gateway: Arc<Gateway>, socket: Arc<Async<UdpSocket>>) {
@@ -198,7 +199,8 @@
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
             .with_config(config_revision)
-            .with_parts(parts);
+            .with_parts(parts)
+            .with_limits(lock(&gateway.fleet).stated_limits(now));
         let urgent = config_changed || departed || part_trials != self.part_trials;
         let peers = self.peer_addresses(urgent || !gateway.is_large_fleet());
         let indices = if urgent {
--- a/crates/almondcroft-gateway/src/gossip/digests.rs
+++ b/crates/almondcroft-gateway/src/gossip/digests.rs
@@ -6,7 +6,7 @@
 //! VM passes them on within its zone.
 
 use super::message::{Datagram, DigestMessage};
-use super::{MAX_DATAGRAM_BYTES, merge_crashes, send};
+use super::{MAX_DATAGRAM_BYTES, merge_observations, send};
 use crate::adapter::VmEntry;
 use crate::clock;
 use crate::runtime::sleep;
@@ -45,6 +45,7 @@
         let crashes = lock(&gateway.quarantine).crash_counts(now);
         let parts = lock(&gateway.prompt_quarantine).evidence(now);
         let message = DigestMessage::new(own.clone(), &digest, crashes).with_parts(parts);
+        let message = message.with_limits(lock(&gateway.fleet).stated_limits(now));
         let bytes = message.encode(MAX_DATAGRAM_BYTES);
         for address in one_per_zone(&gateway) {
             send(&socket, &bytes, address);
@@ -92,7 +93,7 @@
         }
     }
     let now = clock::now();
-    merge_crashes(gateway, &message.sums, now);
+    merge_observations(gateway, &message.sums, now);
     let zone = message.sums.zone.clone();
     lock(&gateway.fleet).apply_digest(zone, message.into_digest(now));
 }
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -7,7 +7,7 @@
 pub(super) use query::{Query, Response};
 
 use crate::state::Departure;
-use almondcroft_core::gateway::{PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
+use almondcroft_core::gateway::{LimitStatement, PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
 use almondcroft_core::quarantine::{CrashId, Fingerprint, PartEvidence, PartId};
 use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -17,6 +17,9 @@
 /// and does not saturate.
 const MAX_LOAD_NUMBER: u32 = 4_000_000;
 
+/// Maximum limit of a target that is shared, in requests a second.
+const MAX_LIMIT: f64 = 1_000_000.0;
+
 /// Maximum number of VMs accepted for one zone.
 const MAX_VMS: u32 = 100_000;
 
@@ -87,6 +90,34 @@
     pub(super) crashes: Vec<(Fingerprint, u32)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     parts: Vec<PartMessage>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    limits: Vec<LimitMessage>,
+}
+
+/// Reports the limit that a target states: the target, its incarnation, thousandths of a request a second,
+/// and the age of the statement.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct LimitMessage(TargetId, u64, Option<u32>, AgeMs);
+
+impl From<LimitStatement> for LimitMessage {
+    fn from(statement: LimitStatement) -> Self {
+        let thousandths = |limit: f64| Duration::from_secs_f64(limit.min(MAX_LIMIT)).as_millis();
+        let limit = statement.per_second.map(thousandths);
+        let limit = limit.map(|limit| u32::try_from(limit).unwrap_or(u32::MAX));
+        let age = whole_millis(statement.age);
+        Self(statement.target, statement.incarnation, limit, age)
+    }
+}
+
+impl From<LimitMessage> for LimitStatement {
+    fn from(LimitMessage(target, incarnation, limit, age): LimitMessage) -> Self {
+        Self {
+            target,
+            incarnation,
+            per_second: limit.map(|limit| f64::from(limit) / 1_000.0),
+            age: Duration::from_millis(age),
+        }
+    }
 }
 
 /// Reports the crashes of a part of prompts: the part, the crashes with their ages, the age of the last
@@ -166,9 +197,22 @@
             departures,
             crashes,
             parts: Vec::new(),
+            limits: Vec::new(),
         }
     }
 
+    /// Sets the limits that targets state.
+    pub(super) fn with_limits(mut self, limits: Vec<LimitStatement>) -> Self {
+        self.limits = limits.into_iter().map(LimitMessage::from).collect();
+        self
+    }
+
+    /// Returns the limits that targets state.
+    pub(super) fn stated_limits(&self) -> Vec<LimitStatement> {
+        let limits = self.limits.iter().cloned();
+        limits.map(LimitStatement::from).collect()
+    }
+
     /// Sets what the VM knows of parts of prompts that crash targets.
     pub(super) fn with_parts(mut self, parts: Vec<PartEvidence>) -> Self {
         self.parts = parts.into_iter().map(PartMessage::from).collect();
@@ -259,6 +303,12 @@
         }
     }
 
+    /// Sets the limits that targets state.
+    pub(super) fn with_limits(mut self, limits: Vec<LimitStatement>) -> Self {
+        self.sums = self.sums.with_limits(limits);
+        self
+    }
+
     /// Encodes the message; leaves out targets until it fits into `max_bytes`.
     pub(super) fn encode(self, max_bytes: usize) -> Vec<u8> {
         Datagram::Digest(self).encode_within(max_bytes)
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -248,7 +248,7 @@
         if meta.leaving {
             self.record_leaving_response(target, clock::now());
         }
-        log_stated_limit(target, meta.rate_limit);
+        self.record_stated_limit(target, meta);
         if head.status == UNAVAILABLE_STATUS
             && let Some(time) = meta.retry_after
         {
@@ -259,6 +259,25 @@
         }
     }
 
+    fn record_stated_limit(&self, target: &TargetId, meta: &ResponseMeta) {
+        let limit = match meta.rate_limit {
+            StatedLimit::PerSecond(limit) => Some(limit),
+            StatedLimit::None if meta.stamped => None,
+            // Bytes that are no response of the target state nothing, and nonsense ends no limit.
+            StatedLimit::None => return,
+            StatedLimit::Unreadable => {
+                log::debug!(event = "target-limit-unreadable", target_id = target.as_str(); "");
+                return;
+            }
+        };
+        let is_change = lock(&self.fleet).record_stated_limit(target, limit, clock::now());
+        if is_change {
+            log::info!(event = "target-limit", target_id = target.as_str(),
+                limit = limit.map_or("-".into(), |limit| limit.to_string()).as_str(); "");
+            self.request_gossip();
+        }
+    }
+
     fn record_leaving_response(&self, target: &TargetId, now: Timestamp) {
         let Some(incarnation) = lock(&self.fleet).incarnation(target) else {
             return;
@@ -488,19 +507,6 @@
     }
 }
 
-/// Logs the limit that a target states.
-fn log_stated_limit(target: &TargetId, stated: StatedLimit) {
-    match stated {
-        StatedLimit::None => {}
-        StatedLimit::PerSecond(limit) => {
-            log::info!(event = "target-limit", target_id = target.as_str(), limit = limit; "");
-        }
-        StatedLimit::Unreadable => {
-            log::info!(event = "target-limit-unreadable", target_id = target.as_str(); "");
-        }
-    }
-}
-
 fn gauge_value<T: TryInto<i64>>(number: T) -> i64 {
     number.try_into().unwrap_or(i64::MAX)
 }
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -110,7 +110,7 @@
         "no-config" | "config-stale" => Cause::ConfigStale,
         "no-route" | "unknown-key" => Cause::NotPermitted,
         "overload" | "late" | "no-target" | "no-service" | "target-refused" | "connect"
-        | "target-backoff" => Cause::NoCapacity,
+        | "target-backoff" | "target-limit" => Cause::NoCapacity,
         "quarantined" | "part-quarantined" => Cause::Quarantined,
         "stopping" => Cause::Stopping,
         "memory" => Cause::Memory,
