fix(daemon): wait for the outcome of a VM that the list does not show yet

What callers saw: a retry of a call at a second VM got 409 outcome-unknown although the first attempt had run and its VM was alive (call_store_responses_lost, once beside heavy load).

Cause: a VM that is not in the VM list counted as ended. The list is delayed: a VM that had just started, or had read the list before the other was in it, took the holder of a claim for dead and gave up on the outcome that was about to be appended. In the failed run the first turn came before the second read of the list.

Evidence: call_claimed_by_a_vm_that_the_list_does_not_show_yet starts a VM that is never listed; it failed before in turn 0 with the same response, and passes.

--- a/crates/almondcroft-standin/tests/calls.rs
+++ b/crates/almondcroft-standin/tests/calls.rs
@@ -3,7 +3,8 @@
 use almondcroft_standin::demo::{Caller, LocalDeployment, OTHER_TOKEN, Reply};
 use almondcroft_standin::object_api::StoreFaults;
 use almondcroft_standin::service::ServiceFaults;
-use almondcroftd::block_on;
+use almondcroftd::{block_on, sleep};
+use std::time::Duration;
 
 const ORDER: &str = "{\"fish\":12}";
 
@@ -160,6 +161,26 @@
     });
 }
 
+#[test]
+fn call_claimed_by_a_vm_that_the_list_does_not_show_yet() {
+    block_on(async {
+        let mut deployment = LocalDeployment::start(1, 1).await.unwrap();
+        deployment.add_vm(1).await.unwrap();
+        // Each VM has read the list, which shows the first one only.
+        sleep(Duration::from_millis(1_200)).await;
+        let caller = Caller::default();
+        let urls = deployment.vm_urls();
+        for turn in 0..4 {
+            let key = key();
+            for url in urls.iter().rev() {
+                let reply = caller.call(url, "orders", Some(&key), ORDER).await;
+                assert_eq!((turn, reply.status), (turn, 200), "{reply:?}");
+            }
+        }
+        assert_eq!(deployment.orders_state.executions().len(), 4);
+    });
+}
+
 #[test]
 fn refuse_bad_input() {
     block_on(async {
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -7,7 +7,7 @@
 use almondcroft_proto::object::{STATUS_PREFIX, VmStatus};
 use almondcroft_proto::peer::{CONFIG_METHOD, ConfigResponse, GOSSIP_METHOD, GossipMessage};
 use almondcroft_proto::vm_list::{VmEntry, VmState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -27,6 +27,12 @@
 /// A longer list is read less often, so that the bytes read per second stay the same.
 const VMS_PER_INTERVAL: usize = 10;
 
+/// Number of reads of the list after which it shows each VM that exists.
+const LISTS_UNTIL_SHOWN: u32 = 2;
+
+/// Maximum number of VMs that are remembered although the list does not show them.
+const MAX_UNLISTED: usize = 1_000;
+
 /// Number of neighbours that each VM probes.
 const NEIGHBOURS: usize = 2;
 
@@ -43,6 +49,33 @@
 struct State {
     members: BTreeMap<VmId, Member>,
     health: HealthTable,
+    /// VMs that were removed from the list, the newest last.
+    removed: VecDeque<VmId>,
+    /// VMs that the list has never shown, and when this VM first heard of them.
+    unlisted: BTreeMap<VmId, Timestamp>,
+}
+
+impl State {
+    /// Returns whether a VM that is not in the list has ended: it was removed from the list, or the list
+    /// has had the time to show it.
+    fn has_unlisted_ended(&mut self, vm: &VmId, now: Timestamp) -> bool {
+        if self.removed.contains(vm) {
+            return true;
+        }
+        let limit = list_interval(self.members.len()) * LISTS_UNTIL_SHOWN;
+        if self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.clear();
+        }
+        let heard_at = *self.unlisted.entry(vm.clone()).or_insert(now);
+        now >= heard_at + limit
+    }
+
+    fn record_removal(&mut self, vm: VmId) {
+        self.removed.push_back(vm);
+        if self.removed.len() > MAX_UNLISTED {
+            self.removed.pop_front();
+        }
+    }
 }
 
 /// Holds the listed VMs and their health.
@@ -75,7 +108,13 @@
             }
         }
         let listed = |id: &str| entries.iter().any(|entry| entry.id == id);
-        state.members.retain(|id, _| listed(id));
+        let removed = state.members.extract_if(.., |id, _| !listed(id));
+        let removed: Vec<VmId> = removed.map(|(id, _)| id).collect();
+        state.removed.retain(|id| !listed(id));
+        state.unlisted.retain(|id, _| !listed(id));
+        for id in removed {
+            state.record_removal(id);
+        }
         state.health.retain(listed);
     }
 
@@ -127,11 +166,12 @@
 
     /// Returns whether an incarnation of a VM counts as ended.
     ///
-    /// It does if the VM is not in the list, has restarted, is leaving or does not respond.
+    /// It does if the VM was removed from the list, has restarted, is leaving or does not respond. A VM
+    /// that the list does not show yet counts as ended once the list has had the time to show it.
     pub(crate) fn has_ended(&self, vm: &VmId, incarnation: Incarnation, now: Timestamp) -> bool {
-        let state = lock(&self.state);
+        let mut state = lock(&self.state);
         let Some(member) = state.members.get(vm) else {
-            return true;
+            return state.has_unlisted_ended(vm, now);
         };
         let restarted = member.incarnation.is_some_and(|known| known != incarnation);
         restarted || !state.health.usable(vm, now)
@@ -151,17 +191,17 @@
     crate::runtime::spawn(async move {
         while !listing.lifecycle.is_crashed() {
             read_list(&listing).await;
-            let intervals = listing
-                .members
-                .listed()
-                .len()
-                .div_ceil(VMS_PER_INTERVAL)
-                .max(1);
-            sleep(LIST_INTERVAL * u32::try_from(intervals).unwrap_or(u32::MAX)).await;
+            sleep(list_interval(listing.members.listed().len())).await;
         }
     });
 }
 
+/// Returns the time between two reads of a list of `count` VMs.
+fn list_interval(count: usize) -> Duration {
+    let intervals = count.div_ceil(VMS_PER_INTERVAL).max(1);
+    LIST_INTERVAL * u32::try_from(intervals).unwrap_or(u32::MAX)
+}
+
 async fn read_list(app: &Arc<App>) {
     let Some(url) = &app.settings.vm_list else {
         return;
@@ -288,3 +328,6 @@
         log::warn!(event = "confirm-failed", revision = status.revision; "");
     }
 }
+
+#[cfg(test)]
+mod tests;
