feat(gateway): refused parts of prompts outlive a restart of all VMs

Cause: VMs learn of the parts from each other, so when all processes end at once, three more engines and a trial are lost before a part is refused again. What must last belongs into the platform's store.

Change: two VMs, which all select alike, write the parts that a trial has confirmed into their own registrations. Each VM that starts lists these anyway, so this adds no read, and a write only when the parts change.

--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -9,9 +9,11 @@
 mod part_record;
 mod prompt_quarantine;
 mod prompt_run;
+mod refused_part;
 
 pub use part_evidence::PartEvidence;
 pub use prompt_quarantine::{CrashId, PartId, PromptQuarantine};
+pub use refused_part::RefusedPart;
 
 use crate::Timestamp;
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
--- a/crates/almondcroft-core/src/quarantine/part_record.rs
+++ b/crates/almondcroft-core/src/quarantine/part_record.rs
@@ -2,6 +2,7 @@
 
 use super::part_evidence::PartEvidence;
 use super::prompt_quarantine::{CRASH_LIMIT, CrashId, PartId};
+use super::refused_part::RefusedPart;
 use crate::{RequestId, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -148,6 +149,26 @@
         }
     }
 
+    pub(super) const fn failed_trials(&self) -> u32 {
+        self.failed_trials
+    }
+
+    /// Records that the part was refused before all VMs ended.
+    ///
+    /// The crashes are not stored, so they get ids that no other part shares.
+    pub(super) fn restore(&mut self, stored: RefusedPart, now: Timestamp) {
+        if self.failed_trials > 0 {
+            return;
+        }
+        let [.., a, b, c] = stored.part.to_le_bytes();
+        for number in (0..u8::MAX).take(CRASH_LIMIT) {
+            let crash = CrashId::from_le_bytes([number, a, b, c]);
+            self.record_crash(crash, now, now);
+        }
+        self.failed_trials = stored.failed_trials;
+        self.trial_at = Some(now);
+    }
+
     /// Returns what peers should know, or `None` if they know it.
     pub(super) fn evidence(&self, part: PartId, now: Timestamp) -> Option<PartEvidence> {
         let is_recent = now < self.changed_at + SHARING_TIME;
--- a/crates/almondcroft-core/src/quarantine/prompt_quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine/prompt_quarantine.rs
@@ -3,6 +3,7 @@
 use super::part_evidence::PartEvidence;
 use super::part_record::PartRecord;
 use super::prompt_run::{self, PromptRun, RunState};
+use super::refused_part::RefusedPart;
 use crate::{RequestId, Timestamp};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -206,6 +207,29 @@
         evidence.take(MAX_SHARED_PARTS).collect()
     }
 
+    /// Lists the parts that a trial has confirmed to crash targets, to be stored.
+    #[must_use]
+    pub fn refused_parts(&self) -> Vec<RefusedPart> {
+        let refused = self.parts.iter().filter_map(|(part, record)| {
+            let failed_trials = record.failed_trials();
+            (failed_trials > 0 && record.is_suspect()).then_some(RefusedPart {
+                part: *part,
+                failed_trials,
+            })
+        });
+        let mut refused: Vec<RefusedPart> = refused.collect();
+        refused.sort_unstable();
+        refused.truncate(MAX_SHARED_PARTS);
+        refused
+    }
+
+    /// Records parts that were stored by [`Self::refused_parts`], as if their last trial were now.
+    pub fn restore(&mut self, stored: &[RefusedPart], now: Timestamp) {
+        for stored in stored {
+            self.record_of(stored.part, now).restore(*stored, now);
+        }
+    }
+
     /// Returns how often something has changed here that peers should know soon.
     #[must_use]
     pub const fn change_count(&self) -> u64 {
--- a/crates/almondcroft-core/src/quarantine/prompt_quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/prompt_quarantine/tests.rs
@@ -244,3 +244,31 @@
     let number = (seed ^ (index << 20)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (number ^ (number >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33
 }
+
+#[test]
+fn restore_after_all_vms_ended() {
+    let mut fleet = Fleet::default();
+    for step in 0..4_u64 {
+        fleet.send(0, &[COMMON, FAULTY], true, millis(1_000 + step));
+    }
+    assert!(fleet.send(0, &[COMMON], false, millis(1_100)));
+    fleet.tick(millis(2_700));
+    let stored = fleet.vms[0].refused_parts();
+    assert_eq!(
+        stored.iter().map(|part| part.part).collect::<Vec<_>>(),
+        [FAULTY]
+    );
+
+    let mut fleet = Fleet::default();
+    fleet.vms[1].restore(&stored, millis(500));
+    fleet.exchange(millis(600));
+    for vm in 0..2 {
+        assert!(!fleet.send(vm, &[COMMON, FAULTY], true, millis(30_000)));
+        assert!(fleet.send(vm, &[COMMON], false, millis(30_000)));
+    }
+    // It is tested after the usual time, and released if its target survives.
+    assert!(fleet.send(0, &[FAULTY], false, millis(31_000)));
+    fleet.tick(millis(33_000));
+    assert_eq!(fleet.vms[1].refused_parts(), []);
+    assert!(fleet.send(1, &[FAULTY], false, millis(33_000)));
+}
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -4,6 +4,7 @@
 //! and keeps no state.
 
 use almondcroft_core::gateway::{EntryEvent, GatewayConfig};
+use almondcroft_core::quarantine::RefusedPart;
 use almondcroft_core::{CustomerId, Era, ModelId, Revision, TargetId, Timestamp, ZoneId};
 use almondcroft_proto::http1::{Headers, RequestHead, ResponseHead};
 use smol_str::SmolStr;
@@ -180,6 +181,8 @@
     pub address: SocketAddr,
     /// Its availability zone; empty if it is unknown.
     pub zone: ZoneId,
+    /// The parts of prompts that it refuses, as far as it stores them.
+    pub refused_parts: Vec<RefusedPart>,
 }
 
 /// A page of a list, or the changes that a watch returned.
@@ -204,6 +207,9 @@
     /// Returns the call that registers an entry VM.
     fn register(&self, vm: &str, entry: &VmEntry) -> ControlCall;
 
+    /// Returns the call that replaces the registration of an entry VM.
+    fn update(&self, vm: &str, entry: &VmEntry) -> ControlCall;
+
     /// Returns the call that removes an entry VM.
     fn unregister(&self, vm: &str) -> ControlCall;
 
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 
 mod digests;
 mod message;
+mod refused_parts;
 mod watchers;
 
 pub(crate) use message::{AgeMs, TargetUpdate, age_ms};
@@ -19,12 +20,13 @@
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
 use almondcroft_core::gateway::GossipFanout;
 use almondcroft_core::quarantine::Fingerprint;
-use almondcroft_core::{Revision, Timestamp};
+use almondcroft_core::{Revision, Timestamp, VmId};
 use futures_lite::future::or;
 use message::{Datagram, SnapshotMessage};
 use rand::Rng;
 use rand::seq::index;
 use smol::Async;
+use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -66,6 +68,7 @@
     ));
     spawn(watchers::send_queries(Arc::clone(gateway), socket));
     spawn(discover_peers(Arc::clone(gateway), address));
+    spawn(refused_parts::keep_stored(Arc::clone(gateway), address));
     Ok(())
 }
 
@@ -113,6 +116,7 @@
     let entry = VmEntry {
         address: from,
         zone: message.zone.clone(),
+        refused_parts: Vec::new(),
     };
     let previous = lock(&gateway.peers).insert(message.vm.clone(), entry);
     if previous.is_none() {
@@ -243,24 +247,33 @@
 async fn discover_peers(gateway: Arc<Gateway>, address: SocketAddr) {
     let mut client = StoreClient::new(gateway.settings.store);
     let own = gateway.settings.vm.clone();
-    let entry = VmEntry {
+    let mut entry = VmEntry {
         address,
         zone: gateway.settings.zone.clone(),
+        refused_parts: Vec::new(),
     };
-    let mut registered = false;
+    let (mut registered, mut listed_before) = (false, false);
     let started_at = clock::now();
     loop {
         let starting = clock::now() < started_at + ALONE_LIST_INTERVAL * 2;
         let call = gateway.registry.list(ObjectKind::Vms, None);
         match list_peers(&gateway, &mut client, &call).await {
-            // An entry of this VM's last process is as good as a new one.
-            Ok(Some(listed)) if listed == entry => registered = true,
-            // The list may be older than a registration at the start.
-            Ok(_) => registered &= starting,
+            Ok(entries) => {
+                if !std::mem::replace(&mut listed_before, true) {
+                    refused_parts::restore(&gateway, entries.values());
+                }
+                // An entry of this VM's last process is as good as a new one.
+                let listed = entries.get(&own);
+                let is_listed =
+                    listed.is_some_and(|own| (own.address, &own.zone) == (address, &entry.zone));
+                // The list may be older than a registration at the start.
+                registered = is_listed || (registered && starting);
+            }
             Err(error) => log::info!(event = "vms-unknown", error:% = error; ""),
         }
         gateway.mark_peers_listed();
         if !registered && !gateway.lifecycle.is_draining() {
+            entry.refused_parts = lock(&gateway.prompt_quarantine).refused_parts();
             let call = gateway.registry.register(&own, &entry);
             registered = match client.call(&gateway, &call, CALL_TIMEOUT).await {
                 Ok(_) | Err(StoreError::Status(CONFLICT_STATUS)) => true,
@@ -286,23 +299,24 @@
     }
 }
 
-/// Replaces the peers by those listed in the store; returns the entry of this VM.
+/// Replaces the peers by those listed in the store; returns the entries of all VMs.
 async fn list_peers(
     gateway: &Gateway,
     client: &mut StoreClient,
     call: &ControlCall,
-) -> Result<Option<VmEntry>, StoreError> {
+) -> Result<HashMap<VmId, VmEntry>, StoreError> {
     let StoreResponse { body, .. } = client.call(gateway, call, CALL_TIMEOUT).await?;
     let batch = gateway
         .registry
         .read_list(ObjectKind::Vms, &body, clock::now())
         .map_err(StoreError::Unreadable)?;
-    let mut peers = lock(&gateway.peers);
-    peers.clear();
-    for item in batch.items {
-        if let Item::Vm(name, Some(entry)) = item {
-            peers.insert(name, entry);
-        }
-    }
-    Ok(peers.remove(&gateway.settings.vm))
+    let entries = batch.items.into_iter().filter_map(|item| match item {
+        Item::Vm(name, entry) => Some((name, entry?)),
+        _ => None,
+    });
+    let entries: HashMap<VmId, VmEntry> = entries.collect();
+    let mut peers = entries.clone();
+    peers.remove(&gateway.settings.vm);
+    *lock(&gateway.peers) = peers;
+    Ok(entries)
 }
