fix(gateway): bound the interim responses before a response

What callers saw: a target that sent 1xx responses without end held up the whole VM: its reader never waited, so neither the time limit of the attempt nor any other request of that thread made progress (504, in the test's first request).

Cause: the limit of a head held for each interim response anew. Class: a bound on an element of the grammar, but none on its repetition.

interim_responses_without_end_do_not_hold_up_the_vm failed before and passes.

--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -54,6 +54,9 @@
         match self {
             Self::Closed => "closed",
             Self::Io { .. } => "reset",
+            Self::Frame {
+                source: FrameError::TooLarge,
+            } => "too-large",
             Self::Frame { .. } => "garbled",
             Self::Timeout => "timeout",
         }
@@ -225,19 +228,23 @@
 
     /// Reads the head of a final response; interim (1xx) responses are skipped.
     ///
+    /// All heads together may have `limit` bytes.
+    ///
     /// # Errors
     ///
-    /// Returns [`ConnectionError`] if the connection fails, ends or sends invalid HTTP before the end
-    /// of the head.
+    /// Returns [`ConnectionError`] if the connection fails, ends, sends invalid HTTP before the end of
+    /// the head, or exceeds the limit.
     pub(crate) async fn read_response(
         &mut self,
         limit: usize,
     ) -> Result<ResponseHead, ConnectionError> {
+        let mut limit = limit;
         loop {
             if !self.buffer.is_empty()
                 && let Some((head, used)) = parse_response(&self.buffer, limit)?
             {
                 self.consume(used);
+                limit -= used;
                 if head.status >= 200 {
                     return Ok(head);
                 }
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -125,7 +125,9 @@
         ("caller-gone", _) => Cause::CallerGone,
         ("timeout" | "target-timeout", _) => Cause::TargetTimeout,
         ("broken-off" | "broken", _) => broken_off_cause(request_lines),
-        ("closed" | "reset" | "unsigned" | "garbled" | "truncated", _) => Cause::ConnectionLost,
+        ("closed" | "reset" | "unsigned" | "garbled" | "too-large" | "truncated", _) => {
+            Cause::ConnectionLost
+        }
         (_, "503" | "429" | "408") => refusal_cause(end.get("outcome")),
         ("connect", _) => Cause::ConnectionLost,
         _ => Cause::Unknown,
