fix(gateway): break off a stream whose event never ends

What callers saw: nothing, until their deadline; meanwhile the VM buffered whatever the engine sent, up to its memory limit.

Cause: an incomplete event was buffered without a bound.

--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::target_run::TargetRun;
 use almondcroft_core::gateway::Choice;
 use almondcroft_core::{TargetId, Timestamp, Verdict};
-use almondcroft_proto::http1::EventSplitter;
+use almondcroft_proto::http1::{EventSplitter, StreamEvent};
 use async_channel::Receiver;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -133,13 +133,16 @@
         }
         loop {
             let broken = match self.next_step().await {
-                Step::BytesRead => {
-                    if !self.send_events(writer, request_log).await {
-                        request_log.log_end(0, "caller-gone");
-                        return false;
+                Step::BytesRead => match self.splitter.push(&self.buffer) {
+                    Ok(events) => {
+                        if !self.send_events(events, writer, request_log).await {
+                            request_log.log_end(0, "caller-gone");
+                            return false;
+                        }
+                        None
                     }
-                    None
-                }
+                    Err(error) => Some(ConnectionError::from(error).kind()),
+                },
                 Step::Complete => {
                     let rest_bytes = self.splitter.pending().len();
                     request_log.log_close_delimited(&self.exchange.decoder, rest_bytes);
@@ -319,11 +322,12 @@
     /// Forwards the complete events; returns whether the caller is still connected.
     async fn send_events(
         &mut self,
+        events: Vec<StreamEvent>,
         writer: &mut ResponseWriter,
         request_log: &mut RequestLog,
     ) -> bool {
         let mut bytes = Vec::new();
-        for event in self.splitter.push(&self.buffer) {
+        for event in events {
             self.has_events = true;
             self.run.record_start();
             if let Some(id) = event.id {
--- a/crates/almondcroft-proto/src/http1/events.rs
+++ b/crates/almondcroft-proto/src/http1/events.rs
@@ -1,5 +1,10 @@
 //! Splitting of an event stream into the bytes of whole server-sent events.
 
+use super::FrameError;
+
+/// Maximum size of one event with the comments before it, in bytes.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
 /// One event as received, including its terminating blank line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -20,7 +25,11 @@
 
 impl EventSplitter {
     /// Buffers `bytes` and returns the events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<StreamEvent> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError::TooLarge`] once an event exceeds its maximum size.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<StreamEvent>, FrameError> {
         // The terminator may start up to three bytes before the new input.
         let mut search_from = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
@@ -36,7 +45,10 @@
             search_from = end;
         }
         self.pending.drain(..start);
-        events
+        if self.pending.len() > MAX_EVENT_BYTES {
+            return Err(FrameError::TooLarge);
+        }
+        Ok(events)
     }
 
     /// Returns the buffered bytes after the last whole event.
--- a/crates/almondcroft-proto/src/http1/tests.rs
+++ b/crates/almondcroft-proto/src/http1/tests.rs
@@ -83,7 +83,9 @@
         .chain(cut.map(|c| (c, true)))
     {
         let mut splitter = EventSplitter::default();
-        splitter.push(format!("data: a\n\n{rest}").as_bytes());
+        splitter
+            .push(format!("data: a\n\n{rest}").as_bytes())
+            .unwrap();
         assert_eq!(splitter.is_inside_event(), inside, "{rest:?}");
     }
 }
@@ -91,13 +93,23 @@
 #[test]
 fn push_partial_event() {
     let mut splitter = EventSplitter::default();
-    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
     assert_eq!(events.len(), 1);
     assert_eq!(events[0].id, Some(1));
     assert_eq!(splitter.pending(), b"id: 2\nda");
     assert!(splitter.is_inside_event());
 }
 
+#[test]
+fn push_event_without_end() {
+    for endless in [&b"data"[..], b": comment", b"data: a\n"] {
+        let mut splitter = EventSplitter::default();
+        let pushed = (0..100_000).find_map(|_| splitter.push(endless).err());
+        assert_eq!(pushed, Some(FrameError::TooLarge));
+        assert!(splitter.pending().len() < 65 * 1024);
+    }
+}
+
 proptest! {
     #[test]
     fn feed_any_split(parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
@@ -126,7 +138,7 @@
         let whole = whole.concat();
         let mut splitter = EventSplitter::default();
         let events: Vec<StreamEvent> =
-            whole.as_bytes().chunks(cut).flat_map(|piece| splitter.push(piece)).collect();
+            whole.as_bytes().chunks(cut).flat_map(|piece| splitter.push(piece).unwrap()).collect();
         let ids: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
         prop_assert_eq!(ids, (1..=count).collect::<Vec<_>>());
         let bytes: Vec<u8> = events.into_iter().flat_map(|event| event.bytes).collect();
