fix(gateway): a peer that sends without end gives other tasks a turn

What callers saw: lookups at a VM took over two seconds while an engine sent small events as fast as it could.

Cause: a read that always finds bytes never waits, so the thread's other tasks and timers, the stream's own deadline among them, make no progress. After four reads without a wait (32 KiB) a connection now yields.

--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -3,6 +3,7 @@
 use almondcroft_proto::http1::{
     BodyDecoder, FrameError, RequestHead, ResponseHead, parse_request, parse_response,
 };
+use futures_lite::future::yield_now;
 use smol::Async;
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
@@ -16,6 +17,9 @@
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 8 * 1024;
 
+/// Number of reads without a wait after which other tasks get a turn.
+const READS_PER_TURN: u32 = 4;
+
 /// Time for which sent data may stay unacknowledged before the operating system closes the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -108,6 +112,8 @@
 pub(crate) struct Connection {
     socket: Arc<Async<TcpStream>>,
     buffer: Vec<u8>,
+    /// Number of reads since the last wait.
+    reads_in_turn: u32,
 }
 
 impl Connection {
@@ -128,6 +134,7 @@
         Ok(Self {
             socket: Arc::new(socket),
             buffer: Vec::new(),
+            reads_in_turn: 0,
         })
     }
 
@@ -170,9 +177,16 @@
     ///
     /// Returns the error of the operating system.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        self.reads_in_turn += 1;
+        if self.reads_in_turn > READS_PER_TURN {
+            // A peer that sends faster than it is read would hold up the thread's other tasks and timers.
+            self.reads_in_turn = 0;
+            yield_now().await;
+        }
         loop {
             match self.try_fill() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.reads_in_turn = 0;
                     self.socket.readable().await?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
