fix(gateway): signals that arrive before the program is up are kept

Cause: handlers were installed after the settings were read and the executor ran. Now main installs them first and passes them to run.

Between the start of the process and main, the default action still holds.

--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -14,13 +14,14 @@
 //!
 //! ```no_run
 //! use almondcroft_gateway::adapter::{Dialect, Registry};
-//! use almondcroft_gateway::{GatewaySettings, run};
+//! use almondcroft_gateway::{GatewaySettings, SignalHandlers, run};
 //! # fn dialect() -> Box<dyn Dialect> { unimplemented!() }
 //! # fn registry() -> Box<dyn Registry> { unimplemented!() }
 //!
 //! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let signals = SignalHandlers::install()?;
 //! let settings = GatewaySettings::read("gateway.json".as_ref())?;
-//! let _code = run("gateway.json".as_ref(), settings, dialect(), registry());
+//! let _code = run(signals, "gateway.json".as_ref(), settings, dialect(), registry());
 //! # Ok(())
 //! # }
 //! ```
@@ -46,6 +47,7 @@
 mod reply;
 mod runtime;
 mod settings;
+mod signals;
 mod state;
 mod store;
 mod sync;
@@ -54,3 +56,4 @@
 pub use program::{Program, run};
 pub use runtime::block_on;
 pub use settings::{Bounds, GatewaySettings, SettingsError};
+pub use signals::SignalHandlers;
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -6,12 +6,11 @@
 use crate::listener::{accept, accept_until, bind};
 use crate::runtime::{block_on, sleep, spawn};
 use crate::settings::GatewaySettings;
+use crate::signals::{SignalHandlers, SignalRequest};
 use crate::state::Gateway;
 use crate::{gossip, logging, peer_view, sync};
 use almondcroft_core::Timestamp;
 use async_channel::{Sender, bounded};
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -195,6 +194,7 @@
 /// Runs a gateway until SIGTERM or SIGINT; SIGHUP reloads the settings file.
 #[must_use]
 pub fn run(
+    mut signals: SignalHandlers,
     path: &Path,
     settings: GatewaySettings,
     dialect: Box<dyn Dialect>,
@@ -205,12 +205,8 @@
         std::thread::spawn(|| block_on(std::future::pending::<()>()));
     }
     block_on(async move {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-        let started = signals.and_then(|signals| {
-            Program::start(settings, dialect, registry).map(|program| (signals, program))
-        });
-        let (mut signals, program) = match started {
-            Ok(started) => started,
+        let program = match Program::start(settings, dialect, registry) {
+            Ok(program) => program,
             Err(error) => {
                 log::error!(event = "start-failed", error:% = error; "");
                 sleep(TICK_INTERVAL).await;
@@ -221,10 +217,7 @@
             Arc::clone(&program.gateway),
             path.to_owned(),
         ));
-        while let Some(Ok(signal)) = signals.next().await {
-            if signal != Signal::Hup {
-                break;
-            }
+        while signals.next().await == SignalRequest::Reload {
             reload(&program.gateway, path, true);
         }
         program.stop().await;
