fix(gateway): a body without end is broken off at the deadline

What callers saw: a plain response whose body never ends was relayed for 8.4 s, with a deadline of 2.5 s, beside load.

Cause: the remaining time bounds a wait, and bytes that are always there need none. The deadline is checked before each read now.

--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -335,6 +335,10 @@
         while sent {
             buffer.clear();
             let time_left = self.call.time_left(clock::now());
+            // Bytes that are always there would never let a timer fire.
+            if time_left.is_zero() {
+                break;
+            }
             match within(time_left, exchange.read(&mut buffer)).await {
                 Some(Ok(true)) => sent = self.writer.send_part(&buffer).await.is_ok(),
                 Some(Ok(false)) => {
