fix(quarantine): a trial of two parts blames neither that another one explains

Cause: the request that tested the common part also contained the faulty one; its crash counted as a failed trial against both, so the common part was not tested again for 30 s. A trial's crash now counts against a part only for requests that contain every suspect part that may have caused it: the same rule as for other crashes. VMs share the crashes of trials instead of their number.

--- a/crates/almondcroft-core/src/quarantine/part_evidence.rs
+++ b/crates/almondcroft-core/src/quarantine/part_evidence.rs
@@ -12,6 +12,6 @@
     pub crashes: Vec<(CrashId, Duration)>,
     /// Age of the start of that response.
     pub survived: Option<Duration>,
-    /// Age of the last trial, and the number of trials that crashed their target.
-    pub trial: Option<(Duration, u32)>,
+    /// Age of the last trial, and the crashes of the targets of trials.
+    pub trial: Option<(Duration, Vec<CrashId>)>,
 }
--- a/crates/almondcroft-core/src/quarantine/part_record.rs
+++ b/crates/almondcroft-core/src/quarantine/part_record.rs
@@ -4,7 +4,7 @@
 use super::prompt_quarantine::{CRASH_LIMIT, CrashId, PartId};
 use super::refused_part::RefusedPart;
 use crate::{RequestId, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time after which the result of a first trial is no longer expected.
@@ -36,7 +36,8 @@
     trial_at: Option<Timestamp>,
     /// The request that tests the part, if it is one of this VM.
     trial_request: Option<RequestId>,
-    failed_trials: u32,
+    /// Crashes of the targets of trials.
+    pub(super) trial_crashes: BTreeSet<CrashId>,
     changed_at: Timestamp,
 }
 
@@ -45,12 +46,17 @@
         self.crashes.len() >= CRASH_LIMIT
     }
 
-    /// Returns the time until a request may test the part.
-    pub(super) fn trial_wait(&self, request: &RequestId, now: Timestamp) -> Duration {
+    /// Returns the time until a request may test the part, if `failed_trials` count against it.
+    pub(super) fn trial_wait(
+        &self,
+        request: &RequestId,
+        failed_trials: u32,
+        now: Timestamp,
+    ) -> Duration {
         if self.trial_request.as_ref() == Some(request) {
             return Duration::ZERO;
         }
-        let delay = match self.failed_trials {
+        let delay = match failed_trials {
             0 => TRIAL_TIMEOUT,
             failed => (TRIAL_DELAY * 2_u32.pow((failed - 1).min(10))).min(MAX_TRIAL_DELAY),
         };
@@ -71,16 +77,16 @@
 
     /// Records that a target has not run the request, so that another one may test the part.
     pub(super) fn release_trial(&mut self, request: &RequestId) {
-        if self.trial_request.as_ref() == Some(request) && self.failed_trials == 0 {
+        if self.trial_request.as_ref() == Some(request) && self.trial_crashes.is_empty() {
             self.trial_at = None;
             self.trial_request = None;
         }
     }
 
     /// Records that the request that tests the part crashed its target.
-    pub(super) fn record_failed_trial(&mut self, now: Timestamp) {
+    pub(super) fn record_failed_trial(&mut self, crash: CrashId, now: Timestamp) {
         if self.trial_request.take().is_some() {
-            self.failed_trials += 1;
+            self.trial_crashes.insert(crash);
             self.changed_at = now;
         }
     }
@@ -112,7 +118,7 @@
         if self.trial_at.is_some_and(|at| at <= started) {
             self.trial_at = None;
             self.trial_request = None;
-            self.failed_trials = 0;
+            self.trial_crashes.clear();
             cleared = true;
         }
         if cleared {
@@ -129,12 +135,12 @@
         for (crash, age) in &evidence.crashes {
             self.record_crash(*crash, now.saturating_sub(*age), now);
         }
-        if let Some((age, failed)) = evidence.trial {
-            self.merge_trial(now.saturating_sub(age), failed, now);
+        if let Some((age, failed)) = &evidence.trial {
+            self.merge_trial(now.saturating_sub(*age), failed, now);
         }
     }
 
-    fn merge_trial(&mut self, at: Timestamp, failed: u32, now: Timestamp) {
+    fn merge_trial(&mut self, at: Timestamp, failed: &[CrashId], now: Timestamp) {
         if self.survived_at.is_some_and(|survived| at <= survived) {
             return;
         }
@@ -143,29 +149,27 @@
             self.trial_at = Some(at);
             self.changed_at = now;
         }
-        if failed > self.failed_trials {
-            self.failed_trials = failed;
+        let count = self.trial_crashes.len();
+        self.trial_crashes.extend(failed);
+        if self.trial_crashes.len() > count {
             self.changed_at = now;
         }
     }
 
-    pub(super) const fn failed_trials(&self) -> u32 {
-        self.failed_trials
-    }
-
     /// Records that the part was refused before all VMs ended.
     ///
     /// The crashes are not stored, so they get ids that no other part shares.
     pub(super) fn restore(&mut self, stored: RefusedPart, now: Timestamp) {
-        if self.failed_trials > 0 {
+        if !self.trial_crashes.is_empty() {
             return;
         }
         let [.., a, b, c] = stored.part.to_le_bytes();
+        let crash = |number: u8| CrashId::from_le_bytes([number, a, b, c]);
+        let failed = u8::try_from(stored.failed_trials).unwrap_or(u8::MAX);
         for number in (0..u8::MAX).take(CRASH_LIMIT) {
-            let crash = CrashId::from_le_bytes([number, a, b, c]);
-            self.record_crash(crash, now, now);
+            self.record_crash(crash(number), now, now);
         }
-        self.failed_trials = stored.failed_trials;
+        self.trial_crashes.extend((0..failed).map(crash));
         self.trial_at = Some(now);
     }
 
@@ -191,7 +195,10 @@
             part,
             crashes,
             survived: self.survived_at.map(age),
-            trial: self.trial_at.map(|at| (age(at), self.failed_trials)),
+            trial: self.trial_at.map(|at| {
+                let failed = self.trial_crashes.iter().copied();
+                (age(at), failed.take(MAX_SHARED_CRASHES).collect())
+            }),
         })
     }
 
--- a/crates/almondcroft-core/src/quarantine/prompt_quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine/prompt_quarantine.rs
@@ -71,8 +71,10 @@
         parts: &[PartId],
         now: Timestamp,
     ) -> Option<Duration> {
-        let wait = |part: &PartId| self.parts[part].trial_wait(request, now);
-        let waits = self.blocking(parts).into_iter().map(|part| wait(&part));
+        let waits = self.blocking(parts).into_iter().map(|part| {
+            let record = &self.parts[&part];
+            record.trial_wait(request, self.failed_trials(record, parts), now)
+        });
         waits.max().filter(|wait| !wait.is_zero())
     }
 
@@ -163,7 +165,7 @@
                 let was_suspect = record.is_suspect();
                 let is_new = record.record_crash(target, crashed_at, now);
                 if run.is_trial {
-                    record.record_failed_trial(now);
+                    record.record_failed_trial(target, now);
                 }
                 if record.is_suspect() && !was_suspect {
                     suspects.push(*part);
@@ -211,7 +213,7 @@
     #[must_use]
     pub fn refused_parts(&self) -> Vec<RefusedPart> {
         let refused = self.parts.iter().filter_map(|(part, record)| {
-            let failed_trials = record.failed_trials();
+            let failed_trials = self.failed_trials(record, &[*part]);
             (failed_trials > 0 && record.is_suspect()).then_some(RefusedPart {
                 part: *part,
                 failed_trials,
@@ -298,6 +300,20 @@
             .count()
     }
 
+    /// Counts the trials of a part whose crash no suspect part outside a request explains.
+    ///
+    /// A trial of several parts at once does not tell which of them crashed its target.
+    fn failed_trials(&self, record: &PartRecord, parts: &[PartId]) -> u32 {
+        let is_explained = |crash: &CrashId| {
+            self.parts.iter().any(|(part, other)| {
+                other.is_suspect() && !parts.contains(part) && other.crashes.contains_key(crash)
+            })
+        };
+        let failed = record.trial_crashes.iter();
+        let failed = failed.filter(|crash| !is_explained(crash)).count();
+        u32::try_from(failed).unwrap_or(u32::MAX)
+    }
+
     /// Returns the record of a part; drops the oldest half of the records if there are too many.
     fn record_of(&mut self, part: PartId, now: Timestamp) -> &mut PartRecord {
         if self.parts.len() >= MAX_PARTS && !self.parts.contains_key(&part) {
--- a/crates/almondcroft-core/src/quarantine/prompt_quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/prompt_quarantine/tests.rs
@@ -272,3 +272,22 @@
     assert_eq!(fleet.vms[1].refused_parts(), []);
     assert!(fleet.send(1, &[FAULTY], false, millis(33_000)));
 }
+
+#[test]
+fn record_failed_trial_of_two_parts() {
+    let mut fleet = Fleet::default();
+    // The common part is suspect for crashes with another cause, too.
+    for step in 0..3_u64 {
+        fleet.send(0, &[COMMON, 60 + step], true, millis(1_000 + step));
+    }
+    for step in 0..3_u64 {
+        fleet.send(1, &[FAULTY, 70 + step], true, millis(1_010 + step));
+    }
+    assert!(fleet.send(0, &[COMMON, FAULTY], true, millis(1_100)));
+    assert!(!fleet.send(0, &[COMMON, FAULTY], true, millis(5_000)));
+    // The trial blames the common part only as long as no other part may have caused the crash.
+    assert!(fleet.send(1, &[COMMON], false, millis(5_100)));
+    fleet.tick(millis(6_700));
+    assert!(fleet.send(0, &[COMMON], false, millis(6_700)));
+    assert!(!fleet.send(1, &[COMMON, FAULTY], true, millis(6_700)));
+}
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -121,13 +121,13 @@
 }
 
 /// Reports the crashes of a part of prompts: the part, the crashes with their ages, the age of the last
-/// response that a target survived, and the age of the last trial with the number of failed ones.
+/// response that a target survived, and the age of the last trial with the crashes of all trials.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct PartMessage(
     PartId,
     Vec<(CrashId, AgeMs)>,
     Option<AgeMs>,
-    Option<(AgeMs, u32)>,
+    Option<(AgeMs, Vec<CrashId>)>,
 );
 
 impl From<PartEvidence> for PartMessage {
