fix(gateway): a VM that reaches no target uses tunnels through its peers

Cause: a failed connection was always taken for a target that is gone. The VM retried over the same way until the fleet's retry budget was used up, and reported crashes of targets that ran, so that its neighbours quarantined requests.

Change: TargetPaths (core) plans each connection: the direct way first, after 150 ms a tunnel through a peer beside it, both at once where the direct way failed lately. The peer connects directly only, opens no tunnel to a target that leaves or asked it for no requests, and observes the head of the response. Crash checks, probes, copies and resumed generations take the same way.

Why it works: a connection that opens through a peer is the only evidence that tells a cut way from a dead target, and it is gained for each target within 150 ms.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -15,6 +15,7 @@
 //! | [`PendingQueries`] | how recent is a fact in a peer's response? |
 //! | [`StoreEra`] | was the store restored from an older copy? |
 //! | [`StorePosition`] | which of two views of the store is newer? |
+//! | [`TargetPaths`] | is a target reached directly, or through which VM? |
 //! | [`admits_during_shutdown`] | can a request still complete before this VM stops? |
 
 mod config;
@@ -30,6 +31,7 @@
 mod store_era;
 mod store_position;
 mod target;
+mod target_paths;
 
 pub use config::{CallerLimits, CustomerSpec, EngineSpec, GatewayConfig, PoolSpec};
 pub use config_freshness::ConfigFreshness;
@@ -46,3 +48,4 @@
 pub use store_era::{EraCheck, StoreEra};
 pub use store_position::StorePosition;
 pub use target::TargetEntry;
+pub use target_paths::{ConnectPlan, TargetPaths, TunnelPeer};
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -52,6 +52,8 @@
     /// Time at which the VM, or the first VM of a zone, began to shut down; `None` if it, or any VM of
     /// the zone, serves callers.
     pub draining_since: Option<Timestamp>,
+    /// Whether the VM reaches no target itself.
+    pub is_cut_off: bool,
     /// Load by target.
     pub loads: HashMap<TargetId, PeerLoad>,
     /// Requests and extra sends by service.
--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -72,6 +72,7 @@
             at: now,
             zone: self.zone.clone(),
             draining_since: None,
+            is_cut_off: false,
             loads: loads.collect(),
             sends: HashMap::new(),
         }
@@ -82,6 +83,7 @@
     #[must_use]
     pub fn zone_digest(&self, local: PeerSnapshot, now: Timestamp) -> ZoneDigest {
         let mut sums = local;
+        sums.is_cut_off = false;
         let mut vm_count = 1;
         for (_, snapshot) in self.zone_peers(now) {
             vm_count += 1;
@@ -144,6 +146,17 @@
         wait.max(MIN_SHUTDOWN_RETRY)
     }
 
+    /// Returns whether a VM may open tunnels for others: it is not known to have gone silent, to shut
+    /// down or to reach no target. Of VMs of other zones nothing may be known.
+    #[must_use]
+    pub fn may_open_tunnels(&self, vm: &str, now: Timestamp) -> bool {
+        self.peers.get(vm).is_none_or(|snapshot| {
+            snapshot.at + PEER_TIMEOUT > now
+                && snapshot.draining_since.is_none()
+                && !snapshot.is_cut_off
+        })
+    }
+
     /// Returns the number of reachable VMs, this one included.
     #[must_use]
     pub fn vm_count(&self, now: Timestamp) -> usize {
--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -29,6 +29,9 @@
 /// Time for a caller to accept a part of a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// One of the gateway's own pages: its status, media type and body.
+pub(crate) type Page = (u16, &'static str, Vec<u8>);
+
 /// A request as it was received.
 #[derive(Debug)]
 pub(crate) struct ReceivedRequest {
@@ -62,7 +65,7 @@
 }
 
 impl ResponseWriter {
-    fn new(sender: Sender, head: Option<&RequestHead>, close: bool) -> Self {
+    pub(crate) fn new(sender: Sender, head: Option<&RequestHead>, close: bool) -> Self {
         Self {
             sender,
             minor: head.map_or(1, |head| head.minor),
@@ -346,25 +349,31 @@
     }
 }
 
-/// Serves the gateway's own pages on a connection until it ends.
-pub(crate) async fn serve_pages(
-    mut connection: Connection,
-    page: impl Fn(&str) -> (u16, &'static str, Vec<u8>),
-) {
+/// Reads the next request for one of the gateway's own pages; `None` once the connection ends.
+pub(crate) async fn read_page_request(connection: &mut Connection) -> Option<RequestHead> {
     let limits = CallerLimits::default();
-    while let Some(Ok(Some(head))) = within(
-        limits.idle_timeout,
-        connection.read_request(limits.header_bytes),
-    )
-    .await
-    {
-        let (status, media_type, body) = page(head.path());
-        let mut writer = ResponseWriter::new(connection.sender(), Some(&head), !head.keeps_alive());
-        let sent = writer
-            .send_response(&response_head(status, media_type), &body)
-            .await;
-        if sent.is_err() || writer.close {
+    let head = connection.read_request(limits.header_bytes);
+    within(limits.idle_timeout, head).await?.ok()?
+}
+
+/// Serves the gateway's own pages on a connection until it ends.
+pub(crate) async fn serve_pages(mut connection: Connection, page: impl Fn(&str) -> Page) {
+    while let Some(head) = read_page_request(&mut connection).await {
+        if !send_page(&connection, &head, page(head.path())).await {
             return;
         }
     }
 }
+
+/// Sends one of the gateway's own pages; returns whether the connection stays open.
+pub(crate) async fn send_page(
+    connection: &Connection,
+    head: &RequestHead,
+    (status, media_type, body): Page,
+) -> bool {
+    let mut writer = ResponseWriter::new(connection.sender(), Some(head), !head.keeps_alive());
+    let sent = writer
+        .send_response(&response_head(status, media_type), &body)
+        .await;
+    sent.is_ok() && !writer.close
+}
--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -114,6 +114,7 @@
     buffer: Vec<u8>,
     /// Number of reads since the last wait.
     reads_in_turn: u32,
+    is_tunnel: bool,
 }
 
 impl Connection {
@@ -135,9 +136,32 @@
             socket: Arc::new(socket),
             buffer: Vec::new(),
             reads_in_turn: 0,
+            is_tunnel: false,
         })
     }
 
+    /// Marks the connection as a tunnel, which serves one request.
+    #[must_use]
+    pub(crate) fn into_tunnel(self) -> Self {
+        Self {
+            is_tunnel: true,
+            ..self
+        }
+    }
+
+    /// Returns whether the connection leads through another VM.
+    #[must_use]
+    pub(crate) const fn is_tunnel(&self) -> bool {
+        self.is_tunnel
+    }
+
+    /// Returns the address of the other end; `None` if it is not connected any more.
+    #[must_use]
+    pub(crate) fn peer_ip(&self) -> Option<IpAddr> {
+        let address = self.socket.get_ref().peer_addr().ok()?;
+        Some(address.ip())
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -9,13 +9,13 @@
 use crate::call::Call;
 use crate::caller::{ReceivedRequest, ResponseWriter};
 use crate::clock;
-use crate::connection::Connection;
 use crate::exchange::{Exchange, SendError};
 use crate::logging::millis;
 use crate::relay::Relay;
 use crate::reply::Reply;
 use crate::runtime::{spawn, within};
 use crate::state::{Gateway, PlacementGuard, lock};
+use crate::target_connect;
 use crate::target_run::{TargetRun, crash_id};
 use almondcroft_core::gateway::{Choice, Demand, Need, Placement};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
@@ -517,17 +517,16 @@
     events: u64,
 ) {
     let (gateway, call) = (Arc::clone(gateway), Arc::clone(call));
-    let (target, address) = (choice.target.clone(), choice.address);
+    let choice = choice.clone();
+    let target = choice.target.clone();
     if lock(&gateway.fleet).is_leaving(&target) {
         return;
     }
     let (crash, broke_at) = (crash_id(&gateway, &target), clock::now());
     let is_suspect = !run.has_survived(broke_at);
     spawn(async move {
-        if Connection::connect(address, CRASH_CHECK_TIMEOUT)
-            .await
-            .is_ok()
-        {
+        let request = call.external_id();
+        if target_connect::is_reached(&gateway, &choice, request, CRASH_CHECK_TIMEOUT).await {
             return;
         }
         let now = clock::now();
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -2,10 +2,12 @@
 
 use crate::adapter::{ControlCall, ResponseMeta, SendMeta};
 use crate::call::Call;
+use crate::clock;
 use crate::connection::{Connection, ConnectionError};
 use crate::pool;
 use crate::runtime::within;
-use crate::state::Gateway;
+use crate::state::{Gateway, lock};
+use crate::target_connect::Destination;
 use almondcroft_core::{ServiceId, Verdict};
 use almondcroft_proto::http1::{BodyDecoder, BodyKind, Headers, ResponseHead};
 use std::future::pending;
@@ -70,9 +72,19 @@
         timeout: Duration,
     ) -> Result<Self, SendError> {
         let run_once = !call.may_repeat();
-        let (mut connection, is_new) = pool::connect(gateway, address, run_once, timeout)
+        let destination = Destination {
+            target: &send.target,
+            address,
+            request: call.external_id(),
+            time_left: send.time_left,
+        };
+        let (mut connection, is_new) = pool::connect(gateway, destination, run_once, timeout)
             .await
             .map_err(|_| SendError::not_run("connect"))?;
+        let send = &SendMeta {
+            time_left: call.time_left(clock::now()),
+            ..send.clone()
+        };
         let mut bytes = encode_head(
             &call.head.method,
             &call.head.uri,
@@ -90,10 +102,11 @@
         };
         let read = Self::read_head(gateway, call, &mut connection, is_new);
         let read = within(timeout, futures_lite::future::or(read, write));
-        let (head, meta, decoder) = match read.await {
-            Some(response) => response?,
-            None => return Err(SendError::may_have_run("target-timeout")),
+        let Some(response) = read.await else {
+            lock(&gateway.target_paths).record_silence(&send.target, clock::now());
+            return Err(SendError::may_have_run("target-timeout"));
         };
+        let (head, meta, decoder) = response?;
         gateway.observe_response(&send.target, &head, &meta);
         Ok(Self {
             head,
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -78,6 +78,9 @@
     /// Time since the VM began to shut down, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     draining: Option<AgeMs>,
+    /// Whether the VM reaches no target itself.
+    #[serde(default, skip_serializing_if = "is_false")]
+    cut_off: bool,
     loads: Vec<(TargetId, [u32; 5])>,
     sends: Vec<(ServiceId, u32, u32)>,
     /// Revision of the VM's configuration.
@@ -191,6 +194,7 @@
             draining: snapshot
                 .draining_since
                 .map(|since| age_ms(since, snapshot.at)),
+            cut_off: snapshot.is_cut_off,
             loads,
             sends,
             config: 0,
@@ -270,12 +274,21 @@
             draining_since: self
                 .draining
                 .map(|age| at.saturating_sub(Duration::from_millis(age))),
+            is_cut_off: self.cut_off,
             loads: loads.map(load).collect(),
             sends: sends.map(count).collect(),
         }
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 /// Reports the summed load of the VMs of one availability zone, for the other zones.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct DigestMessage {
--- a/crates/almondcroft-gateway/src/gossip/message/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/tests.rs
@@ -17,6 +17,7 @@
     PeerSnapshot {
         zone: "q-a".into(),
         draining_since: None,
+        is_cut_off: false,
         at: Timestamp::ZERO,
         loads: loads.collect(),
         sends: HashMap::from([("menus".into(), counts)]),
--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -7,9 +7,9 @@
 //!
 //! | module | layer |
 //! |---|---|
-//! | `connection`, `pool`, `listener` | transport |
+//! | `connection`, `pool`, `listener`, `tunnel` | transport |
 //! | `caller`, `exchange`, `relay` | protocol |
-//! | `dispatch`, `target_run`, `migration`, `sync`, `gossip` | coordination |
+//! | `dispatch`, `target_connect`, `target_run`, `migration`, `sync`, `gossip` | coordination |
 //! | `state`, `lifecycle`, `metrics` | state |
 //!
 //! ```no_run
@@ -40,6 +40,7 @@
 mod logging;
 mod metrics;
 mod migration;
+mod peer_server;
 mod peer_view;
 mod pool;
 mod program;
@@ -51,7 +52,9 @@
 mod state;
 mod store;
 mod sync;
+mod target_connect;
 mod target_run;
+mod tunnel;
 
 pub use program::{Program, run};
 pub use runtime::block_on;
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -12,6 +12,7 @@
     requests: AtomicUsize,
     connections: AtomicUsize,
     body_bytes: AtomicUsize,
+    tunnels: AtomicUsize,
 }
 
 impl Lifecycle {
@@ -48,6 +49,16 @@
         self.connections.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of tunnels that are open for other VMs.
+    pub(crate) fn tunnels(&self) -> usize {
+        self.tunnels.load(Ordering::SeqCst)
+    }
+
+    /// Counts a tunnel for another VM until the guard is dropped.
+    pub(crate) fn enter_tunnel(self: &Arc<Self>) -> Guard {
+        Guard::new(self, Counter::Tunnels, 1)
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn enter_request(self: &Arc<Self>) -> Guard {
         Guard::new(self, Counter::Requests, 1)
@@ -69,6 +80,7 @@
             Counter::Requests => &self.requests,
             Counter::Connections => &self.connections,
             Counter::BodyBytes => &self.body_bytes,
+            Counter::Tunnels => &self.tunnels,
         }
     }
 }
@@ -78,6 +90,7 @@
     Requests,
     Connections,
     BodyBytes,
+    Tunnels,
 }
 
 /// Counts something as open until it is dropped.
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -11,6 +11,7 @@
 use crate::pool;
 use crate::runtime::{sleep, spawn, within};
 use crate::state::{Gateway, lock};
+use crate::target_connect::Destination;
 use almondcroft_core::gateway::{Choice, Fleet};
 use almondcroft_core::{RequestId, Timestamp};
 use async_channel::{Receiver, bounded};
@@ -213,7 +214,13 @@
 
     async fn send_copy_call(&self, call: &ControlCall, last: bool) -> Option<(u16, Vec<u8>)> {
         let address = self.source.address;
-        let (mut connection, _) = pool::connect(&self.gateway, address, false, CONNECT_TIMEOUT)
+        let destination = Destination {
+            target: &self.source.target,
+            address,
+            request: self.call.external_id(),
+            time_left: COPY_TIMEOUT,
+        };
+        let (mut connection, _) = pool::connect(&self.gateway, destination, false, CONNECT_TIMEOUT)
             .await
             .ok()?;
         let (head, body) = round_trip(&mut connection, address, call, MAX_RESPONSE_BODY)
--- a/crates/almondcroft-gateway/src/peer_view.rs
+++ b/crates/almondcroft-gateway/src/peer_view.rs
@@ -9,12 +9,12 @@
 mod message;
 
 use crate::adapter::{Batch, ControlCall, ObjectKind};
+use crate::caller::Page;
 use crate::clock;
 use crate::connection::Connection;
 use crate::exchange::round_trip;
 use crate::gossip::TargetUpdate;
-use crate::listener::{accept, bind};
-use crate::runtime::{sleep, spawn, within};
+use crate::runtime::{sleep, within};
 use crate::state::{Gateway, lock};
 use almondcroft_core::gateway::lowest_hashes;
 use almondcroft_core::{Revision, Timestamp, VmId};
@@ -77,27 +77,8 @@
     pub(crate) body: Arc<Vec<u8>>,
 }
 
-/// Serves copies to peers at the address for gossip.
-pub(crate) fn start(gateway: &Arc<Gateway>) {
-    let Some(address) = gateway.settings.peers else {
-        return;
-    };
-    match bind(address) {
-        Ok(listener) => {
-            let shared = Arc::clone(gateway);
-            spawn(accept(listener, move |connection| {
-                let shared = Arc::clone(&shared);
-                crate::caller::serve_pages(connection, move |path| page(&shared, path))
-            }));
-        }
-        // Peers read from another VM or from the store.
-        Err(error) => {
-            log::warn!(event = "copies-unavailable", address:% = address, error:% = error; "");
-        }
-    }
-}
-
-fn page(gateway: &Gateway, path: &str) -> (u16, &'static str, Vec<u8>) {
+/// Returns a copy that a peer asks for.
+pub(crate) fn page(gateway: &Gateway, path: &str) -> Page {
     let now = clock::now();
     let body = match path.split_once("/config/") {
         Some(("", after)) => after
--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -4,7 +4,8 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::exchange::CONNECT_TIMEOUT;
 use crate::runtime::spawn;
-use crate::state::Gateway;
+use crate::state::{Gateway, lock};
+use crate::target_connect::{self, Destination};
 use almondcroft_core::{ServiceId, Timestamp};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -85,7 +86,7 @@
         let keep_alive = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |time| {
             time.saturating_sub(KEEP_ALIVE_MARGIN)
         });
-        if keep_alive.is_zero() || !connection.is_idle() {
+        if keep_alive.is_zero() || connection.is_tunnel() || !connection.is_idle() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -118,17 +119,18 @@
 /// Takes an idle connection to a target or opens one; also returns whether it is new.
 pub(crate) async fn connect(
     gateway: &Gateway,
-    address: SocketAddr,
+    destination: Destination<'_>,
     run_once: bool,
     timeout: Duration,
 ) -> Result<(Connection, bool), ConnectionError> {
-    match gateway.pool.take(address, run_once, clock::now()) {
-        Some(connection) => Ok((connection, false)),
-        None => Ok((
-            Connection::connect(address, CONNECT_TIMEOUT.min(timeout)).await?,
-            true,
-        )),
+    let now = clock::now();
+    if lock(&gateway.target_paths).trusts_idle(destination.target, now)
+        && let Some(connection) = gateway.pool.take(destination.address, run_once, now)
+    {
+        return Ok((connection, false));
     }
+    let connection = target_connect::connect(gateway, destination, timeout).await?;
+    Ok((connection, true))
 }
 
 /// Returns a connection to the pool, within this VM's share of the target's connections.
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -8,7 +8,7 @@
 use crate::settings::GatewaySettings;
 use crate::signals::{SignalHandlers, SignalRequest};
 use crate::state::Gateway;
-use crate::{gossip, logging, peer_view, sync};
+use crate::{gossip, logging, peer_server, sync};
 use almondcroft_core::Timestamp;
 use async_channel::{Sender, bounded};
 use std::io;
@@ -80,7 +80,7 @@
         }
         sync::start(gateway);
         gossip::start(gateway)?;
-        peer_view::start(gateway);
+        peer_server::start(gateway);
         let ticking = Arc::clone(gateway);
         spawn(async move {
             loop {
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -4,13 +4,14 @@
 use crate::call::Call;
 use crate::caller::ResponseWriter;
 use crate::clock;
-use crate::connection::{Connection, ConnectionError};
+use crate::connection::ConnectionError;
 use crate::dispatch::{RequestLog, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
 use crate::migration::{self, Migrated};
 use crate::runtime::{sleep, within};
 use crate::state::{Gateway, PlacementGuard, lock};
+use crate::target_connect;
 use crate::target_run::TargetRun;
 use almondcroft_core::gateway::Choice;
 use almondcroft_core::{TargetId, Timestamp, Verdict};
@@ -258,9 +259,9 @@
     /// generation, and one that does not is abandoned only once another engine has resumed it.
     async fn probe_target(&mut self, request_log: &mut RequestLog) {
         request_log.log_fault(&self.choice.target, "silent", Verdict::MayHaveRun);
-        let reached = Connection::connect(self.choice.address, PROBE_TIMEOUT)
-            .await
-            .is_ok();
+        let request = self.call.external_id();
+        let reached =
+            target_connect::is_reached(self.gateway, &self.choice, request, PROBE_TIMEOUT).await;
         if reached {
             self.start_migration();
         } else if let Some((choice, copy)) = self.backup_copy()
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -12,7 +12,7 @@
 use almondcroft_core::gateway::{
     ConfigFreshness, Demand, Directory, Fleet, FleetOptions, FleetRetryBudget, FleetSends,
     GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts, StoreEra,
-    TargetChange,
+    TargetChange, TargetPaths, TunnelPeer,
 };
 use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
@@ -51,6 +51,7 @@
     pub(crate) fleet: Mutex<Fleet>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) prompt_quarantine: Mutex<PromptQuarantine>,
+    pub(crate) target_paths: Mutex<TargetPaths>,
     pub(crate) peers: Mutex<HashMap<VmId, VmEntry>>,
     pub(crate) pending_queries: Mutex<PendingQueries>,
     bounds: Mutex<Bounds>,
@@ -92,6 +93,7 @@
             fleet: Mutex::new(fleet),
             quarantine: Mutex::default(),
             prompt_quarantine: Mutex::default(),
+            target_paths: Mutex::default(),
             peers: Mutex::default(),
             pending_queries: Mutex::default(),
             bounds: Mutex::new(settings.bounds),
@@ -434,10 +436,26 @@
         permitted
     }
 
+    /// Lists the VMs through which targets may be reached: those that are not known to shut down or to be
+    /// cut off themselves.
+    pub(crate) fn tunnel_peers(&self, now: Timestamp) -> Vec<TunnelPeer> {
+        let peers = lock(&self.peers);
+        let fleet = lock(&self.fleet);
+        let usable = peers
+            .iter()
+            .filter(|(vm, _)| fleet.may_open_tunnels(vm, now));
+        let peer = |(vm, entry): (&VmId, &VmEntry)| TunnelPeer {
+            vm: vm.clone(),
+            is_near: entry.zone == self.settings.zone,
+        };
+        usable.map(peer).collect()
+    }
+
     /// Returns the load that this VM puts on the targets.
     pub(crate) fn local_snapshot(&self, now: Timestamp) -> PeerSnapshot {
         PeerSnapshot {
             draining_since: self.lifecycle.draining_since(),
+            is_cut_off: lock(&self.target_paths).is_cut_off(now),
             sends: self.sends(now),
             ..lock(&self.fleet).local_snapshot(now)
         }
@@ -490,6 +508,7 @@
             changes
         });
         lock(&self.prompt_quarantine).tick(now);
+        lock(&self.target_paths).tick(now);
         let placements = lock(&self.fleet).tick(now);
         self.deliver(placements);
         self.pool.close_expired(now);
--- /dev/null
+++ b/crates/almondcroft-gateway/src/target_connect.rs
@@ -0,0 +1,185 @@
+//! Opens connections to targets: directly, or through a peer that reaches them.
+
+use crate::clock;
+use crate::connection::{Connection, ConnectionError};
+use crate::exchange::CONNECT_TIMEOUT;
+use crate::logging::millis;
+use crate::runtime::within;
+use crate::state::{Gateway, lock};
+use crate::tunnel::{self, TunnelRequest};
+use almondcroft_core::gateway::Choice;
+use almondcroft_core::{TargetId, Timestamp, VmId};
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+
+/// What a connection to a target is for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Destination<'a> {
+    pub(crate) target: &'a TargetId,
+    pub(crate) address: SocketAddr,
+    /// The caller's id of the request, for logs.
+    pub(crate) request: &'a str,
+    /// Time for which the connection may be needed.
+    pub(crate) time_left: Duration,
+}
+
+/// One way that is being tried: through a peer, or directly.
+struct Outcome {
+    via: Option<VmId>,
+    result: Result<Connection, ConnectionError>,
+}
+
+type Attempt<'a> = Pin<Box<dyn Future<Output = Outcome> + Send + 'a>>;
+
+/// Opens a new connection to a target, by the way that opens first.
+///
+/// # Errors
+///
+/// Returns the error of the direct way, or [`ConnectionError::Timeout`].
+pub(crate) async fn connect(
+    gateway: &Gateway,
+    destination: Destination<'_>,
+    timeout: Duration,
+) -> Result<Connection, ConnectionError> {
+    let started_at = clock::now();
+    let timeout = timeout.min(CONNECT_TIMEOUT);
+    let end = started_at + timeout;
+    let peers = gateway.tunnel_peers(started_at);
+    let plan = lock(&gateway.target_paths).plan(destination.target, peers, timeout, started_at);
+    let mut peers = plan.peers.into_iter();
+    let mut attempts = vec![direct(destination.address, timeout)];
+    let mut next_at = Some(started_at + plan.tunnel_delay);
+    let mut direct_error = None;
+    loop {
+        let now = clock::now();
+        if next_at.is_some_and(|at| at <= now) {
+            match peers.next() {
+                Some(vm) => {
+                    attempts.extend(through(gateway, vm, destination, end.saturating_sub(now)));
+                    next_at = Some(now + plan.peer_delay);
+                }
+                None => next_at = None,
+            }
+            continue;
+        }
+        if attempts.is_empty() || now >= end {
+            return Err(direct_error.unwrap_or(ConnectionError::Timeout));
+        }
+        let wait = next_at.unwrap_or(end).min(end).saturating_sub(now);
+        let Some(outcome) = within(wait, next_outcome(&mut attempts)).await else {
+            continue;
+        };
+        match outcome {
+            Outcome {
+                via,
+                result: Ok(connection),
+            } => {
+                record_opened(gateway, destination, via, started_at);
+                return Ok(connection);
+            }
+            Outcome {
+                via,
+                result: Err(error),
+            } => {
+                match via {
+                    Some(vm) => {
+                        lock(&gateway.target_paths).record_peer_failure(&vm, clock::now());
+                    }
+                    None => direct_error = Some(error),
+                }
+                next_at = next_at.map(|at| at.min(clock::now()));
+            }
+        }
+    }
+}
+
+/// Returns whether a target accepts connections, directly or through a peer.
+pub(crate) async fn is_reached(
+    gateway: &Gateway,
+    choice: &Choice,
+    request: &str,
+    timeout: Duration,
+) -> bool {
+    let destination = Destination {
+        target: &choice.target,
+        address: choice.address,
+        request,
+        time_left: timeout,
+    };
+    connect(gateway, destination, timeout).await.is_ok()
+}
+
+fn direct<'a>(address: SocketAddr, timeout: Duration) -> Attempt<'a> {
+    Box::pin(async move {
+        Outcome {
+            via: None,
+            result: Connection::connect(address, timeout).await,
+        }
+    })
+}
+
+/// Tries a tunnel through a peer; returns `None` if the peer's address is not known any more.
+fn through<'a>(
+    gateway: &'a Gateway,
+    vm: VmId,
+    destination: Destination<'a>,
+    timeout: Duration,
+) -> Option<Attempt<'a>> {
+    let address = lock(&gateway.peers).get(&vm)?.address;
+    let request = TunnelRequest {
+        vm: gateway.settings.vm.clone(),
+        target: destination.target.clone(),
+        request: destination.request.into(),
+        timeout_ms: u64::try_from(destination.time_left.as_millis()).unwrap_or(u64::MAX),
+    };
+    Some(Box::pin(async move {
+        let result = tunnel::open(address, &request, timeout).await;
+        Outcome {
+            via: Some(vm),
+            result,
+        }
+    }))
+}
+
+/// Waits for the next attempt to end, and removes it.
+async fn next_outcome(attempts: &mut Vec<Attempt<'_>>) -> Outcome {
+    poll_fn(|context| {
+        for index in 0..attempts.len() {
+            if let Poll::Ready(outcome) = attempts[index].as_mut().poll(context) {
+                drop(attempts.swap_remove(index));
+                return Poll::Ready(outcome);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+fn record_opened(
+    gateway: &Gateway,
+    destination: Destination<'_>,
+    via: Option<VmId>,
+    started_at: Timestamp,
+) {
+    let now = clock::now();
+    let mut paths = lock(&gateway.target_paths);
+    let was_cut_off = paths.is_cut_off(now);
+    match &via {
+        None => paths.record_direct(destination.target, now),
+        Some(_) => paths.record_tunneled(destination.target, now),
+    }
+    let is_cut_off = paths.is_cut_off(now);
+    drop(paths);
+    if let Some(vm) = via {
+        log::info!(event = "tunnel", request = destination.request,
+            target_id = destination.target.as_str(), vm = vm.as_str(),
+            took_ms = millis(now.saturating_sub(started_at)); "");
+    }
+    if is_cut_off != was_cut_off {
+        log::warn!(event = "cut-off", from_all_targets = is_cut_off; "");
+        gateway.request_gossip();
+    }
+}
