fix(fleet): a back-off outlives the entry of the target that asked for it

What callers and targets saw: targets that had asked VMs for 3 s of rest got 8 and 4 requests from two of them in that time (the users' record); requests that they turned away used up the retry budget, so some callers were refused.

Cause: what a target states was kept with its entry. When the entry disappeared, was written again or got another address, the target started anew for every VM, though the same process ran on.

Change: the fleet retains back-off and stated limit of a removed target and applies them to an entry of the same incarnation. A new incarnation starts without them, as before.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod queue;
 mod rate_limiter;
+mod retained_statements;
 mod target_state;
 
 pub use choice::Choice;
@@ -26,6 +27,7 @@
 use super::{PoolSpec, TargetEntry};
 use crate::{RequestId, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use queue::{AdmissionQueue, WaitingRequest};
+use retained_statements::RetainedStatements;
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -112,6 +114,8 @@
     options: FleetOptions,
     pools: BTreeMap<ServiceId, PoolSpec>,
     targets: BTreeMap<TargetId, TargetState>,
+    /// What targets stated whose entries are missing.
+    retained_statements: HashMap<TargetId, RetainedStatements>,
     assignments: HashMap<RequestId, Assignment>,
     peers: HashMap<VmId, PeerSnapshot>,
     /// Digests of the other availability zones.
@@ -132,6 +136,7 @@
             options,
             pools: BTreeMap::new(),
             targets: BTreeMap::new(),
+            retained_statements: HashMap::new(),
             assignments: HashMap::new(),
             peers: HashMap::new(),
             zones: HashMap::new(),
@@ -166,7 +171,11 @@
         if let Some(state) = self.targets.get_mut(&entry.id) {
             state.update_entry(entry);
         } else {
-            let state = TargetState::new(entry);
+            let statements = self.take_statements(&entry.id, entry.incarnation);
+            let mut state = TargetState::new(entry);
+            if let Some(statements) = statements {
+                state.restore_statements(&statements);
+            }
             self.targets.insert(state.entry.id.clone(), state);
         }
         self.place_waiting(&service, now)
@@ -186,7 +195,7 @@
     pub fn remove_target(&mut self, target: &str, now: Timestamp) -> Vec<RequestId> {
         let running = self.mark_leaving(target, now);
         if running.is_empty() {
-            self.targets.remove(target);
+            self.retain_targets(|state| state.entry.id != target);
         } else if let Some(state) = self.targets.get_mut(target) {
             // No further event of the target will arrive. Clearing `draining` lets `tick` remove it
             // after its last request ends.
@@ -411,8 +420,8 @@
         self.expire_peers(now);
         self.update_shares(now);
         let has_left = |state: &TargetState| state.leaving && state.requests.is_empty();
-        self.targets
-            .retain(|_, state| !has_left(state) || state.entry.draining);
+        self.retain_targets(|state| !has_left(state) || state.entry.draining);
+        self.expire_statements(now);
         let services: Vec<ServiceId> = self.queues.keys().cloned().collect();
         let mut placements = Vec::new();
         for service in services {
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -2,6 +2,7 @@
 
 use super::limit_statement::LastStatement;
 use super::rate_limiter::RateLimiter;
+use super::retained_statements::RetainedStatements;
 use super::{Demand, PeerLoad};
 use crate::gateway::TargetEntry;
 use crate::{RequestId, Timestamp};
@@ -148,6 +149,13 @@
         }
     }
 
+    /// Applies what this incarnation stated before its entry disappeared.
+    pub(super) const fn restore_statements(&mut self, statements: &RetainedStatements) {
+        self.requested_backoff = statements.requested_backoff;
+        self.last_statement = statements.last_statement;
+        self.limiter = statements.limiter;
+    }
+
     pub(super) fn update_entry(&mut self, entry: TargetEntry) {
         self.leaving = entry.draining;
         self.noticed_at = self.noticed_at.filter(|_| entry.draining);
--- a/crates/almondcroft-core/src/gateway/fleet/tests/backoff.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/backoff.rs
@@ -77,3 +77,32 @@
     fleet.upsert_target(restarted, SECOND * 2);
     assert!(!fleet.is_backing_off("a", SECOND * 2));
 }
+
+#[test]
+fn back_off_outlives_the_entry_of_the_same_incarnation_only() {
+    let incarnation = |number| TargetEntry {
+        incarnation: number,
+        ..entry("a", "menus", "q-a")
+    };
+    let mut fleet = fleet(&[]);
+    fleet.upsert_target(incarnation(1), SECOND);
+    fleet.record_backoff("a", SECOND * 3, SECOND);
+    fleet.remove_target("a", SECOND);
+    fleet.tick(SECOND * 2);
+    fleet.upsert_target(incarnation(1), SECOND * 2);
+    assert!(fleet.is_backing_off("a", SECOND * 3));
+    fleet.remove_target("a", SECOND * 3);
+    fleet.upsert_target(incarnation(2), SECOND * 3);
+    assert!(!fleet.is_backing_off("a", SECOND * 3));
+}
+
+#[test]
+fn stated_limit_outlives_the_entry() {
+    let mut fleet = fleet(&[("a", "q-a")]);
+    fleet.record_stated_limit("a", Some(2.0), SECOND);
+    fleet.remove_target("a", SECOND);
+    fleet.upsert_target(entry("a", "menus", "q-a"), SECOND * 2);
+    let limits = fleet.stated_limits(SECOND * 2);
+    assert_eq!(limits.len(), 1);
+    assert_eq!(limits[0].per_second, Some(2.0));
+}
