fix(directory): a leave notice outlives the entry of the target that gave it

What was seen: a target that had stated that it leaves got requests again once its entry was removed and written again as ready, by the same incarnation.

Change: the directory remembers of a removed target whether its incarnation was leaving.

--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -61,6 +61,14 @@
     at: Timestamp,
 }
 
+/// What is remembered of a removed target.
+#[derive(Debug, Clone, Copy)]
+struct RemovedTarget {
+    incarnation: u64,
+    /// Whether that incarnation was leaving.
+    draining: bool,
+}
+
 /// What the first list after a restoration of the store showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RestoredTargets {
@@ -91,8 +99,7 @@
     checkpoint: Option<Checkpoint>,
     /// Checkpoint position by which each target last changed, removed targets included.
     changed: BTreeMap<TargetId, StorePosition>,
-    /// Incarnations of removed targets.
-    removed: BTreeMap<TargetId, u64>,
+    removed: BTreeMap<TargetId, RemovedTarget>,
     /// Restored entries of targets that are known to be gone, and when each may be used.
     held: BTreeMap<TargetId, (TargetEntry, Timestamp)>,
     /// Targets that changed since the last checkpoint.
@@ -265,18 +272,24 @@
     fn has_ended(&self, entry: &TargetEntry) -> bool {
         match self.known.get(&entry.id) {
             Some(known) => known.entry.incarnation > entry.incarnation,
-            None => self.removed.get(&entry.id) == Some(&entry.incarnation),
+            None => self
+                .removed
+                .get(&entry.id)
+                .is_some_and(|removed| removed.incarnation == entry.incarnation),
         }
     }
 
     /// Returns whether an entry shows a target as ready whose incarnation is known to be leaving.
     fn is_draining(&self, entry: &TargetEntry) -> bool {
-        let known = self.known.get(&entry.id);
-        !entry.draining
-            && entry.incarnation > 0
-            && known.is_some_and(|known| {
-                known.entry.draining && known.entry.incarnation == entry.incarnation
-            })
+        let (draining, incarnation) = match self.known.get(&entry.id) {
+            Some(known) => (known.entry.draining, known.entry.incarnation),
+            None => match self.removed.get(&entry.id) {
+                Some(removed) => (removed.draining, removed.incarnation),
+                None => return false,
+            },
+        };
+        let is_same = entry.incarnation > 0 && entry.incarnation == incarnation;
+        !entry.draining && draining && is_same
     }
 
     /// Applies all changes up to a position, which were complete at a time.
@@ -373,7 +386,11 @@
 
     fn remove(&mut self, id: TargetId) -> TargetChange {
         if let Some(known) = self.known.remove(&id) {
-            self.removed.insert(id.clone(), known.entry.incarnation);
+            let removed = RemovedTarget {
+                incarnation: known.entry.incarnation,
+                draining: known.entry.draining,
+            };
+            self.removed.insert(id.clone(), removed);
         }
         TargetChange::Gone(id)
     }
