fix(gateway): a leave notice told by a peer outlives a change of the target's entry

What was seen: a VM that knew from a peer that a target leaves sent it requests again once the entry of that target changed otherwise, though the incarnation was the same.

Cause: notices of peers were applied to the fleet only, and the directory, which still held the target as ready, announced the changed entry as a target to use. Change: the directory records them too.

leave_notice_told_by_a_peer_is_not_forgotten_when_the_entry_changes failed before (2 requests, 1 allowed) and passes.

--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -307,6 +307,7 @@
     /// Marks a target as leaving on the report of a peer, unless the target has restarted since.
     pub(crate) fn apply_departure(&self, (target, incarnation): &Departure, vm: &str) {
         if lock(&self.fleet).incarnation(target) == Some(*incarnation) {
+            lock(&self.directory).record_leaving(target, *incarnation);
             self.mark_target_leaving(target, vm);
         }
     }
