fix(quarantine): requests that targets survive are let through again, at all VMs

Identical lookups share a fingerprint; one crash that ended several of them counted several times, a success cleared the count at one VM only, which its peers raised again, and nothing could clear it once all refused.

Change: a crash counts once for a request; survivals are shared by gossip, and counts of VMs that have not heard of one are ignored for 5 s; a request in quarantine is tried after 2 s, then 30 s after a failed trial, doubled, four times at most over all VMs. Two crashes still start a quarantine.

--- a/crates/almondcroft-core/src/quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/tests.rs
@@ -33,3 +33,71 @@
     assert!(counts.contains(&(u64::MAX, 2)), "{counts:?}");
     assert!(counts.contains(&(1_000, 1)), "{counts:?}");
 }
+
+#[test]
+fn record_crash_once_counts_a_crash_of_several_runs_once() {
+    let mut quarantine = Quarantine::default();
+    assert_eq!(quarantine.record_crash_once(7, 1, START), 1);
+    assert_eq!(quarantine.record_crash_once(7, 1, START), 1);
+    assert_eq!(quarantine.record_crash_once(7, 2, START), 2);
+    assert!(quarantine.remaining(7, START).is_some());
+}
+
+#[test]
+fn survival_ends_the_quarantine_at_all_vms() {
+    let later = START + Duration::from_secs(1);
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    for vm in &mut vms {
+        vm.merge(7, 2, START);
+    }
+    vms[0].record_survival(7, later);
+    for (fingerprint, age) in vms[0].survivals(later) {
+        vms[1].merge_survival(fingerprint, age, later);
+    }
+    assert_eq!(vms[1].remaining(7, later), None);
+    // A VM that has not heard of it does not bring the quarantine back.
+    vms[1].merge(7, 2, later);
+    assert_eq!(vms[1].remaining(7, later), None);
+    // Crashes after the survival count.
+    let crashed_at = later + Duration::from_secs(2);
+    vms[1].record_crash_once(7, 1, crashed_at);
+    vms[1].record_crash_once(7, 2, crashed_at);
+    vms[1].merge_survival(7, Duration::from_secs(2), crashed_at);
+    assert!(vms[1].remaining(7, crashed_at).is_some());
+}
+
+#[test]
+fn trials_of_a_request_that_crashes_each_target_are_few_over_all_vms() {
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    for vm in &mut vms {
+        vm.merge(7, 2, START);
+    }
+    let mut trials = Vec::new();
+    for second in 0..600 {
+        let now = START + Duration::from_secs(second);
+        for index in 0..2 {
+            if vms[index].begin_trial(7, now) {
+                trials.push(second);
+                vms[index].record_crash(7, now);
+            }
+            for (fingerprint, count, age) in vms[index].trials(now) {
+                vms[1 - index].merge_trials(fingerprint, count, age, now);
+            }
+            let counts = vms[index].crash_counts(now);
+            for (fingerprint, count) in counts {
+                vms[1 - index].merge(fingerprint, count, now);
+            }
+        }
+    }
+    assert_eq!(trials, [2, 32, 92, 212]);
+}
+
+#[test]
+fn retry_after_names_the_next_trial() {
+    let mut quarantine = Quarantine::default();
+    quarantine.merge(7, 2, START);
+    assert_eq!(quarantine.retry_after(7, START), Some(FIRST_TRIAL_DELAY));
+    let tried_at = START + FIRST_TRIAL_DELAY;
+    assert!(quarantine.begin_trial(7, tried_at));
+    assert_eq!(quarantine.retry_after(7, tried_at), Some(TRIAL_DELAY));
+}
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -314,7 +314,7 @@
         if exchange.head.status < 500 {
             let elapsed = now.saturating_sub(sent_at);
             lock(&self.gateway.fleet).record_success(&choice.target, elapsed);
-            lock(&self.gateway.quarantine).record_success(self.call.fingerprint);
+            lock(&self.gateway.quarantine).record_survival(self.call.fingerprint, now);
         } else {
             self.record_failure(&choice.target, false);
         }
@@ -531,7 +531,7 @@
         }
         let now = clock::now();
         let count = if is_suspect {
-            lock(&gateway.quarantine).record_crash(call.fingerprint, now)
+            lock(&gateway.quarantine).record_crash_once(call.fingerprint, crash, now)
         } else {
             0
         };
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -9,6 +9,7 @@
 use crate::target_run::shared_parts;
 use almondcroft_core::Revision;
 use almondcroft_core::gateway::{CustomerSpec, GatewayConfig, RouteSpec, admits_during_shutdown};
+use almondcroft_core::quarantine::Fingerprint;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,8 +66,8 @@
         .as_ref()
         .map_or("", |customer| customer.id.as_str());
     let fingerprint = fingerprint(&received.head.uri, customer_id, &received.body);
-    if let Some(remaining) = lock(&gateway.quarantine).remaining(fingerprint, clock::now()) {
-        let reply = Reply::refused("quarantined", remaining.min(QUARANTINE_RETRY));
+    if let Some(retry_after) = refused_for(gateway, fingerprint, id.as_deref()) {
+        let reply = Reply::refused("quarantined", retry_after.min(QUARANTINE_RETRY));
         return Err(reject(reply));
     }
     let request = gateway.next_id();
@@ -104,6 +105,21 @@
     Ok(call)
 }
 
+/// Returns for how long a request is refused because it crashed targets; `None` if it may run, also as a
+/// trial.
+fn refused_for(gateway: &Gateway, fingerprint: Fingerprint, id: Option<&str>) -> Option<Duration> {
+    let now = clock::now();
+    let mut quarantine = lock(&gateway.quarantine);
+    let retry_after = quarantine.retry_after(fingerprint, now)?;
+    if !quarantine.begin_trial(fingerprint, now) {
+        return Some(retry_after);
+    }
+    drop(quarantine);
+    log::info!(event = "request-trial", request = id.unwrap_or("-"); "");
+    gateway.request_gossip();
+    None
+}
+
 /// Returns the refusal of a request because of a part of its prompt.
 pub(super) fn part_refusal(remaining: Duration) -> Reply {
     Reply::refused("part-quarantined", remaining.min(QUARANTINE_RETRY))
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -134,9 +134,7 @@
 /// Records what a peer or a zone knows of crashes of targets and of the limits that they state.
 fn merge_observations(gateway: &Gateway, message: &SnapshotMessage, now: Timestamp) {
     let mut quarantine = lock(&gateway.quarantine);
-    for (fingerprint, count) in &message.crashes {
-        quarantine.merge(*fingerprint, *count, now);
-    }
+    message.merge_into(&mut quarantine, now);
     drop(quarantine);
     lock(&gateway.prompt_quarantine).merge(&message.part_evidence(), now);
     lock(&gateway.fleet).merge_stated_limits(&message.stated_limits(), now);
@@ -203,6 +201,7 @@
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
             .with_config(config_revision)
+            .with_quarantine(&lock(&gateway.quarantine), now)
             .with_parts(parts)
             .with_limits(lock(&gateway.fleet).stated_limits(now));
         let urgent = config_changed || departed || part_trials != self.part_trials;
--- a/crates/almondcroft-gateway/src/gossip/digests.rs
+++ b/crates/almondcroft-gateway/src/gossip/digests.rs
@@ -45,6 +45,7 @@
         let crashes = lock(&gateway.quarantine).crash_counts(now);
         let parts = lock(&gateway.prompt_quarantine).evidence(now);
         let message = DigestMessage::new(own.clone(), &digest, crashes).with_parts(parts);
+        let message = message.with_quarantine(&lock(&gateway.quarantine), now);
         let message = message.with_limits(lock(&gateway.fleet).stated_limits(now));
         let bytes = message.encode(MAX_DATAGRAM_BYTES);
         for address in one_per_zone(&gateway) {
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -8,7 +8,7 @@
 
 use crate::state::Departure;
 use almondcroft_core::gateway::{LimitStatement, PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
-use almondcroft_core::quarantine::{CrashId, Fingerprint, PartEvidence, PartId};
+use almondcroft_core::quarantine::{CrashId, Fingerprint, PartEvidence, PartId, Quarantine};
 use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -91,6 +91,12 @@
     pub(super) departures: Vec<Departure>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
+    /// Requests that targets survived after crashes, with the time since.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    survivals: Vec<(Fingerprint, AgeMs)>,
+    /// Requests that were tried, with the number of trials and the time since the last one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    trials: Vec<(Fingerprint, u32, AgeMs)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     parts: Vec<PartMessage>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -200,11 +206,39 @@
             config: 0,
             departures,
             crashes,
+            survivals: Vec::new(),
+            trials: Vec::new(),
             parts: Vec::new(),
             limits: Vec::new(),
         }
     }
 
+    /// Sets what the VM knows of requests that crashed targets, beside the counts.
+    pub(super) fn with_quarantine(mut self, quarantine: &Quarantine, now: Timestamp) -> Self {
+        let survivals = quarantine.survivals(now).into_iter();
+        self.survivals = survivals
+            .map(|(fingerprint, age)| (fingerprint, whole_millis(age)))
+            .collect();
+        let trials = quarantine.trials(now).into_iter();
+        self.trials = trials
+            .map(|(fingerprint, count, age)| (fingerprint, count, whole_millis(age)))
+            .collect();
+        self
+    }
+
+    /// Merges what the VM knows of requests that crashed targets.
+    pub(super) fn merge_into(&self, quarantine: &mut Quarantine, now: Timestamp) {
+        for (fingerprint, age) in &self.survivals {
+            quarantine.merge_survival(*fingerprint, Duration::from_millis(*age), now);
+        }
+        for (fingerprint, count) in &self.crashes {
+            quarantine.merge(*fingerprint, *count, now);
+        }
+        for (fingerprint, count, age) in &self.trials {
+            quarantine.merge_trials(*fingerprint, *count, Duration::from_millis(*age), now);
+        }
+    }
+
     /// Sets the limits that targets state.
     pub(super) fn with_limits(mut self, limits: Vec<LimitStatement>) -> Self {
         self.limits = limits.into_iter().map(LimitMessage::from).collect();
@@ -301,6 +335,12 @@
 }
 
 impl DigestMessage {
+    /// Sets what the zone knows of requests that crashed targets, beside the counts.
+    pub(super) fn with_quarantine(mut self, quarantine: &Quarantine, now: Timestamp) -> Self {
+        self.sums = self.sums.with_quarantine(quarantine, now);
+        self
+    }
+
     /// Sets what the zone knows of parts of prompts that crash targets.
     pub(super) fn with_parts(mut self, parts: Vec<PartEvidence>) -> Self {
         self.sums = self.sums.with_parts(parts);
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -396,7 +396,7 @@
             &self.choice.target,
             now.saturating_sub(self.call.received_at),
         );
-        lock(&self.gateway.quarantine).record_success(self.call.fingerprint);
+        lock(&self.gateway.quarantine).record_survival(self.call.fingerprint, clock::now());
         self.exchange.finish(self.gateway);
         complete
     }
