fix(retries): repeats leave a part of the fleet's budget to resumed generations

Cause: a repeat, which can be refused with a true word, and a resumption, without which what the caller got is lost, took from the same budget in the order in which they came. Change: repeats spend at most 0.8 of what the budget permits.

take_for_repeats_leaves_a_part_to_resumptions is new (before, repeats could take all).

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -40,7 +40,7 @@
     Choice, Demand, Fleet, FleetOptions, LimitStatement, Need, PeerLoad, PeerSnapshot,
     PlacedRequest, Placement, RefusalReason, ZoneDigest, lowest_hashes,
 };
-pub use fleet_retry_budget::{FleetRetryBudget, FleetSends, SendCounts};
+pub use fleet_retry_budget::{ExtraSend, FleetRetryBudget, FleetSends, SendCounts};
 pub use gossip_fanout::GossipFanout;
 pub use pending_queries::{CompletedQuery, PendingQueries};
 pub use route::{CallKind, RouteSpec, RouteTable, WeightedService};
--- a/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
+++ b/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
@@ -8,6 +8,18 @@
 /// snapshot.
 const USABLE_FRACTION: f64 = 0.8;
 
+/// Fraction of the usable budget that repeats may spend; the rest is kept for resumptions.
+const REPEAT_FRACTION: f64 = 0.8;
+
+/// Why a request is sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExtraSend {
+    /// A target did not run it, or it may be repeated.
+    Repeat,
+    /// A generation goes on at another target; without it, what the caller got so far is lost.
+    Resumption,
+}
+
 /// Counts requests and extra sends within the window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct SendCounts {
@@ -44,18 +56,20 @@
 /// The budget covers the whole fleet: a ratio of all requests plus a fixed number (`slack`) per window.
 /// VMs that can reach each other spend one common budget. Its fixed number is scaled by the
 /// fraction of the fleet that they make up, so that the sides of a network partition together keep the
-/// bound without exchanging messages.
+/// bound without exchanging messages. Repeats leave a part of the budget to resumptions, which matters
+/// most to a VM that hears no peers while targets fail.
 ///
 /// ```
-/// use almondcroft_core::gateway::{FleetRetryBudget, FleetSends, SendCounts};
+/// use almondcroft_core::gateway::{ExtraSend, FleetRetryBudget, FleetSends, SendCounts};
 /// use std::time::Duration;
 ///
 /// let mut budget = FleetRetryBudget::new(0.2, 10.0, Duration::from_secs(10));
 /// let now = Duration::from_secs(1);
 /// let others = SendCounts { requests: 0, extra: 7 };
 /// let sends = FleetSends { others, reachable_vms: 4, total_vms: 4 };
-/// assert!(budget.try_take(sends, now));
-/// assert!(!budget.try_take(sends, now));
+/// assert!(!budget.try_take(ExtraSend::Repeat, sends, now));
+/// assert!(budget.try_take(ExtraSend::Resumption, sends, now));
+/// assert!(!budget.try_take(ExtraSend::Resumption, sends, now));
 /// ```
 #[derive(Debug)]
 pub struct FleetRetryBudget {
@@ -93,14 +107,18 @@
     }
 
     /// Takes one extra send from the budget; returns whether the budget permits it.
-    pub fn try_take(&mut self, sends: FleetSends, now: Timestamp) -> bool {
+    pub fn try_take(&mut self, send: ExtraSend, sends: FleetSends, now: Timestamp) -> bool {
         self.expire(now);
         let counts = self.counts(now).add(sends.others);
         let fraction = f64::from(sends.reachable_vms)
             / f64::from(sends.total_vms.max(sends.reachable_vms).max(1));
         let budget =
             (self.ratio * f64::from(counts.requests) + self.slack * fraction) * USABLE_FRACTION;
-        let permitted = f64::from(counts.extra) + 1.0 <= budget;
+        let share = match send {
+            ExtraSend::Repeat => REPEAT_FRACTION,
+            ExtraSend::Resumption => 1.0,
+        };
+        let permitted = f64::from(counts.extra) + 1.0 <= budget * share;
         if permitted {
             self.extra.push_back(now);
         }
--- a/crates/almondcroft-core/src/gateway/fleet_retry_budget/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet_retry_budget/tests.rs
@@ -4,7 +4,7 @@
 
 fn taken(budget: &mut FleetRetryBudget, sends: FleetSends, now: Timestamp) -> u32 {
     let mut count = 0;
-    while budget.try_take(sends, now) {
+    while budget.try_take(ExtraSend::Resumption, sends, now) {
         count += 1;
     }
     count
@@ -89,5 +89,17 @@
     assert_eq!(taken(&mut budget, alone(1), SECOND), 4);
     assert_eq!(budget.counts(SECOND * 5).extra, 4);
     assert_eq!(budget.counts(SECOND * 12).extra, 0);
-    assert!(budget.try_take(alone(1), SECOND * 12));
+    assert!(budget.try_take(ExtraSend::Resumption, alone(1), SECOND * 12));
+}
+
+#[test]
+fn take_for_repeats_leaves_a_part_to_resumptions() {
+    // A VM that hears none of three peers repeats requests of failing targets, and an engine leaves then.
+    let mut budget = FleetRetryBudget::new(0.2, 60.0, SECOND * 10);
+    let mut repeats = 0;
+    while budget.try_take(ExtraSend::Repeat, alone(4), SECOND) {
+        repeats += 1;
+    }
+    assert!(repeats >= 8, "{repeats}");
+    assert!(taken(&mut budget, alone(4), SECOND) >= 2);
 }
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::state::{Gateway, PlacementGuard, lock};
 use crate::target_connect;
 use crate::target_run::{TargetRun, crash_id};
-use almondcroft_core::gateway::{Choice, Demand, Need, Placement};
+use almondcroft_core::gateway::{Choice, Demand, ExtraSend, Need, Placement};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::ResponseHead;
 use std::sync::Arc;
@@ -402,9 +402,12 @@
         let permitted = self.send_count < MAX_SENDS
             && !quarantined
             && !self.call.time_left(now).is_zero()
-            && self
-                .gateway
-                .take_retry(&self.call.service, self.call.external_id(), now);
+            && self.gateway.take_retry(
+                ExtraSend::Repeat,
+                &self.call.service,
+                self.call.external_id(),
+                now,
+            );
         if permitted {
             self.avoid.push(target.clone());
         }
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use crate::state::{Gateway, PlacementGuard, lock};
 use crate::target_connect;
 use crate::target_run::TargetRun;
-use almondcroft_core::gateway::Choice;
+use almondcroft_core::gateway::{Choice, ExtraSend};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::{EventSplitter, StreamEvent};
 use async_channel::Receiver;
@@ -472,10 +472,12 @@
             request_log.log_fault(&choice.target, "part-quarantined", Verdict::NotRun);
             return false;
         };
-        if !self
-            .gateway
-            .take_retry(&self.call.service, self.call.external_id(), now)
-        {
+        if !self.gateway.take_retry(
+            ExtraSend::Resumption,
+            &self.call.service,
+            self.call.external_id(),
+            now,
+        ) {
             run.record_not_run();
             return false;
         }
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -10,9 +10,9 @@
 use crate::pool::ConnectionPool;
 use crate::settings::{Bounds, GatewaySettings};
 use almondcroft_core::gateway::{
-    ConfigFreshness, Demand, Directory, Fleet, FleetOptions, FleetRetryBudget, FleetSends,
-    GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts, StoreEra,
-    TargetChange, TargetPaths, TunnelPeer,
+    ConfigFreshness, Demand, Directory, ExtraSend, Fleet, FleetOptions, FleetRetryBudget,
+    FleetSends, GatewayConfig, PeerSnapshot, PendingQueries, PlacedRequest, Placement, SendCounts,
+    StoreEra, TargetChange, TargetPaths, TunnelPeer,
 };
 use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
@@ -415,7 +415,13 @@
 
     /// Takes an extra send of a request from the fleet's retry budget; returns whether it is
     /// permitted.
-    pub(crate) fn take_retry(&self, service: &ServiceId, request: &str, now: Timestamp) -> bool {
+    pub(crate) fn take_retry(
+        &self,
+        send: ExtraSend,
+        service: &ServiceId,
+        request: &str,
+        now: Timestamp,
+    ) -> bool {
         let fleet = lock(&self.fleet);
         let (reachable_vms, others) = (fleet.vm_count(now), fleet.peer_sends(service, now));
         drop(fleet);
@@ -427,7 +433,7 @@
             total_vms: u32::try_from(known_vms.max(expected_vms)).unwrap_or(u32::MAX),
         };
         let (permitted, own) = self.with_retry_budget(service, |budget| {
-            (budget.try_take(fleet_sends, now), budget.counts(now))
+            (budget.try_take(send, fleet_sends, now), budget.counts(now))
         });
         if !permitted {
             log::info!(event = "retry-refused", request = request, service = service.as_str(),
