feat(fleet): targets that state a refusal limit get no more than they can run

Load: a burst at targets whose queues shrink without notice and which fail if they turn away more than they state.

Change: the limit is read from every response (with a number above zero; nonsense changes nothing, a response without it ends it). Most slots of such a target are dealt to the VMs, its KV cache is filled less, and after a refusal a VM keeps away in proportion to the fleet.

Core: a burst of 7 VMs, and a proptest over random fleets.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod queue;
 mod rate_limiter;
+mod refusal_limit;
 mod retained_statements;
 mod target_state;
 
@@ -357,8 +358,9 @@
 
     /// Records that a target refused a request because it was full.
     pub fn record_refusal(&mut self, target: &str, now: Timestamp) {
+        let vm_count = self.vm_count(now);
         if let Some(state) = self.targets.get_mut(target) {
-            state.record_refusal(now);
+            state.record_refusal(vm_count, now);
         }
     }
 
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -1,5 +1,6 @@
 //! Selection of the target with the lowest expected cost.
 
+use super::refusal_limit::fill_fraction;
 use super::target_state::TargetState;
 use super::{Demand, Fleet, split_mix, stable_hash};
 use crate::gateway::EngineSpec;
@@ -85,8 +86,13 @@
         let token_time = mean_token_time(eligible.iter().copied()).unwrap_or_default();
         for state in eligible {
             let load = self.estimate_load(state, now);
+            let fill = fill_fraction(state.refusal_limit, now);
+            let slots = engine.map_or(state.entry.slots, |engine| engine.slots);
+            if !self.has_dealt_slot(state, slots, now) {
+                continue;
+            }
             let load_cost = match engine {
-                Some(engine) => self.engine_cost(engine, &load, demand, headroom),
+                Some(engine) => self.engine_cost(engine, &load, demand, headroom * fill),
                 None => self.plain_cost(state, &load),
             };
             let Some(load_cost) = load_cost else {
--- a/crates/almondcroft-core/src/gateway/fleet/limits.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/limits.rs
@@ -140,9 +140,24 @@
     }
 
     /// Returns this VM's share of a limit, in requests a second; zero for most VMs of a large fleet.
-    ///
-    /// The shares are dealt to the zones in turn, and within a zone to the VMs with the lowest hashes.
     fn limit_share(&self, target: &TargetId, limit: f64) -> f64 {
+        let wanted = floor_to_usize(limit).saturating_add(EXTRA_SHARES);
+        let (shares, own_shares) = self.deal(target, |vm_count| vm_count.min(wanted));
+        if own_shares == 0 {
+            return 0.0;
+        }
+        let shares = u32::try_from(shares).unwrap_or(u32::MAX);
+        limit / f64::from(shares.max(1))
+    }
+
+    /// Deals shares of a target to all known VMs; returns how many there are, and how many this VM has.
+    ///
+    /// They are dealt to the zones in turn, and within a zone to the VMs in the order of their hashes.
+    pub(super) fn deal(
+        &self,
+        target: &TargetId,
+        count: impl FnOnce(usize) -> usize,
+    ) -> (usize, usize) {
         let mut zones: BTreeMap<&ZoneId, usize> = BTreeMap::from([(&self.zone, 1)]);
         for peer in self.peers.values() {
             *zones.entry(&peer.zone).or_default() += 1;
@@ -151,7 +166,7 @@
             zones.insert(zone, digest.vm_count);
         }
         let vm_count: usize = zones.values().sum();
-        let shares = vm_count.min(floor_to_usize(limit).saturating_add(EXTRA_SHARES));
+        let shares = count(vm_count);
         let own_hash = stable_hash((target, &self.zone));
         let others = zones.keys().filter(|zone| ***zone != self.zone);
         let zones_before = others.filter(|zone| stable_hash((target, **zone)) < own_hash);
@@ -160,11 +175,9 @@
         let own_hash = stable_hash((target, &self.vm));
         let neighbours = self.peers.iter().filter(|(_, peer)| peer.zone == self.zone);
         let vms_before = neighbours.filter(|(vm, _)| stable_hash((target, *vm)) < own_hash);
-        if vms_before.count() >= zone_shares {
-            return 0.0;
-        }
-        let shares = u32::try_from(shares).unwrap_or(u32::MAX);
-        limit / f64::from(shares.max(1))
+        let (position, zone_vms) = (vms_before.count(), zones[&self.zone].max(1));
+        let own = zone_shares / zone_vms + usize::from(position < zone_shares % zone_vms);
+        (shares, own)
     }
 
     /// Returns how long a new request would wait for the limits of its service's targets, and `None` if
--- a/crates/almondcroft-core/src/gateway/fleet/retained_statements.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/retained_statements.rs
@@ -6,6 +6,7 @@
 use super::Fleet;
 use super::limit_statement::LastStatement;
 use super::rate_limiter::RateLimiter;
+use super::refusal_limit::RefusalLimit;
 use super::target_state::TargetState;
 use crate::{TargetId, Timestamp};
 use std::time::Duration;
@@ -20,6 +21,7 @@
     pub(super) requested_backoff: Timestamp,
     pub(super) last_statement: Option<LastStatement>,
     pub(super) limiter: Option<RateLimiter>,
+    pub(super) refusal_limit: Option<RefusalLimit>,
 }
 
 impl RetainedStatements {
@@ -29,6 +31,7 @@
             requested_backoff: state.requested_backoff(),
             last_statement: state.last_statement,
             limiter: state.limiter,
+            refusal_limit: state.refusal_limit,
         }
     }
 
@@ -36,7 +39,8 @@
         let has_limit = self
             .last_statement
             .is_some_and(|last| now < last.at + RETENTION);
-        now < self.requested_backoff || has_limit
+        let has_refusal_limit = self.refusal_limit.is_some_and(|limit| limit.holds(now));
+        now < self.requested_backoff || has_limit || has_refusal_limit
     }
 }
 
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -2,6 +2,7 @@
 
 use super::limit_statement::LastStatement;
 use super::rate_limiter::RateLimiter;
+use super::refusal_limit::RefusalLimit;
 use super::retained_statements::RetainedStatements;
 use super::{Demand, PeerLoad};
 use crate::gateway::TargetEntry;
@@ -125,6 +126,8 @@
     pub(super) last_statement: Option<LastStatement>,
     /// This VM's share of the limit that the target states.
     pub(super) limiter: Option<RateLimiter>,
+    /// What the target last stated about the requests that it can turn away.
+    pub(super) refusal_limit: Option<RefusalLimit>,
     /// Requests that do not belong to this VM, and when the target reported them.
     reported_load: Option<(f64, Timestamp)>,
 }
@@ -145,6 +148,7 @@
             requested_backoff: Timestamp::ZERO,
             last_statement: None,
             limiter: None,
+            refusal_limit: None,
             reported_load: None,
         }
     }
@@ -154,6 +158,7 @@
         self.requested_backoff = statements.requested_backoff;
         self.last_statement = statements.last_statement;
         self.limiter = statements.limiter;
+        self.refusal_limit = statements.refusal_limit;
     }
 
     pub(super) fn update_entry(&mut self, entry: TargetEntry) {
@@ -163,6 +168,7 @@
             self.requested_backoff = Timestamp::ZERO;
             self.last_statement = None;
             self.limiter = None;
+            self.refusal_limit = None;
         }
         self.entry = entry;
     }
@@ -332,7 +338,12 @@
         self.requested_backoff = self.requested_backoff.max(until);
     }
 
-    pub(super) fn record_refusal(&mut self, now: Timestamp) {
-        self.backoff_until = self.backoff_until.max(now + REFUSAL_BACKOFF);
+    /// Records that the target had no room for a request of one of a number of VMs.
+    pub(super) fn record_refusal(&mut self, vm_count: usize, now: Timestamp) {
+        let limit = self.refusal_limit.filter(|limit| limit.holds(now));
+        let backoff = limit.map_or(REFUSAL_BACKOFF, |limit| {
+            limit.backoff(vm_count).max(REFUSAL_BACKOFF)
+        });
+        self.backoff_until = self.backoff_until.max(now + backoff);
     }
 }
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -3,6 +3,7 @@
 mod limit;
 mod link;
 mod overload;
+mod refusal_limit;
 mod throughput;
 
 use super::*;
--- /dev/null
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
@@ -0,0 +1,185 @@
+//! Targets that fail if they have to turn too much away.
+
+use super::*;
+use proptest::prelude::*;
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time between two exchanges of load between VMs.
+const EXCHANGE_STEPS: u32 = 12;
+
+/// Time for which a target runs a request.
+const RUN_TIME: Duration = Duration::from_millis(30);
+
+const SLOTS: u32 = 6;
+
+/// VMs that place a burst at a few targets, which turn away what finds no free slot.
+struct Burst {
+    fleets: Vec<Fleet>,
+    running: Vec<(Timestamp, usize, RequestId, TargetId)>,
+    refused: BTreeMap<TargetId, Vec<Timestamp>>,
+    served: usize,
+    now: Timestamp,
+}
+
+impl Burst {
+    fn new(vms: usize, targets: usize, limit: Option<f64>) -> Self {
+        let start = |number: usize| {
+            let mut fleet = fleet(&[]);
+            fleet.vm = format!("vm-{number}").into();
+            for target in 0..targets {
+                let id = format!("i-{target}");
+                fleet.upsert_target(entry(&id, "orders", "z-0"), SECOND);
+                fleet.record_refusal_limit(&id, limit, SECOND);
+            }
+            fleet
+        };
+        Self {
+            fleets: (0..vms).map(start).collect(),
+            running: Vec::new(),
+            refused: BTreeMap::new(),
+            served: 0,
+            now: SECOND * 2,
+        }
+    }
+
+    fn exchange(&mut self) {
+        let snapshots: Vec<(VmId, PeerSnapshot)> = self
+            .fleets
+            .iter()
+            .map(|fleet| (fleet.vm.clone(), fleet.local_snapshot(self.now)))
+            .collect();
+        for fleet in &mut self.fleets {
+            for (vm, snapshot) in &snapshots {
+                if *vm != fleet.vm {
+                    fleet.apply_snapshot(vm.clone(), snapshot.clone());
+                }
+            }
+        }
+    }
+
+    /// Submits a number of requests per VM and second, for a time.
+    fn run(&mut self, time: Duration, per_second: f64) {
+        let steps = u32::try_from(time.as_millis() / STEP.as_millis()).unwrap();
+        for step in 0..steps {
+            self.now += STEP;
+            if step.is_multiple_of(EXCHANGE_STEPS) {
+                self.exchange();
+            }
+            self.end_runs();
+            for vm in 0..self.fleets.len() {
+                let due = |step: u32| (f64::from(step) * per_second * STEP.as_secs_f64()).floor();
+                let mut placed = self.fleets[vm].tick(self.now);
+                let mut number = due(step);
+                while number < due(step + 1) {
+                    number += 1.0;
+                    let mut demand = generation(&format!("r-{vm}-{step}-{number}"));
+                    demand.service = "orders".into();
+                    demand.need = Need::default();
+                    demand.caller_timeout = SECOND;
+                    demand.deadline = self.now + SECOND;
+                    placed.extend(self.fleets[vm].submit(demand, self.now));
+                }
+                for request in placed {
+                    self.arrive(vm, request);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, vm: usize, placed: PlacedRequest) {
+        let Placement::Send(choice) = placed.placement else {
+            return;
+        };
+        let at_target = self.running.iter().filter(|run| run.3 == choice.target);
+        if at_target.count() < usize::try_from(SLOTS).unwrap() {
+            let end = self.now + RUN_TIME;
+            self.running.push((end, vm, placed.request, choice.target));
+            return;
+        }
+        let refused = self.refused.entry(choice.target.clone()).or_default();
+        refused.push(self.now);
+        self.fleets[vm].record_refusal(&choice.target, self.now);
+        for next in self.fleets[vm].finish(&placed.request, self.now) {
+            self.arrive(vm, next);
+        }
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.now;
+        let ended: Vec<_> = self.running.extract_if(.., |run| run.0 <= now).collect();
+        for (_, vm, request, _) in ended {
+            self.served += 1;
+            for next in self.fleets[vm].finish(&request, now) {
+                self.arrive(vm, next);
+            }
+        }
+    }
+
+    /// Returns the most refusals of one target in any second.
+    fn most_refused(&self) -> usize {
+        let most = self.refused.values().map(|times| {
+            let within = |start: &Timestamp| {
+                let window = *start..*start + SECOND;
+                times.iter().filter(|at| window.contains(at)).count()
+            };
+            times.iter().map(within).max().unwrap_or_default()
+        });
+        most.max().unwrap_or_default()
+    }
+}
+
+#[test]
+fn burst_without_a_refusal_limit_is_turned_away_often() {
+    let mut burst = Burst::new(7, 3, None);
+    burst.run(SECOND * 4, 150.0);
+    assert!(burst.most_refused() > 5, "{}", burst.most_refused());
+}
+
+#[test]
+fn burst_stays_below_the_refusal_limit_and_uses_most_of_the_targets() {
+    let mut burst = Burst::new(7, 3, Some(5.0));
+    let time = SECOND * 4;
+    burst.run(time, 150.0);
+    assert!(burst.most_refused() <= 5, "{}", burst.most_refused());
+    // Three targets with six slots each, for requests of 30 ms.
+    let capacity = 3.0 * f64::from(SLOTS) / RUN_TIME.as_secs_f64() * time.as_secs_f64();
+    let served = f64::from(u32::try_from(burst.served).unwrap());
+    assert!(served >= capacity * 0.7, "{served} of {capacity}");
+}
+
+#[test]
+fn every_vm_places_requests_on_targets_with_a_refusal_limit() {
+    let mut burst = Burst::new(16, 1, Some(5.0));
+    burst.exchange();
+    for (vm, fleet) in burst.fleets.iter_mut().enumerate() {
+        let mut demand = generation(&format!("r-{vm}"));
+        demand.service = "orders".into();
+        demand.need = Need::default();
+        assert_eq!(chosen_targets(&fleet.submit(demand, burst.now)), ["i-0"]);
+    }
+}
+
+#[test]
+fn refusal_limit_ends_with_a_response_without_it() {
+    let mut fleet = fleet(&[]);
+    fleet.upsert_target(entry("i-0", "orders", "z-0"), SECOND);
+    assert!(fleet.record_refusal_limit("i-0", Some(2.0), SECOND));
+    assert!(!fleet.record_refusal_limit("i-0", Some(2.0), SECOND));
+    assert!(fleet.record_refusal_limit("i-0", None, SECOND));
+    fleet.record_refusal("i-0", SECOND);
+    assert_eq!(fleet.usable_count(SECOND + SECOND / 5), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    #[test]
+    fn any_fleet_stays_below_the_refusal_limit(
+        vms in 1_usize..9, targets in 1_usize..6, limit in 3_u32..12, per_second in 10.0..200.0
+    ) {
+        let mut burst = Burst::new(vms, targets, Some(f64::from(limit)));
+        burst.run(SECOND * 3, per_second);
+        let most = burst.most_refused();
+        prop_assert!(most <= usize::try_from(limit).unwrap(), "{most} refusals, limit {limit}");
+    }
+}
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -67,13 +67,13 @@
     pub resume: Option<Continuation>,
 }
 
-/// What a target's response states about the requests a second that it takes from all VMs together.
+/// A number of requests a second, over all VMs together, that a target's response may state.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum StatedLimit {
     /// It states no limit.
     #[default]
     None,
-    /// It takes this many.
+    /// It states this many.
     PerSecond(f64),
     /// What it states is not a number of requests.
     Unreadable,
@@ -98,6 +98,8 @@
     pub retry_after: Option<Duration>,
     /// The limit on its requests that the target states.
     pub rate_limit: StatedLimit,
+    /// The limit that the target states on the requests that it can turn away.
+    pub refusal_limit: StatedLimit,
 }
 
 /// A small request of the gateway's own, to an engine or to the store.
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -251,6 +251,7 @@
             self.record_leaving_response(target, clock::now());
         }
         self.record_stated_limit(target, meta);
+        self.record_refusal_limit(target, meta);
         if head.status == UNAVAILABLE_STATUS
             && let Some(time) = meta.retry_after
         {
@@ -280,6 +281,19 @@
         }
     }
 
+    fn record_refusal_limit(&self, target: &TargetId, meta: &ResponseMeta) {
+        let limit = match meta.refusal_limit {
+            StatedLimit::PerSecond(limit) if limit > 0.0 => Some(limit),
+            StatedLimit::None if meta.stamped || meta.not_run => None,
+            StatedLimit::None | StatedLimit::PerSecond(_) | StatedLimit::Unreadable => return,
+        };
+        let is_change = lock(&self.fleet).record_refusal_limit(target, limit, clock::now());
+        if is_change {
+            log::info!(event = "target-refusal-limit", target_id = target.as_str(),
+                limit = limit.map_or("-".into(), |limit| limit.to_string()).as_str(); "");
+        }
+    }
+
     fn record_leaving_response(&self, target: &TargetId, now: Timestamp) {
         let Some(incarnation) = lock(&self.fleet).incarnation(target) else {
             return;
