perf(gateway): peers are listed for a tunnel only when one is needed

A connection that opens directly listed, copied and sorted all peers, 294 in the largest fleet. Now it asks only for the delay before a tunnel.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -48,4 +48,4 @@
 pub use store_era::{EraCheck, StoreEra};
 pub use store_position::StorePosition;
 pub use target::TargetEntry;
-pub use target_paths::{ConnectPlan, TargetPaths, TunnelPeer};
+pub use target_paths::{PEER_DELAY, TargetPaths, TunnelPeer};
--- a/crates/almondcroft-core/src/gateway/target_paths.rs
+++ b/crates/almondcroft-core/src/gateway/target_paths.rs
@@ -14,7 +14,7 @@
 const TUNNEL_DELAY: Duration = Duration::from_millis(150);
 
 /// Delay before the next peer is tried beside the ones that have not answered.
-const PEER_DELAY: Duration = Duration::from_millis(100);
+pub const PEER_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum number of peers that are tried for one connection.
 const MAX_PEERS: usize = 3;
@@ -37,17 +37,6 @@
     pub is_near: bool,
 }
 
-/// How to connect to a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ConnectPlan {
-    /// Delay after the start of the direct connection before the first tunnel.
-    pub tunnel_delay: Duration,
-    /// Delay between two tunnels; the next one starts at once if all before have failed.
-    pub peer_delay: Duration,
-    /// The peers to try, in this order.
-    pub peers: Vec<VmId>,
-}
-
 /// Tracks which targets this VM reaches directly.
 #[derive(Debug, Default)]
 pub struct TargetPaths {
@@ -57,35 +46,27 @@
     silent: HashMap<TargetId, Timestamp>,
     last_direct: Option<Timestamp>,
     avoided_peers: HashMap<VmId, Timestamp>,
-    plan_count: usize,
+    turn: usize,
 }
 
 impl TargetPaths {
-    /// Plans a connection to a target.
+    /// Returns the delay after the start of a direct connection before a tunnel is tried beside it.
     ///
-    /// The direct way is always tried, so it is used again as soon as it works. Peers take turns; those
-    /// of this VM's zone come before the others, except that the second is from elsewhere, because a cut
-    /// may affect a whole zone.
-    pub fn plan(
-        &mut self,
-        target: &str,
-        peers: Vec<TunnelPeer>,
-        timeout: Duration,
-        now: Timestamp,
-    ) -> ConnectPlan {
-        let tunnel_delay = if self.is_tunneled(target, now) {
+    /// The direct way is always tried, so it is used again as soon as it works.
+    #[must_use]
+    pub fn tunnel_delay(&self, target: &str, timeout: Duration, now: Timestamp) -> Duration {
+        if self.is_tunneled(target, now) {
             Duration::ZERO
         } else {
             TUNNEL_DELAY.min(timeout / 2)
-        };
-        ConnectPlan {
-            tunnel_delay,
-            peer_delay: PEER_DELAY,
-            peers: self.order_peers(peers, now),
         }
     }
 
-    fn order_peers(&mut self, peers: Vec<TunnelPeer>, now: Timestamp) -> Vec<VmId> {
+    /// Returns the peers to ask for a tunnel, in this order.
+    ///
+    /// Peers take turns; those of this VM's zone come before the others, except that the second is from
+    /// elsewhere, because a cut may affect a whole zone.
+    pub fn order_peers(&mut self, peers: Vec<TunnelPeer>, now: Timestamp) -> Vec<VmId> {
         let is_avoided = |peer: &TunnelPeer| {
             let until = self.avoided_peers.get(&peer.vm);
             until.is_some_and(|until| *until > now)
@@ -93,11 +74,11 @@
         let (avoided, usable): (Vec<_>, Vec<_>) = peers.into_iter().partition(is_avoided);
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             usable.into_iter().partition(|peer| peer.is_near);
-        self.plan_count = self.plan_count.wrapping_add(1);
+        self.turn = self.turn.wrapping_add(1);
         for group in [&mut near, &mut far] {
             group.sort_by(|a, b| a.vm.cmp(&b.vm));
-            let turn = self.plan_count % group.len().max(1);
-            group.rotate_left(turn);
+            let offset = self.turn % group.len().max(1);
+            group.rotate_left(offset);
         }
         let split = near.len().min(1);
         let rest = near.split_off(split);
--- a/crates/almondcroft-core/src/gateway/target_paths/tests.rs
+++ b/crates/almondcroft-core/src/gateway/target_paths/tests.rs
@@ -17,47 +17,46 @@
     near.chain(far.iter().map(peer(false))).collect()
 }
 
-fn delay(paths: &mut TargetPaths, target: &str, now: Timestamp) -> Duration {
-    paths.plan(target, Vec::new(), TIMEOUT, now).tunnel_delay
+fn delay(paths: &TargetPaths, target: &str, now: Timestamp) -> Duration {
+    paths.tunnel_delay(target, TIMEOUT, now)
 }
 
 #[test]
-fn plan_gives_the_direct_way_a_head_start() {
-    let mut paths = TargetPaths::default();
-    assert_eq!(delay(&mut paths, "t-1", at(0)), TUNNEL_DELAY);
+fn tunnel_delay_gives_the_direct_way_a_head_start() {
+    let paths = TargetPaths::default();
+    assert_eq!(delay(&paths, "t-1", at(0)), TUNNEL_DELAY);
     // A short timeout leaves half of its time to a tunnel.
-    let plan = paths.plan("t-1", Vec::new(), at(200), at(0));
-    assert_eq!(plan.tunnel_delay, at(100));
+    assert_eq!(paths.tunnel_delay("t-1", at(200), at(0)), at(100));
 }
 
 #[test]
-fn plan_starts_a_tunnel_at_once_where_the_direct_way_failed() {
+fn tunnel_delay_is_zero_where_the_direct_way_failed() {
     let mut paths = TargetPaths::default();
     paths.record_tunneled(&"t-1".into(), at(1_000));
-    assert_eq!(delay(&mut paths, "t-1", at(1_100)), Duration::ZERO);
-    assert_eq!(delay(&mut paths, "t-2", at(1_100)), TUNNEL_DELAY);
+    assert_eq!(delay(&paths, "t-1", at(1_100)), Duration::ZERO);
+    assert_eq!(delay(&paths, "t-2", at(1_100)), TUNNEL_DELAY);
     paths.record_direct("t-1", at(1_200));
-    assert_eq!(delay(&mut paths, "t-1", at(1_300)), TUNNEL_DELAY);
+    assert_eq!(delay(&paths, "t-1", at(1_300)), TUNNEL_DELAY);
     paths.record_tunneled(&"t-1".into(), at(2_000));
     let forgotten = at(2_000) + FAILURE_RETENTION;
-    assert_eq!(delay(&mut paths, "t-1", forgotten), TUNNEL_DELAY);
+    assert_eq!(delay(&paths, "t-1", forgotten), TUNNEL_DELAY);
 }
 
 #[test]
-fn plan_starts_a_tunnel_at_once_to_any_target_while_cut_off() {
+fn tunnel_delay_is_zero_to_any_target_while_cut_off() {
     let mut paths = TargetPaths::default();
     paths.record_direct("t-3", at(900));
     paths.record_tunneled(&"t-1".into(), at(1_000));
     assert!(!paths.is_cut_off(at(1_100)));
     paths.record_tunneled(&"t-2".into(), at(1_050));
     assert!(paths.is_cut_off(at(1_100)));
-    assert_eq!(delay(&mut paths, "t-3", at(1_100)), Duration::ZERO);
+    assert_eq!(delay(&paths, "t-3", at(1_100)), Duration::ZERO);
     assert!(!paths.trusts_idle("t-3", at(1_100)));
     paths.record_direct("t-3", at(1_200));
     assert!(!paths.is_cut_off(at(1_300)));
     // The others are judged by their own failures.
-    assert_eq!(delay(&mut paths, "t-1", at(1_300)), Duration::ZERO);
-    assert_eq!(delay(&mut paths, "t-3", at(1_300)), TUNNEL_DELAY);
+    assert_eq!(delay(&paths, "t-1", at(1_300)), Duration::ZERO);
+    assert_eq!(delay(&paths, "t-3", at(1_300)), TUNNEL_DELAY);
 }
 
 #[test]
@@ -74,18 +73,17 @@
 #[test]
 fn peers_of_the_zone_come_first_and_one_from_elsewhere_second() {
     let mut paths = TargetPaths::default();
-    let plan = paths.plan("t-1", peers(&["a", "b", "c"], &["x", "y"]), TIMEOUT, at(0));
-    assert!(["a", "b", "c"].contains(&plan.peers[0].as_str()));
-    assert!(["x", "y"].contains(&plan.peers[1].as_str()));
-    assert_eq!(plan.peers.len(), MAX_PEERS);
+    let ordered = paths.order_peers(peers(&["a", "b", "c"], &["x", "y"]), at(0));
+    assert!(["a", "b", "c"].contains(&ordered[0].as_str()));
+    assert!(["x", "y"].contains(&ordered[1].as_str()));
+    assert_eq!(ordered.len(), MAX_PEERS);
 }
 
 #[test]
 fn peers_take_turns_and_failed_ones_come_last() {
     let mut paths = TargetPaths::default();
     let first = |paths: &mut TargetPaths, now| {
-        let plan = paths.plan("t-1", peers(&["a", "b", "c"], &[]), TIMEOUT, now);
-        plan.peers[0].clone()
+        paths.order_peers(peers(&["a", "b", "c"], &[]), now)[0].clone()
     };
     let mut seen: Vec<VmId> = (0..3).map(|_| first(&mut paths, at(0))).collect();
     seen.sort();
--- a/crates/almondcroft-gateway/src/target_connect.rs
+++ b/crates/almondcroft-gateway/src/target_connect.rs
@@ -7,7 +7,7 @@
 use crate::runtime::within;
 use crate::state::{Gateway, lock};
 use crate::tunnel::{self, TunnelRequest};
-use almondcroft_core::gateway::Choice;
+use almondcroft_core::gateway::{Choice, PEER_DELAY};
 use almondcroft_core::{TargetId, Timestamp, VmId};
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
@@ -47,22 +47,24 @@
     let started_at = clock::now();
     let timeout = timeout.min(CONNECT_TIMEOUT);
     let end = started_at + timeout;
-    let peers = gateway.tunnel_peers(started_at);
-    let plan = lock(&gateway.target_paths).plan(destination.target, peers, timeout, started_at);
-    let mut peers = plan.peers.into_iter();
+    let tunnel_delay =
+        lock(&gateway.target_paths).tunnel_delay(destination.target, timeout, started_at);
     let mut attempts = vec![direct(destination.address, timeout)];
-    let mut next_at = Some(started_at + plan.tunnel_delay);
+    let mut next_at = Some(started_at + tunnel_delay);
+    // Most connections open directly, so the peers are not listed before one is needed.
+    let mut peers = None;
     let mut direct_error = None;
     loop {
         let now = clock::now();
         if next_at.is_some_and(|at| at <= now) {
-            match peers.next() {
+            let peers = peers.get_or_insert_with(|| order_peers(gateway, now).into_iter());
+            next_at = match peers.next() {
                 Some(vm) => {
                     attempts.extend(through(gateway, vm, destination, end.saturating_sub(now)));
-                    next_at = Some(now + plan.peer_delay);
+                    Some(now + PEER_DELAY)
                 }
-                None => next_at = None,
-            }
+                None => None,
+            };
             continue;
         }
         if attempts.is_empty() || now >= end {
@@ -112,6 +114,12 @@
     connect(gateway, destination, timeout).await.is_ok()
 }
 
+/// Lists the peers to ask for a tunnel.
+fn order_peers(gateway: &Gateway, now: Timestamp) -> Vec<VmId> {
+    let peers = gateway.tunnel_peers(now);
+    lock(&gateway.target_paths).order_peers(peers, now)
+}
+
 fn direct<'a>(address: SocketAddr, timeout: Duration) -> Attempt<'a> {
     Box::pin(async move {
         Outcome {
