refactor(fleet): what a target states stands in one struct

The statements of a target (back-off, limit, share, refusal limit) were four fields, which a new target, a new incarnation, a removal and a restoration each listed again, and their retention of 30 s stood in three constants. TargetStatements holds them now, with one retention.

--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -17,6 +17,7 @@
 mod refusal_limit;
 mod retained_statements;
 mod target_state;
+mod target_statements;
 
 pub use choice::Choice;
 pub use demand::{Demand, Need};
@@ -173,10 +174,7 @@
             state.update_entry(entry);
         } else {
             let statements = self.take_statements(&entry.id, entry.incarnation);
-            let mut state = TargetState::new(entry);
-            if let Some(statements) = statements {
-                state.restore_statements(&statements);
-            }
+            let state = TargetState::new(entry, statements);
             self.targets.insert(state.entry.id.clone(), state);
         }
         self.place_waiting(&service, now)
@@ -196,7 +194,7 @@
     pub fn remove_target(&mut self, target: &str, now: Timestamp) -> Vec<RequestId> {
         let running = self.mark_leaving(target, now);
         if running.is_empty() {
-            self.retain_targets(|state| state.entry.id != target);
+            self.remove_state(target);
         } else if let Some(state) = self.targets.get_mut(target) {
             // No further event of the target will arrive. Clearing `draining` lets `tick` remove it
             // after its last request ends.
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -85,12 +85,12 @@
         let mut best: Option<(f64, f64, &TargetState, f64)> = None;
         let token_time = mean_token_time(eligible.iter().copied()).unwrap_or_default();
         for state in eligible {
-            let load = self.estimate_load(state, now);
-            let fill = fill_fraction(state.refusal_limit, now);
             let slots = engine.map_or(state.entry.slots, |engine| engine.slots);
             if !self.has_dealt_slot(state, slots, now) {
                 continue;
             }
+            let fill = fill_fraction(state.statements.refusal_limit, now);
+            let load = self.estimate_load(state, now);
             let load_cost = match engine {
                 Some(engine) => self.engine_cost(engine, &load, demand, headroom * fill),
                 None => self.plain_cost(state, &load),
--- a/crates/almondcroft-core/src/gateway/fleet/limit_statement.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/limit_statement.rs
@@ -1,5 +1,6 @@
 //! What a target states about the requests that it takes.
 
+use super::target_statements::STATEMENT_RETENTION;
 use crate::{TargetId, Timestamp};
 use std::time::Duration;
 
@@ -22,3 +23,9 @@
     pub(super) per_second: Option<f64>,
     pub(super) at: Timestamp,
 }
+
+impl LastStatement {
+    pub(super) fn holds(&self, now: Timestamp) -> bool {
+        now < self.at + STATEMENT_RETENTION
+    }
+}
--- a/crates/almondcroft-core/src/gateway/fleet/limits.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/limits.rs
@@ -20,9 +20,6 @@
 /// VMs that share a limit beyond one for each request a second.
 const EXTRA_SHARES: usize = 3;
 
-/// Time after which a statement that was not repeated no longer holds.
-const STATEMENT_RETENTION: Duration = Duration::from_secs(30);
-
 /// Time for which VMs tell each other that a target states no limit any more.
 const END_SHARING_TIME: Duration = Duration::from_secs(10);
 
@@ -43,11 +40,11 @@
         };
         // Peers exchange thousandths.
         let per_second = per_second.map(|limit| (limit * 1_000.0).round() / 1_000.0);
-        let known = state.last_statement.and_then(|last| last.per_second);
+        let known = state.statements.last_limit.and_then(|last| last.per_second);
         if per_second.is_none() && known.is_none() {
             return false;
         }
-        state.last_statement = Some(LastStatement {
+        state.statements.last_limit = Some(LastStatement {
             per_second,
             at: now,
         });
@@ -65,7 +62,7 @@
             let Some(state) = self.targets.get_mut(&statement.target) else {
                 continue;
             };
-            let known = state.last_statement;
+            let known = state.statements.last_limit;
             let is_news = match known {
                 None => statement.per_second.is_some(),
                 Some(known) if known.per_second == statement.per_second => {
@@ -74,7 +71,7 @@
                 Some(known) => at > known.at,
             };
             if is_news && state.entry.incarnation == statement.incarnation {
-                state.last_statement = Some(LastStatement {
+                state.statements.last_limit = Some(LastStatement {
                     per_second: statement.per_second,
                     at,
                 });
@@ -89,7 +86,7 @@
     #[must_use]
     pub fn stated_limits(&self, now: Timestamp) -> Vec<LimitStatement> {
         let statement = |(id, state): (&TargetId, &TargetState)| {
-            let last = state.last_statement?;
+            let last = state.statements.last_limit?;
             let age = now.saturating_sub(last.at);
             let is_shared = last.per_second.is_some() || age < END_SHARING_TIME;
             is_shared.then(|| LimitStatement {
@@ -107,7 +104,7 @@
         let limited: Vec<TargetId> = self
             .targets
             .iter()
-            .filter(|(_, state)| state.last_statement.is_some())
+            .filter(|(_, state)| state.statements.last_limit.is_some())
             .map(|(id, _)| id.clone())
             .collect();
         for target in limited {
@@ -119,23 +116,26 @@
         let last = self
             .targets
             .get(target)
-            .and_then(|state| state.last_statement);
-        let last = last.filter(|last| now < last.at + STATEMENT_RETENTION);
+            .and_then(|state| state.statements.last_limit);
+        let last = last.filter(|last| last.holds(now));
         let limit = last.and_then(|last| last.per_second);
         let rate = limit.map(|limit| self.limit_share(target, limit.max(MIN_PER_SECOND)));
         let seed = stable_hash((&self.vm, target));
         let Some(state) = self.targets.get_mut(target) else {
             return;
         };
-        state.last_statement = last;
+        state.statements.last_limit = last;
         let Some(rate) = rate else {
-            state.limiter = None;
+            state.statements.limiter = None;
             return;
         };
         // Shares start at different fractions of a token, so that VMs do not send at the same time.
         let fraction = f64::from(u16::try_from(split_mix(seed, 0) >> 48).unwrap_or_default())
             / f64::from(u16::MAX);
-        let limiter = state.limiter.get_or_insert(RateLimiter::new(fraction, now));
+        let limiter = state
+            .statements
+            .limiter
+            .get_or_insert(RateLimiter::new(fraction, now));
         limiter.set_rate(rate, now);
     }
 
@@ -192,7 +192,8 @@
             .targets
             .values()
             .filter(|state| state.entry.service == service && !state.leaving);
-        let limiters: Option<Vec<RateLimiter>> = usable.map(|state| state.limiter).collect();
+        let limiters: Option<Vec<RateLimiter>> =
+            usable.map(|state| state.statements.limiter).collect();
         match limiters {
             None => Some(Duration::ZERO),
             Some(limiters) if limiters.is_empty() => Some(Duration::ZERO),
--- a/crates/almondcroft-core/src/gateway/fleet/refusal_limit.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/refusal_limit.rs
@@ -7,6 +7,7 @@
 //! finds no place waits at the VM, or is refused at once.
 
 use super::target_state::TargetState;
+use super::target_statements::STATEMENT_RETENTION;
 use super::{Fleet, stable_hash};
 use crate::Timestamp;
 use crate::gateway::number::floor_to_usize;
@@ -24,9 +25,6 @@
 /// Longest time for which a VM keeps away after a refusal.
 const MAX_REFUSAL_BACKOFF: Duration = Duration::from_secs(10);
 
-/// Time after which a statement that was not repeated no longer holds.
-const STATEMENT_RETENTION: Duration = Duration::from_secs(30);
-
 /// The last statement of a target.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RefusalLimit {
@@ -63,7 +61,11 @@
     /// A VM that got no slot of any target of the service uses one of a single target, which the slots that
     /// are not dealt make room for.
     pub(super) fn has_dealt_slot(&self, state: &TargetState, slots: u32, now: Timestamp) -> bool {
-        if !state.refusal_limit.is_some_and(|limit| limit.holds(now)) {
+        if !state
+            .statements
+            .refusal_limit
+            .is_some_and(|limit| limit.holds(now))
+        {
             return true;
         }
         let own = self.dealt_slots(state, slots);
@@ -93,8 +95,8 @@
         let Some(state) = self.targets.get_mut(target) else {
             return false;
         };
-        let known = state.refusal_limit.map(|limit| limit.per_second);
-        state.refusal_limit = per_second.map(|per_second| RefusalLimit {
+        let known = state.statements.refusal_limit.map(|limit| limit.per_second);
+        state.statements.refusal_limit = per_second.map(|per_second| RefusalLimit {
             per_second,
             stated_at: now,
         });
--- a/crates/almondcroft-core/src/gateway/fleet/retained_statements.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/retained_statements.rs
@@ -4,44 +4,24 @@
 //! were lost. What the target asked for still binds then, as long as its incarnation is the same.
 
 use super::Fleet;
-use super::limit_statement::LastStatement;
-use super::rate_limiter::RateLimiter;
-use super::refusal_limit::RefusalLimit;
 use super::target_state::TargetState;
+use super::target_statements::TargetStatements;
 use crate::{TargetId, Timestamp};
-use std::time::Duration;
 
-/// Time for which a statement without an end of its own is kept.
-const RETENTION: Duration = Duration::from_secs(30);
-
-/// The statements of one incarnation of a target.
+/// The statements of a removed target, with its incarnation.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RetainedStatements {
     incarnation: u64,
-    pub(super) requested_backoff: Timestamp,
-    pub(super) last_statement: Option<LastStatement>,
-    pub(super) limiter: Option<RateLimiter>,
-    pub(super) refusal_limit: Option<RefusalLimit>,
+    statements: TargetStatements,
 }
 
-impl RetainedStatements {
-    fn of(state: &TargetState) -> Self {
+impl From<&TargetState> for RetainedStatements {
+    fn from(state: &TargetState) -> Self {
         Self {
             incarnation: state.entry.incarnation,
-            requested_backoff: state.requested_backoff(),
-            last_statement: state.last_statement,
-            limiter: state.limiter,
-            refusal_limit: state.refusal_limit,
+            statements: state.statements,
         }
     }
-
-    fn binds(&self, now: Timestamp) -> bool {
-        let has_limit = self
-            .last_statement
-            .is_some_and(|last| now < last.at + RETENTION);
-        let has_refusal_limit = self.refusal_limit.is_some_and(|limit| limit.holds(now));
-        now < self.requested_backoff || has_limit || has_refusal_limit
-    }
 }
 
 impl Fleet {
@@ -50,22 +30,32 @@
         let removed = self.targets.extract_if(.., |_, state| !keep(state));
         for (target, state) in removed {
             self.retained_statements
-                .insert(target, RetainedStatements::of(&state));
+                .insert(target, RetainedStatements::from(&state));
+        }
+    }
+
+    /// Removes one target, and retains what it stated.
+    pub(super) fn remove_state(&mut self, target: &str) {
+        if let Some((target, state)) = self.targets.remove_entry(target) {
+            self.retained_statements
+                .insert(target, RetainedStatements::from(&state));
         }
     }
 
-    /// Returns what the present incarnation of a new target stated before its entry disappeared.
+    /// Returns what the present incarnation of a new target stated before its entry disappeared, if it
+    /// did.
     pub(super) fn take_statements(
         &mut self,
         target: &TargetId,
         incarnation: u64,
-    ) -> Option<RetainedStatements> {
-        let retained = self.retained_statements.remove(target)?;
-        (retained.incarnation == incarnation).then_some(retained)
+    ) -> TargetStatements {
+        let retained = self.retained_statements.remove(target);
+        let retained = retained.filter(|retained| retained.incarnation == incarnation);
+        retained.map_or_else(TargetStatements::default, |retained| retained.statements)
     }
 
     pub(super) fn expire_statements(&mut self, now: Timestamp) {
         self.retained_statements
-            .retain(|_, statements| statements.binds(now));
+            .retain(|_, retained| retained.statements.binds(now));
     }
 }
--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -1,9 +1,6 @@
 //! State of one target: its requests in flight, recent failures and back-off.
 
-use super::limit_statement::LastStatement;
-use super::rate_limiter::RateLimiter;
-use super::refusal_limit::RefusalLimit;
-use super::retained_statements::RetainedStatements;
+use super::target_statements::TargetStatements;
 use super::{Demand, PeerLoad};
 use crate::gateway::TargetEntry;
 use crate::{RequestId, Timestamp};
@@ -120,20 +117,14 @@
     pub(super) token_time: Option<Duration>,
     hard_failures: u32,
     backoff_until: Timestamp,
-    /// End of the time for which the target asked for no requests.
-    requested_backoff: Timestamp,
-    /// What the target last stated about the requests a second that it takes.
-    pub(super) last_statement: Option<LastStatement>,
-    /// This VM's share of the limit that the target states.
-    pub(super) limiter: Option<RateLimiter>,
-    /// What the target last stated about the requests that it can turn away.
-    pub(super) refusal_limit: Option<RefusalLimit>,
+    /// What its present incarnation stated about itself.
+    pub(super) statements: TargetStatements,
     /// Requests that do not belong to this VM, and when the target reported them.
     reported_load: Option<(f64, Timestamp)>,
 }
 
 impl TargetState {
-    pub(super) const fn new(entry: TargetEntry) -> Self {
+    pub(super) const fn new(entry: TargetEntry, statements: TargetStatements) -> Self {
         Self {
             leaving: entry.draining,
             noticed_at: None,
@@ -145,45 +136,34 @@
             token_time: None,
             hard_failures: 0,
             backoff_until: Timestamp::ZERO,
-            requested_backoff: Timestamp::ZERO,
-            last_statement: None,
-            limiter: None,
-            refusal_limit: None,
+            statements,
             reported_load: None,
         }
     }
 
-    /// Applies what this incarnation stated before its entry disappeared.
-    pub(super) const fn restore_statements(&mut self, statements: &RetainedStatements) {
-        self.requested_backoff = statements.requested_backoff;
-        self.last_statement = statements.last_statement;
-        self.limiter = statements.limiter;
-        self.refusal_limit = statements.refusal_limit;
-    }
-
     pub(super) fn update_entry(&mut self, entry: TargetEntry) {
         self.leaving = entry.draining;
         self.noticed_at = self.noticed_at.filter(|_| entry.draining);
         if self.entry.incarnation != entry.incarnation {
-            self.requested_backoff = Timestamp::ZERO;
-            self.last_statement = None;
-            self.limiter = None;
-            self.refusal_limit = None;
+            self.statements = TargetStatements::default();
         }
         self.entry = entry;
     }
 
     pub(super) fn accepts_requests(&self, now: Timestamp) -> bool {
-        let is_within_limit = self.limiter.is_none_or(|limiter| limiter.permits(now));
+        let is_within_limit = self
+            .statements
+            .limiter
+            .is_none_or(|limiter| limiter.permits(now));
         !self.leaving
             && now >= self.backoff_until
-            && now >= self.requested_backoff
+            && now >= self.statements.requested_backoff
             && is_within_limit
     }
 
     /// Returns the end of the time for which the target asked for no requests.
     pub(super) const fn requested_backoff(&self) -> Timestamp {
-        self.requested_backoff
+        self.statements.requested_backoff
     }
 
     /// Sums up this VM's requests and copies at the target.
@@ -224,7 +204,7 @@
 
     /// Takes a token for a request that is sent here, if the target states a limit.
     fn take_token(&mut self, now: Timestamp) {
-        if let Some(limiter) = &mut self.limiter {
+        if let Some(limiter) = &mut self.statements.limiter {
             limiter.take(now);
         }
     }
@@ -335,12 +315,15 @@
     /// Records that the target asked for no requests for a time.
     pub(super) fn record_requested_backoff(&mut self, time: Duration, now: Timestamp) {
         let until = now + time.min(MAX_REQUESTED_BACKOFF);
-        self.requested_backoff = self.requested_backoff.max(until);
+        self.statements.requested_backoff = self.statements.requested_backoff.max(until);
     }
 
     /// Records that the target had no room for a request of one of a number of VMs.
     pub(super) fn record_refusal(&mut self, vm_count: usize, now: Timestamp) {
-        let limit = self.refusal_limit.filter(|limit| limit.holds(now));
+        let limit = self
+            .statements
+            .refusal_limit
+            .filter(|limit| limit.holds(now));
         let backoff = limit.map_or(REFUSAL_BACKOFF, |limit| {
             limit.backoff(vm_count).max(REFUSAL_BACKOFF)
         });
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -47,6 +47,21 @@
     fleet
 }
 
+/// Lets each VM apply the snapshots of all others.
+fn exchange_snapshots(fleets: &mut [Fleet], now: Timestamp) {
+    let snapshots: Vec<(VmId, PeerSnapshot)> = fleets
+        .iter()
+        .map(|fleet| (fleet.vm.clone(), fleet.local_snapshot(now)))
+        .collect();
+    for fleet in fleets {
+        for (vm, snapshot) in &snapshots {
+            if *vm != fleet.vm {
+                fleet.apply_snapshot(vm.clone(), snapshot.clone());
+            }
+        }
+    }
+}
+
 fn generation(id: &str) -> Demand {
     Demand {
         id: id.into(),
--- a/crates/almondcroft-core/src/gateway/fleet/tests/limit.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/limit.rs
@@ -36,22 +36,13 @@
     }
 
     fn exchange(&mut self) {
-        let snapshots: Vec<(VmId, PeerSnapshot)> = self
-            .fleets
-            .iter()
-            .map(|fleet| (fleet.vm.clone(), fleet.local_snapshot(self.now)))
-            .collect();
+        exchange_snapshots(&mut self.fleets, self.now);
         let statements: Vec<_> = self
             .fleets
             .iter()
             .map(|fleet| fleet.stated_limits(self.now))
             .collect();
         for fleet in &mut self.fleets {
-            for (vm, snapshot) in &snapshots {
-                if *vm != fleet.vm {
-                    fleet.apply_snapshot(vm.clone(), snapshot.clone());
-                }
-            }
             for stated in &statements {
                 fleet.merge_stated_limits(stated, self.now);
             }
--- a/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
@@ -44,18 +44,7 @@
     }
 
     fn exchange(&mut self) {
-        let snapshots: Vec<(VmId, PeerSnapshot)> = self
-            .fleets
-            .iter()
-            .map(|fleet| (fleet.vm.clone(), fleet.local_snapshot(self.now)))
-            .collect();
-        for fleet in &mut self.fleets {
-            for (vm, snapshot) in &snapshots {
-                if *vm != fleet.vm {
-                    fleet.apply_snapshot(vm.clone(), snapshot.clone());
-                }
-            }
-        }
+        exchange_snapshots(&mut self.fleets, self.now);
     }
 
     /// Submits a number of requests per VM and second, for a time.
