feat(gateway): logs show what the end of a process cut, and why a generation was moved

The incident's hypotheses could not be told apart: requests that the end of the process cut had no line, copies did not say whether a silence or a leave notice caused them, and no line had the time left. Added: outcome=cut, phase and left_ms of request lines, reason of copy lines, the event silence with reached (in place of target-fault kind=silent), almondcroft_silences_total.

--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 use almondcroft_core::gateway::{Choice, Demand, ExtraSend, HedgePolicy, Need, Placement};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::ResponseHead;
+use futures_lite::future::or;
 use hedge::TargetSend;
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,7 +87,15 @@
                 run_count: 0,
                 send_count: 0,
             };
-            dispatch.run().await
+            let ended = async {
+                gateway.lifecycle.wait_for_end().await;
+                None
+            };
+            let handled = or(async { Some(dispatch.run().await) }, ended).await;
+            handled.unwrap_or_else(|| {
+                dispatch.request_log.log_end(0, "cut");
+                false
+            })
         }
         Err(rejection) => {
             let id = rejection.id.clone();
--- a/crates/almondcroft-gateway/src/dispatch/request_log.rs
+++ b/crates/almondcroft-gateway/src/dispatch/request_log.rs
@@ -23,11 +23,14 @@
     order: Order,
     revision: Revision,
     received_at: Timestamp,
+    deadline: Timestamp,
     latency_objective: Duration,
     gap_objective: Option<Duration>,
     times: Times,
     last_progress: Option<Timestamp>,
     target: Option<TargetId>,
+    /// Whether a target has the request and has not failed it.
+    is_sent: bool,
     send_count: u32,
     pub(crate) event_count: u64,
     ended: bool,
@@ -43,11 +46,13 @@
             order: call.order,
             revision: gateway.config().map_or(0, |config| config.revision),
             received_at: call.received_at,
+            deadline: call.deadline(),
             latency_objective: call.route.latency_objective,
             gap_objective: call.route.gap_objective,
             times: Times::default(),
             last_progress: None,
             target: None,
+            is_sent: false,
             send_count: 0,
             event_count: 0,
             ended: false,
@@ -62,6 +67,7 @@
     /// Logs that the request is sent to a target.
     pub(crate) fn log_send(&mut self, choice: &Choice, backup: Option<&Choice>, now: Timestamp) {
         self.send_count += 1;
+        self.is_sent = true;
         self.target = Some(choice.target.clone());
         log::info!(event = "dispatch", request = self.external_id.as_str(),
             customer = self.customer.as_str(), class = self.route.as_str(),
@@ -73,12 +79,20 @@
     }
 
     /// Logs that a target failed the request.
-    pub(crate) fn log_fault(&self, target: &TargetId, kind: &str, verdict: Verdict) {
+    pub(crate) fn log_fault(&mut self, target: &TargetId, kind: &str, verdict: Verdict) {
+        self.is_sent = false;
         log::info!(event = "target-fault", request = self.external_id.as_str(),
             target_id = target.as_str(), kind = kind, verdict = verdict.as_str(),
             events = self.event_count; "");
     }
 
+    /// Logs that a target sent no event for a while, and whether it accepts connections.
+    pub(crate) fn log_silence(&self, target: &TargetId, reached: bool) {
+        self.gateway.metrics.count_silence(reached);
+        log::info!(event = "silence", request = self.external_id.as_str(),
+            target_id = target.as_str(), reached = reached, events = self.event_count; "");
+    }
+
     /// Logs the end of a body if it has neither length nor chunks, so that it ended with its connection.
     ///
     /// `rest_bytes` is the size of an incomplete event at its end.
@@ -108,7 +122,8 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        let elapsed = clock::now().saturating_sub(self.received_at);
+        let now = clock::now();
+        let elapsed = now.saturating_sub(self.received_at);
         if status < 400 && status > 0 {
             self.times.completion = Some(elapsed);
         }
@@ -120,12 +135,23 @@
             customer = self.customer.as_str(), class = self.route.as_str(),
             order = self.order.id().as_str(), prompt = self.order.prompt, output = self.order.output,
             status = status,
-            outcome = outcome, target_id = self.target.as_deref().unwrap_or("-"),
+            outcome = outcome, phase = self.phase(), target_id = self.target.as_deref().unwrap_or("-"),
             sends = self.send_count, events = self.event_count,
             wait_ms = millis(self.times.queue_wait.unwrap_or_default()),
             first_ms = millis(self.times.first_byte.unwrap_or_default()),
             gap_ms = millis(self.times.longest_gap.unwrap_or_default()), took_ms = millis(elapsed),
-            late = self.missed_objectives(elapsed); "");
+            left_ms = millis(self.deadline.saturating_sub(now)), late = self.missed_objectives(elapsed); "");
+    }
+
+    /// Returns what the request was waiting for, as logged.
+    const fn phase(&self) -> &'static str {
+        if self.times.first_byte.is_some() {
+            "responding"
+        } else if self.is_sent {
+            "sent"
+        } else {
+            "waiting"
+        }
     }
 
     /// Returns which latency objectives a response missed, as logged.
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Counts of open requests and connections, and the state of a graceful shutdown.
 
 use almondcroft_core::Timestamp;
+use async_channel::{Receiver, Sender, bounded};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,9 +14,31 @@
     connections: AtomicUsize,
     body_bytes: AtomicUsize,
     tunnels: AtomicUsize,
+    end: EndSignal,
+}
+
+/// A channel that closes once the process no longer waits for open requests.
+#[derive(Debug)]
+struct EndSignal(Sender<()>, Receiver<()>);
+
+impl Default for EndSignal {
+    fn default() -> Self {
+        let (sender, receiver) = bounded(1);
+        Self(sender, receiver)
+    }
 }
 
 impl Lifecycle {
+    /// Records that the process no longer waits for open requests.
+    pub(crate) fn signal_end(&self) {
+        self.end.0.close();
+    }
+
+    /// Waits until the process no longer waits for open requests.
+    pub(crate) async fn wait_for_end(&self) {
+        while self.end.1.recv().await.is_ok() {}
+    }
+
     pub(crate) fn start_drain(&self, now: Timestamp) {
         self.drain_started().get_or_insert(now);
     }
--- a/crates/almondcroft-gateway/src/metrics.rs
+++ b/crates/almondcroft-gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     migrations: IntCounterVec,
     evacuations: IntCounterVec,
     hedges: IntCounterVec,
+    silences: IntCounterVec,
     pub(crate) waiting: IntGauge,
     pub(crate) running: IntGauge,
     pub(crate) connections: IntGauge,
@@ -57,6 +58,12 @@
                 "Second runs of slow requests, by the send whose response was used",
                 "used",
             ),
+            silences: counter(
+                &registry,
+                "silences_total",
+                "Streams without an event for a while, by whether the target accepts connections",
+                "reached",
+            ),
             evacuations: counter(
                 &registry,
                 "evacuations_total",
@@ -95,6 +102,11 @@
         self.hedges.with_label_values(&[used]).inc();
     }
 
+    pub(crate) fn count_silence(&self, reached: bool) {
+        let label = if reached { "true" } else { "false" };
+        self.silences.with_label_values(&[label]).inc();
+    }
+
     pub(crate) fn count_evacuation(&self, phase: &str) {
         self.evacuations.with_label_values(&[phase]).inc();
     }
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -53,6 +53,25 @@
     pub(crate) handle: SmolStr,
 }
 
+/// Why a generation is migrated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MigrationReason {
+    /// Its target is leaving.
+    Leave,
+    /// Its target sends no events; it may have preempted the generation.
+    Silence,
+}
+
+impl MigrationReason {
+    /// Returns the form used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leave => "leave",
+            Self::Silence => "silence",
+        }
+    }
+}
+
 /// Starts the migration of a generation.
 ///
 /// The result arrives once the source has stopped or the migration has failed. Returns `None` if
@@ -62,6 +81,7 @@
     call: &Arc<Call>,
     request: &RequestId,
     source: &Choice,
+    reason: MigrationReason,
 ) -> Option<Receiver<Option<Migrated>>> {
     let config = gateway.config()?;
     let engine = config.pools.get(&call.service)?.engine.as_ref()?;
@@ -74,6 +94,7 @@
         call: Arc::clone(call),
         request: request.clone(),
         source: source.clone(),
+        reason,
     };
     spawn(async move {
         let result = migration.run().await;
@@ -98,6 +119,7 @@
     call: Arc<Call>,
     request: RequestId,
     source: Choice,
+    reason: MigrationReason,
 }
 
 impl Migration {
@@ -264,7 +286,7 @@
         log::info!(event = "copy", request = self.call.external_id(),
             from = self.source.target.as_str(),
             target_id = target.map_or("-", |choice| choice.target.as_str()), part = phase, outcome = outcome,
-            tokens = self.resident_tokens(), beside = target.map_or(0, |choice| choice.request_count),
+            reason = self.reason.as_str(), tokens = self.resident_tokens(), beside = target.map_or(0, |choice| choice.request_count),
             took_ms = millis(elapsed); "");
     }
 }
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -122,6 +122,7 @@
         self.wait_until_idle(started_at).await;
         log::info!(event = "stopped", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
+        lifecycle.signal_end();
     }
 
     /// Waits until the shutdown has lasted its minimum time and nothing is open, or the grace period is
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -108,7 +108,7 @@
         &mut self,
         run: &TargetRun,
         error: SendError,
-        request_log: &RequestLog,
+        request_log: &mut RequestLog,
     ) {
         request_log.log_fault(&self.choice.target, error.kind, error.verdict);
         lock(&self.gateway.fleet).record_failure(&self.choice.target, true, clock::now());
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::{RequestLog, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
-use crate::migration::{self, Migrated};
+use crate::migration::{self, Migrated, MigrationReason};
 use crate::runtime::within;
 use crate::state::lock;
 use crate::target_connect;
@@ -54,7 +54,7 @@
         if switched {
             self.gateway.metrics.count_migration("switched");
         } else {
-            self.start_migration();
+            self.start_migration(MigrationReason::Leave);
         }
     }
 
@@ -81,12 +81,12 @@
     /// closed. So the stream stays open: a target that accepts a connection is asked to migrate the
     /// generation, and one that does not is abandoned only once another engine has resumed it.
     pub(super) async fn probe_target(&mut self, request_log: &mut RequestLog) {
-        request_log.log_fault(&self.choice.target, "silent", Verdict::MayHaveRun);
         let request = self.call.external_id();
         let reached =
             target_connect::is_reached(self.gateway, &self.choice, request, PROBE_TIMEOUT).await;
+        request_log.log_silence(&self.choice.target, reached);
         if reached {
-            self.start_migration();
+            self.start_migration(MigrationReason::Silence);
         } else if let Some((choice, copy)) = self.backup_copy()
             && self
                 .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
@@ -96,10 +96,11 @@
         }
     }
 
-    pub(super) fn start_migration(&mut self) {
+    pub(super) fn start_migration(&mut self, reason: MigrationReason) {
         if self.migration.is_none() {
+            let request = &self.placement_id;
             self.migration =
-                migration::start(self.gateway, self.call, &self.placement_id, &self.choice);
+                migration::start(self.gateway, self.call, request, &self.choice, reason);
         }
     }
 
@@ -235,7 +236,7 @@
         self.choice = choice.clone();
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
-            self.start_migration();
+            self.start_migration(MigrationReason::Leave);
         }
         true
     }
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -123,6 +123,7 @@
         ("answered", status) if status >= "400" => Cause::TargetFailed,
         ("answered", _) => late_cause(request_lines, end),
         ("caller-gone", _) => Cause::CallerGone,
+        ("cut", _) => Cause::VmEnded,
         ("timeout" | "target-timeout", _) => Cause::TargetTimeout,
         ("broken-off" | "broken", _) => broken_off_cause(request_lines),
         ("closed" | "reset" | "unsigned" | "garbled" | "too-large" | "truncated", _) => {
