fix(relay): a stream that ends before its first event is answered with 502 or 504

Callers saw their connection close without any answer when a target sent the head of a response, no event, and then broke off or stayed silent until the deadline: the relay ended such a stream like one that had begun, unless the request may be repeated.

--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -62,7 +62,7 @@
     Complete,
     /// The caller received a part of the stream, or has left.
     Incomplete,
-    /// The stream of a request that may be repeated broke off before its first event, for this reason.
+    /// The stream ended before its first event, for this reason; the caller has received nothing.
     Unstarted(&'static str),
 }
 
@@ -196,6 +196,9 @@
                     Some("stopped")
                 }
                 Step::TimedOut => {
+                    if !writer.has_started() {
+                        return RelayEnd::Unstarted("timeout");
+                    }
                     request_log.log_end(0, "timeout");
                     return RelayEnd::Incomplete;
                 }
@@ -203,15 +206,14 @@
             if let Some(reason) = broken
                 && !self.recover_stream(request_log, reason).await
             {
-                let started = writer.has_started();
-                if !started && self.call.may_repeat() {
+                if !writer.has_started() {
                     return RelayEnd::Unstarted(reason);
                 }
                 if self.restart_stream(request_log).await {
                     continue;
                 }
                 self.gateway.metrics.count_migration("lost");
-                request_log.log_end(0, if started { "broken-off" } else { "broken" });
+                request_log.log_end(0, "broken-off");
                 return RelayEnd::Incomplete;
             }
         }
