fix(migration): a generation is not stopped for a silence that is over, nor without a send to resume it

Callers saw streams end without their last part, around SIGTERM and beside configuration changes, while sound engines fell silent for a second. Cause: a generation without an event for a second is moved off its engine, as if the engine had preempted it. The copy calls are answered once the silence is over, and the last one stopped the generation although its events flowed again; only then was the retry budget asked for its resumption. With many engines silent at once, the budget did not permit all, and those generations were lost.

The migration now waits 150 ms for an event before the last copy and leaves the generation where it is if one has arrived, and it charges the retry budget before the generation is stopped. While an engine leaves, it asks again until time is short.

--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -12,12 +12,13 @@
 use crate::runtime::{sleep, spawn, within};
 use crate::state::{Gateway, lock};
 use crate::target_connect::Destination;
-use almondcroft_core::gateway::{Choice, Fleet};
+use almondcroft_core::gateway::{Choice, ExtraSend, Fleet};
 use almondcroft_core::{RequestId, Timestamp};
 use async_channel::{Receiver, bounded};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Timeout of one copy; the copies of several generations queue on a link.
@@ -43,10 +44,16 @@
 /// Targets announce a shutdown at least 1.5 s ahead.
 const STOP_DEADLINE: Duration = Duration::from_millis(1_100);
 
+/// Time for a target that answers copy calls to send an event of a generation that it runs; without one in this
+/// time it has preempted the generation.
+const EVENT_TIME: Duration = Duration::from_millis(150);
+
 /// Maximum size of a response to a copy call, in bytes.
 const MAX_RESPONSE_BODY: usize = 64 * 1024;
 
 /// The destination of a migrated generation, and the handle of the copy from which it resumes.
+///
+/// The retry budget has been charged for one resumption.
 #[derive(Debug, Clone)]
 pub(crate) struct Migrated {
     pub(crate) target: Choice,
@@ -74,14 +81,15 @@
 
 /// Starts the migration of a generation.
 ///
-/// The result arrives once the source has stopped or the migration has failed. Returns `None` if
-/// the engines do not support migration.
+/// `events` counts the events that its stream has delivered. The result arrives once the source has stopped or the
+/// migration has failed. Returns `None` if the engines do not support migration.
 pub(crate) fn start(
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
     request: &RequestId,
     source: &Choice,
     reason: MigrationReason,
+    events: &Arc<AtomicU64>,
 ) -> Option<Receiver<Option<Migrated>>> {
     let config = gateway.config()?;
     let engine = config.pools.get(&call.service)?.engine.as_ref()?;
@@ -95,6 +103,8 @@
         request: request.clone(),
         source: source.clone(),
         reason,
+        events: Arc::clone(events),
+        events_before: events.load(Ordering::Relaxed),
     };
     spawn(async move {
         let result = migration.run().await;
@@ -110,7 +120,7 @@
     Migrated(Migrated),
     /// The destination has no room.
     NoRoom,
-    /// The source does not know the generation or is gone.
+    /// The source does not know the generation, is gone or goes on, or the generation could not be resumed.
     Failed,
 }
 
@@ -120,6 +130,9 @@
     request: RequestId,
     source: Choice,
     reason: MigrationReason,
+    events: Arc<AtomicU64>,
+    /// Number of events at the start of the migration.
+    events_before: u64,
 }
 
 impl Migration {
@@ -199,6 +212,11 @@
             }
         }
         let stop_started_at = clock::now();
+        if let Some(reason) = self.reason_to_stay(started_at).await {
+            self.log_copy("last", reason, Some(&target), stop_started_at);
+            return MigrationAttempt::Failed;
+        }
+        let stop_started_at = clock::now();
         let stopped = self.copy(target.address, true).await;
         self.log_copy(
             "last",
@@ -217,6 +235,36 @@
         }
     }
 
+    /// Returns why the generation must not be stopped at its source; otherwise charges the retry budget for its
+    /// resumption.
+    ///
+    /// A generation that was stopped and may not be resumed is lost.
+    async fn reason_to_stay(&self, started_at: Timestamp) -> Option<&'static str> {
+        if self.reason == MigrationReason::Silence {
+            sleep(EVENT_TIME).await;
+        }
+        let is_leaving = lock(&self.gateway.fleet).is_leaving(&self.source.target);
+        let is_silence = self.reason == MigrationReason::Silence && !is_leaving;
+        if is_silence && self.events.load(Ordering::Relaxed) != self.events_before {
+            return Some("resumed-by-itself");
+        }
+        loop {
+            let now = clock::now();
+            let request = self.call.external_id();
+            let service = &self.call.service;
+            if self
+                .gateway
+                .take_retry(ExtraSend::Resumption, service, request, now)
+            {
+                return None;
+            }
+            if is_silence || now > started_at + STOP_DEADLINE {
+                return Some("no-budget");
+            }
+            sleep(RETRY_DELAY).await;
+        }
+    }
+
     fn resident_tokens(&self) -> u32 {
         lock(&self.gateway.fleet).resident_tokens(&self.request)
     }
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use almondcroft_proto::http1::{EventSplitter, StreamEvent};
 use async_channel::Receiver;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Number of events between two progress reports to the fleet.
@@ -87,6 +88,8 @@
     has_events: bool,
     buffer: Vec<u8>,
     last_event: u64,
+    /// Number of events that arrived.
+    events: Arc<AtomicU64>,
     /// Time of the last event, or at which a target that sends none was probed.
     progress_at: Timestamp,
     leave_notice: Receiver<()>,
@@ -121,6 +124,7 @@
             has_events: false,
             buffer: Vec::new(),
             last_event: call.last_event().unwrap_or_default(),
+            events: Arc::default(),
             progress_at: clock::now(),
             leave_notice,
             leave_at: None,
@@ -305,6 +309,7 @@
         let mut bytes = Vec::new();
         for event in events {
             self.has_events = true;
+            self.events.fetch_add(1, Ordering::Relaxed);
             self.progress_at = clock::now();
             self.run.record_start();
             if let Some(id) = event.id {
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -46,8 +46,10 @@
         let backup_copy = self.backup_copy();
         let switched = match backup_copy {
             Some((choice, copy)) => {
-                self.resume(&choice, copy, SWITCH_TIMEOUT, request_log)
-                    .await
+                self.take_resumption()
+                    && self
+                        .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
+                        .await
             }
             None => false,
         };
@@ -88,6 +90,7 @@
         if reached {
             self.start_migration(MigrationReason::Silence);
         } else if let Some((choice, copy)) = self.backup_copy()
+            && self.take_resumption()
             && self
                 .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
                 .await
@@ -98,9 +101,14 @@
 
     pub(super) fn start_migration(&mut self, reason: MigrationReason) {
         if self.migration.is_none() {
-            let request = &self.placement_id;
-            self.migration =
-                migration::start(self.gateway, self.call, request, &self.choice, reason);
+            self.migration = migration::start(
+                self.gateway,
+                self.call,
+                &self.placement_id,
+                &self.choice,
+                reason,
+                &self.events,
+            );
         }
     }
 
@@ -126,7 +134,12 @@
                 request_log.event_count,
             );
         }
+        // The migration has charged the retry budget for one resumption.
+        let mut is_charged = migrated.is_some();
         for (choice, copy) in self.resume_options(migrated) {
+            if !std::mem::take(&mut is_charged) && !self.take_resumption() {
+                return false;
+            }
             if self
                 .resume(&choice, copy, RESUME_TIMEOUT, request_log)
                 .await
@@ -157,6 +170,16 @@
         options
     }
 
+    /// Charges the retry budget for a resumption; returns whether it permits one.
+    fn take_resumption(&self) -> bool {
+        self.gateway.take_retry(
+            ExtraSend::Resumption,
+            &self.call.service,
+            self.call.external_id(),
+            clock::now(),
+        )
+    }
+
     /// Resumes the generation at a target from a copy; returns whether it succeeded.
     ///
     /// The current stream is replaced only if the target resumes.
@@ -172,15 +195,6 @@
             request_log.log_fault(&choice.target, "part-quarantined", Verdict::NotRun);
             return false;
         };
-        if !self.gateway.take_retry(
-            ExtraSend::Resumption,
-            &self.call.service,
-            self.call.external_id(),
-            now,
-        ) {
-            run.record_not_run();
-            return false;
-        }
         let backup = lock(&self.gateway.fleet).choose_backup_target(&self.placement_id, now);
         let backup = backup.filter(|other| other.target != choice.target);
         let send = SendMeta {
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -157,6 +157,7 @@
     let last_copy = last("copy");
     match last_copy.map(|line| line.get("outcome")) {
         Some("no-destination" | "no-room") => Cause::NoDestination,
+        Some("resumed-by-itself") if !resume_failed => Cause::ConnectionLost,
         _ if resume_failed => Cause::CopyMissing,
         Some(_) => Cause::CopyTooLate,
         None if request_lines
