fix(shutdown): what a stopping VM accepts is answered before its process ends

Callers on kept connections saw them close without any answer 7.7 s after SIGTERM (grace period 8 s): plain calls and short streams were accepted until 6.4 s after SIGTERM with 0.8 s for their response, so a target that was silent for a second, or a wait for a place, made them outlast the process.

A request is now accepted only if its target may first be silent for 1.5 s (plain calls until 5.7 s after SIGTERM), this is checked again when it gets its place, and what is still open 0.3 s before the end of the grace period gets a final response: 503 if it was not sent, 504 if it may have run. A stream that has begun cannot be answered; it is logged as cut.

--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -3,14 +3,14 @@
 use super::Need;
 use std::time::Duration;
 
-/// Time before the end of the grace period by which responses must be complete.
-const COMPLETION_MARGIN: Duration = Duration::from_millis(800);
+/// Time before the end of the grace period by which responses must be complete; the process ends 0.3 s before it.
+const COMPLETION_MARGIN: Duration = Duration::from_millis(400);
 
 /// Time after the start of a shutdown by which the load balancer sends callers elsewhere.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Time for the response of a plain service or for the first token, with a wide margin.
-const RESPONSE_TIME: Duration = Duration::from_millis(800);
+/// Time for the response of a plain service or for the first token, of a target that is silent for 1.5 s before it.
+const RESPONSE_TIME: Duration = Duration::from_millis(1_900);
 
 /// Time per output token that is assumed while none is known.
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(14);
--- a/crates/almondcroft-core/src/gateway/shutdown/tests.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown/tests.rs
@@ -73,3 +73,21 @@
     assert!(admits(Some(Duration::from_millis(7))));
     assert!(!admits(Some(Duration::from_millis(12))));
 }
+
+#[test]
+fn admits_during_shutdown_only_what_ends_after_a_silence_of_its_target() {
+    const SILENCE: Duration = Duration::from_millis(1_500);
+    const PROCESS_END: Duration = Duration::from_millis(7_700);
+    for elapsed in (0..80).map(|tenth| Duration::from_millis(100) * tenth) {
+        for (output, token_time) in [(0, 0), (12, 14), (43, 14), (200, 7)] {
+            let token_time = Duration::from_millis(token_time);
+            let ends_at = elapsed + SILENCE + token_time * output;
+            let admitted =
+                admits_during_shutdown(need(output), output, Some(token_time), elapsed, GRACE);
+            assert!(
+                !admitted || ends_at < PROCESS_END,
+                "{output} tokens, {elapsed:?} after SIGTERM"
+            );
+        }
+    }
+}
--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -84,6 +84,11 @@
         self.started
     }
 
+    /// Ends the connection with this response, which says so unless it has started.
+    pub(crate) const fn close_after_response(&mut self) {
+        self.close = true;
+    }
+
     /// Sends a complete response.
     pub(crate) async fn send_response(
         &mut self,
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -86,16 +86,17 @@
                 avoid: Vec::new(),
                 run_count: 0,
                 send_count: 0,
+                is_in_flight: false,
             };
             let ended = async {
                 gateway.lifecycle.wait_for_end().await;
                 None
             };
             let handled = or(async { Some(dispatch.run().await) }, ended).await;
-            handled.unwrap_or_else(|| {
-                dispatch.request_log.log_end(0, "cut");
-                false
-            })
+            match handled {
+                Some(reusable) => reusable,
+                None => dispatch.end_with_process().await,
+            }
         }
         Err(rejection) => {
             let id = rejection.id.clone();
@@ -124,6 +125,8 @@
     /// Number of sends that the targets ran or may have run.
     run_count: u32,
     send_count: u32,
+    /// Whether a target may be running the request now.
+    is_in_flight: bool,
 }
 
 impl Dispatch<'_> {
@@ -145,6 +148,11 @@
                 // The configuration or an evacuation has excluded the target while the request waited.
                 continue;
             }
+            if let Some(retry_after) = admit::shutdown_refusal(self.gateway, &self.call) {
+                // It may have waited for its place since before the shutdown.
+                let reply = Reply::refused("stopping", retry_after);
+                return self.finish(last_response, reply).await;
+            }
             let run = match TargetRun::admit(self.gateway, &self.call, &target) {
                 Ok(run) => run,
                 Err(remaining) => {
@@ -152,7 +160,10 @@
                     return self.finish(last_response, reply).await;
                 }
             };
-            match self.attempt(placement_guard, choice, run).await {
+            self.is_in_flight = true;
+            let attempt = self.attempt(placement_guard, choice, run).await;
+            self.is_in_flight = false;
+            match attempt {
                 Attempt::Relayed(complete) => return complete,
                 Attempt::Response(head, body) => {
                     self.run_count += 1;
@@ -180,6 +191,23 @@
         }
     }
 
+    /// Answers a request that is open when the process is about to end; returns `false`, as the connection ends too.
+    async fn end_with_process(&mut self) -> bool {
+        self.writer.close_after_response();
+        if self.writer.has_started() {
+            self.request_log.log_end(0, "cut");
+        } else if self.is_in_flight {
+            self.finish(None, Reply::failed(504, "stopping")).await;
+        } else {
+            let lifecycle = &self.gateway.lifecycle;
+            let elapsed = lifecycle.draining_for(clock::now()).unwrap_or_default();
+            let retry_after = self.gateway.shutdown_retry(elapsed);
+            self.finish(None, Reply::refused("stopping", retry_after))
+                .await;
+        }
+        false
+    }
+
     /// Waits until the request is placed on a target, or refused.
     async fn acquire_target(&mut self) -> Result<(PlacementGuard, Choice), Reply> {
         let now = clock::now();
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -102,18 +102,21 @@
         order,
         _body_guard: received.body_guard,
     };
-    if let Some(elapsed) = gateway.lifecycle.draining_for(clock::now()) {
-        let max_output = call.meta.generation.as_ref().map_or(0, |g| g.max_output);
-        let grace = gateway.bounds().grace();
-        let need = expected_need(&call);
-        let fleet = lock(&gateway.fleet);
-        let token_time = fleet.token_time(&call.service);
-        if !admits_during_shutdown(need, max_output, token_time, elapsed, grace) {
-            let retry_after = fleet.shutdown_retry(elapsed, grace, clock::now());
-            return Err(reject(Reply::refused("stopping", retry_after)));
-        }
+    match shutdown_refusal(gateway, &call) {
+        Some(retry_after) => Err(reject(Reply::refused("stopping", retry_after))),
+        None => Ok(call),
     }
-    Ok(call)
+}
+
+/// Returns the time after which a caller may retry if the VM shuts down and cannot complete the request any more.
+pub(super) fn shutdown_refusal(gateway: &Gateway, call: &Call) -> Option<Duration> {
+    let elapsed = gateway.lifecycle.draining_for(clock::now())?;
+    let max_output = call.meta.generation.as_ref().map_or(0, |g| g.max_output);
+    let grace = gateway.bounds().grace();
+    let token_time = lock(&gateway.fleet).token_time(&call.service);
+    let admits =
+        admits_during_shutdown(expected_need(call), max_output, token_time, elapsed, grace);
+    (!admits).then(|| gateway.shutdown_retry(elapsed))
 }
 
 /// Returns for how long a request is refused because it crashed targets; `None` if it may run, also as a
--- a/crates/almondcroft-gateway/src/program.rs
+++ b/crates/almondcroft-gateway/src/program.rs
@@ -30,6 +30,12 @@
 /// Time between two checks of the settings file.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 
+/// Time for the final responses to requests that are open when the process stops waiting for them.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(100);
+
+/// Time between two checks whether the final responses are sent.
+const FINAL_RESPONSE_POLL: Duration = Duration::from_millis(5);
+
 /// Time between two checks for open requests during shutdown.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -106,7 +112,8 @@
         self.ready
     }
 
-    /// Stops gracefully: the load balancer sends callers elsewhere, and requests in flight finish.
+    /// Stops gracefully: the load balancer sends callers elsewhere, requests in flight finish, and those that the
+    /// grace period does not suffice for are answered before it ends.
     pub async fn stop(&self) {
         let lifecycle = &self.gateway.lifecycle;
         lifecycle.start_drain(clock::now());
@@ -123,6 +130,12 @@
         log::info!(event = "stopped", requests = lifecycle.requests(),
             connections = lifecycle.connections(); "");
         lifecycle.signal_end();
+        let signalled_at = clock::now();
+        while lifecycle.requests() > 0
+            && clock::now().saturating_sub(signalled_at) < FINAL_RESPONSE_TIME
+        {
+            sleep(FINAL_RESPONSE_POLL).await;
+        }
     }
 
     /// Waits until the shutdown has lasted its minimum time and nothing is open, or the grace period is
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -273,6 +273,12 @@
         usable.map(peer).collect()
     }
 
+    /// Returns the time after which a caller that this VM refuses may retry, so long after the start of its shutdown.
+    pub(crate) fn shutdown_retry(&self, elapsed: Duration) -> Duration {
+        let grace = self.bounds().grace();
+        lock(&self.fleet).shutdown_retry(elapsed, grace, clock::now())
+    }
+
     /// Returns the load that this VM puts on the targets.
     pub(crate) fn local_snapshot(&self, now: Timestamp) -> PeerSnapshot {
         PeerSnapshot {
