fix(caller): a response that is sent during a shutdown ends its connection

Callers whose request was received before SIGTERM got a response without 'connection: close', kept the connection and sent one more request to the stopping VM, late in its grace period. Whether the connection ends is now decided when the response is sent. response_to_a_request_before_a_shutdown_announces_the_end_of_its_connection: no such header before.

--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::connection::{Connection, ConnectionError, Sender};
 use crate::dispatch;
-use crate::lifecycle::Guard;
+use crate::lifecycle::{Guard, Lifecycle};
 use crate::reply::{Reply, reason_phrase};
 use crate::runtime::within;
 use crate::state::Gateway;
@@ -63,6 +63,8 @@
     minor: u8,
     head_only: bool,
     close: bool,
+    /// The connection ends with a response that is sent during a shutdown.
+    lifecycle: Option<Arc<Lifecycle>>,
     started: bool,
     framing: Framing,
 }
@@ -74,11 +76,18 @@
             minor: head.map_or(1, |head| head.minor),
             head_only: head.is_some_and(|head| head.method == "HEAD"),
             close,
+            lifecycle: None,
             started: false,
             framing: Framing::Length(0),
         }
     }
 
+    /// Ends the connection with the response if the process is draining by then.
+    fn closing_on_drain(mut self, lifecycle: &Arc<Lifecycle>) -> Self {
+        self.lifecycle = Some(Arc::clone(lifecycle));
+        self
+    }
+
     /// Returns whether a part of the response was sent.
     pub(crate) const fn has_started(&self) -> bool {
         self.started
@@ -173,6 +182,7 @@
     fn encode_head(&mut self, head: &ResponseHead, framing: Framing) -> Vec<u8> {
         self.started = true;
         self.framing = framing;
+        self.close |= self.lifecycle.as_ref().is_some_and(|l| l.is_draining());
         let mut bytes = Vec::with_capacity(1024);
         bytes.extend_from_slice(format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).as_bytes());
         head.headers.end_to_end().write(&mut bytes);
@@ -236,8 +246,9 @@
                 return;
             }
         };
-        let close = !received.head.keeps_alive() || gateway.lifecycle.is_draining();
-        let mut writer = ResponseWriter::new(connection.sender(), Some(&received.head), close);
+        let close = !received.head.keeps_alive();
+        let mut writer = ResponseWriter::new(connection.sender(), Some(&received.head), close)
+            .closing_on_drain(&gateway.lifecycle);
         let handled = async { Some(dispatch::handle(&gateway, received, &mut writer).await) };
         let disconnected = async {
             wait_for_disconnect(&mut connection).await;
