--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -56,5 +56,5 @@
 pub use shutdown::admits_during_shutdown;
 pub use store_era::{EraCheck, StoreEra};
 pub use store_position::StorePosition;
-pub use target::TargetEntry;
+pub use target::{MAX_SOUND_SILENCE, TargetEntry};
 pub use target_paths::{PEER_DELAY, TargetPaths, TunnelPeer};
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -73,6 +73,12 @@
         self.cheapest(&eligible, demand, engine, headroom, now)
     }
 
+    /// Returns whether a target has room for a request now.
+    #[must_use]
+    pub fn has_room(&self, demand: &Demand, now: Timestamp) -> bool {
+        self.choose(demand, self.options.headroom, now).is_some()
+    }
+
     /// Places a second run of a request under an id of its own; `None` if it would not start at once, or others wait.
     ///
     /// The first target is avoided, and its machine and availability zone if another one will do.
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -481,3 +481,20 @@
     fleet.tick(SECOND * 12);
     assert!(fleet.peer_totals.is_empty());
 }
+
+#[test]
+fn has_room_at_a_target_that_is_not_avoided() {
+    let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+    let after = |avoid: &[&str]| Demand {
+        avoid: avoid.iter().map(|id| (*id).into()).collect(),
+        ..generation("0")
+    };
+    assert!(fleet.has_room(&after(&["a"]), SECOND));
+    assert!(!fleet.has_room(&after(&["a", "b"]), SECOND));
+    // Back-off and leaving targets leave no room.
+    fleet.record_backoff("b", SECOND * 3, SECOND);
+    assert!(!fleet.has_room(&after(&["a"]), SECOND));
+    assert!(fleet.has_room(&after(&["a"]), SECOND * 4));
+    fleet.mark_leaving("b", SECOND * 4);
+    assert!(!fleet.has_room(&after(&["a"]), SECOND * 4));
+}
--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -1,6 +1,6 @@
 //! Admission of requests during shutdown.
 
-use super::Need;
+use super::{MAX_SOUND_SILENCE, Need};
 use std::time::Duration;
 
 /// Time before the end of the grace period by which responses must be complete; the process ends 0.3 s before it.
@@ -9,8 +9,8 @@
 /// Time after the start of a shutdown by which the load balancer sends callers elsewhere.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Time for the response of a plain service or for the first token, of a target that is silent for 1.5 s before it.
-const RESPONSE_TIME: Duration = Duration::from_millis(1_900);
+/// Time for the response of a plain service or for the first token.
+const RESPONSE_TIME: Duration = Duration::from_millis(400);
 
 /// Time per output token that is assumed while none is known.
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(14);
@@ -19,7 +19,7 @@
 /// else.
 const BUSY_FACTOR: f64 = 1.3;
 
-/// Returns whether a VM that shuts down can still complete a request.
+/// Returns whether a VM that shuts down can still complete a request, also if its target is silent for a while first.
 ///
 /// Requests still arrive until the load balancer notices the shutdown, and later if most VMs of a zone
 /// shut down at once. A generation that outlasts the grace period would be cut off, so it is refused
@@ -51,7 +51,7 @@
         max_output
     };
     let token_time = token_time.map_or(DEFAULT_TOKEN_TIME, |time| time.mul_f64(BUSY_FACTOR));
-    RESPONSE_TIME + token_time * tokens <= left
+    MAX_SOUND_SILENCE + RESPONSE_TIME + token_time * tokens <= left
 }
 
 #[cfg(test)]
--- a/crates/almondcroft-core/src/gateway/target.rs
+++ b/crates/almondcroft-core/src/gateway/target.rs
@@ -2,6 +2,10 @@
 
 use crate::{RegionId, ServiceId, TargetId, Timestamp, ZoneId};
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest time for which a sound target may be silent; what it was sent is not lost then.
+pub const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Describes a registered target.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -67,6 +67,8 @@
     NotRun(&'static str),
     /// The target may have run the request.
     MayHaveRun(&'static str),
+    /// The target did not respond for a while, and another one may get the request; the retry budget was charged.
+    GivenUp,
 }
 
 /// Handles one request; returns whether the caller's connection can be used for another one.
@@ -178,6 +180,7 @@
                         return self.finish(last_response, reply).await;
                     }
                 }
+                Attempt::GivenUp => self.run_count += 1,
                 Attempt::MayHaveRun(reason) => {
                     self.run_count += 1;
                     if !self.permit_repeat(&target) {
@@ -239,7 +242,7 @@
     ) -> Attempt {
         let now = clock::now();
         let time_left = self.call.time_left(now);
-        let timeout = self.attempt_timeout(time_left);
+        let patience = self.patience(time_left);
         let backup = self.choose_backup(&placement_guard, now);
         let send = send_meta(&self.call, &choice, backup.as_ref(), now);
         lock(&self.gateway.fleet).set_backup(
@@ -254,18 +257,19 @@
             run,
             sent_at: now,
         };
-        let (used, opened) = self.open(first, &send, timeout).await;
+        let (used, opened) = self.open(first, &send, patience).await;
         match opened {
-            Ok(exchange) => {
+            Some(Ok(exchange)) => {
                 self.record_response_time(used.sent_at);
                 self.handle_response(used, backup, exchange).await
             }
-            Err(error) => self.handle_send_error(&used.choice, &used.run, error),
+            Some(Err(error)) => self.handle_send_error(&used, error),
+            None => self.record_given_up(&used.choice.target),
         }
     }
 
-    /// Returns the time after which the gateway stops waiting for the response to a send.
-    fn attempt_timeout(&self, time_left: Duration) -> Duration {
+    /// Returns the time after which a request that has no response is sent to another target, if one has room.
+    fn patience(&self, time_left: Duration) -> Duration {
         if !self.call.may_repeat() || self.run_count + 1 >= self.call.route.max_attempts {
             return time_left;
         }
@@ -292,6 +296,13 @@
         lock(&self.gateway.fleet).record_failure(target, hard, clock::now());
     }
 
+    /// Returns whether the request can be sent to another target while this one has not responded.
+    fn permit_other_target(&mut self, target: &TargetId) -> bool {
+        let mut demand = demand(self.gateway, &self.call, &self.avoid);
+        demand.avoid.push(target.clone());
+        lock(&self.gateway.fleet).has_room(&demand, clock::now()) && self.permit_retry(target)
+    }
+
     /// Returns whether a request that may have run can be sent again.
     fn permit_repeat(&mut self, target: &TargetId) -> bool {
         self.call.may_repeat()
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -11,7 +11,8 @@
 use almondcroft_core::gateway::{Choice, ExtraSend, HedgePolicy};
 use almondcroft_core::{RequestId, Timestamp, Verdict};
 use futures_lite::future::or;
-use std::pin::pin;
+use std::future::Future;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 /// One send of a request with its place at the target.
@@ -27,24 +28,28 @@
 impl Dispatch<'_> {
     /// Opens the response to a send, or to a second one if the first is slow; returns the send that it belongs to.
     ///
-    /// Dropping the other one closes its connection, which cancels the run at its target.
+    /// The response is `None` if there is none after `patience`, or a multiple of it, and another target may get the
+    /// request. As long as none may, the first one is waited for: a silent target may be sound. Dropping the other one closes its connection, which cancels the run at its target.
     pub(super) async fn open(
         &mut self,
         first: TargetSend,
         send: &SendMeta,
-        timeout: Duration,
-    ) -> (TargetSend, Opened) {
+        patience: Duration,
+    ) -> (TargetSend, Option<Opened>) {
         let (gateway, call) = (self.gateway, self.call.clone());
-        let opening = Exchange::open(gateway, &call, first.choice.address, send, timeout);
+        let address = first.choice.address;
+        let opening = Exchange::open(gateway, &call, address, send, send.time_left);
         let mut opening = pin!(opening);
-        let Some(delay) = self.hedge_delay().filter(|delay| *delay < timeout) else {
-            return (first, opening.await);
-        };
-        if let Some(opened) = within(delay, opening.as_mut()).await {
-            return (first, opened);
+        let mut second = None;
+        if let Some(delay) = self.hedge_delay().filter(|delay| *delay < patience) {
+            if let Some(opened) = within(delay, opening.as_mut()).await {
+                return (first, Some(opened));
+            }
+            second = self.start_hedge(&first);
         }
-        let Some(second) = self.start_hedge(&first) else {
-            return (first, opening.await);
+        let Some(second) = second else {
+            let opened = self.wait_or_give_up(&first, opening, patience).await;
+            return (first, opened);
         };
         let now = clock::now();
         let hedge = send_meta(&call, &second.choice, None, now);
@@ -75,7 +80,25 @@
             (second, first)
         };
         self.record_hedge(&used, &unused, &opened, now);
-        (used, opened)
+        (used, Some(opened))
+    }
+
+    /// Waits for a response, or until another target may get the request.
+    async fn wait_or_give_up(
+        &mut self,
+        sent: &TargetSend,
+        mut opening: Pin<&mut impl Future<Output = Opened>>,
+        mut patience: Duration,
+    ) -> Option<Opened> {
+        loop {
+            if let Some(opened) = within(patience, opening.as_mut()).await {
+                return Some(opened);
+            }
+            if self.permit_other_target(&sent.choice.target) {
+                return None;
+            }
+            patience *= 2;
+        }
     }
 
     /// Returns the time after which the request counts as slow; `None` if it gets no second run.
--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -7,9 +7,8 @@
 use crate::relay::{Relay, RelayEnd};
 use crate::runtime::within;
 use crate::state::lock;
-use crate::target_run::TargetRun;
-use almondcroft_core::gateway::Choice;
-use almondcroft_core::{Timestamp, Verdict};
+use almondcroft_core::gateway::{Choice, MAX_SOUND_SILENCE};
+use almondcroft_core::{TargetId, Timestamp, Verdict};
 
 /// Maximum size of a response body that is read whole before it is forwarded, in bytes.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
@@ -152,24 +151,38 @@
         Attempt::Relayed(false)
     }
 
+    /// Records that a target got time to respond and another one gets the request.
+    ///
+    /// A target that is slow or silent for a moment is no broken one, so this is no hard failure.
+    pub(super) fn record_given_up(&mut self, target: &TargetId) -> Attempt {
+        self.request_log
+            .log_fault(target, "target-timeout", Verdict::MayHaveRun);
+        self.record_failure(target, false);
+        lock(&self.gateway.target_paths).record_silence(target, clock::now());
+        Attempt::GivenUp
+    }
+
     /// Handles a send that got no response.
-    pub(super) fn handle_send_error(
-        &mut self,
-        choice: &Choice,
-        run: &TargetRun,
-        error: SendError,
-    ) -> Attempt {
+    pub(super) fn handle_send_error(&mut self, sent: &TargetSend, error: SendError) -> Attempt {
+        let TargetSend {
+            choice,
+            run,
+            sent_at,
+            ..
+        } = sent;
         let target = &choice.target;
         self.request_log
             .log_fault(target, error.kind, error.verdict);
-        self.record_failure(target, true);
+        let is_timeout = error.kind == "target-timeout";
+        let waited = clock::now().saturating_sub(*sent_at);
+        self.record_failure(target, !is_timeout || waited > MAX_SOUND_SILENCE);
         match error.verdict {
             Verdict::NotRun => {
                 run.record_not_run();
                 Attempt::NotRun(error.kind)
             }
             Verdict::MayHaveRun | Verdict::Ran => {
-                if error.kind != "target-timeout" {
+                if !is_timeout {
                     check_crash(self.gateway, &self.call, choice, run, 0);
                     return Attempt::MayHaveRun(error.kind);
                 }
