fix(fleet): a response ends the back-off after failures

Callers were refused for up to 4 s after a silence although their targets responded again: the count of consecutive failures ended with a response, but the back-off that it had caused did not. Back-offs after failures and after refusals are kept apart now, and a response ends the former. record_success_ends_the_backoff_after_failures: no usable target before.

--- a/crates/almondcroft-core/src/gateway/fleet/target_state.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/target_state.rs
@@ -118,7 +118,10 @@
     hard_failures: u32,
     /// Whether a connection failed since the last response, so that the target may have restarted.
     pub(super) may_have_restarted: bool,
-    backoff_until: Timestamp,
+    /// End of the back-off after consecutive hard failures; a response ends it sooner.
+    failure_backoff: Timestamp,
+    /// End of the back-off after a refusal.
+    refusal_backoff: Timestamp,
     /// What its present incarnation stated about itself.
     pub(super) statements: TargetStatements,
     /// Requests that do not belong to this VM, and when the target reported them.
@@ -138,7 +141,8 @@
             token_time: None,
             hard_failures: 0,
             may_have_restarted: false,
-            backoff_until: Timestamp::ZERO,
+            failure_backoff: Timestamp::ZERO,
+            refusal_backoff: Timestamp::ZERO,
             statements,
             reported_load: None,
         }
@@ -155,7 +159,8 @@
 
     pub(super) fn accepts_requests(&self, now: Timestamp) -> bool {
         !self.leaving
-            && now >= self.backoff_until
+            && now >= self.failure_backoff
+            && now >= self.refusal_backoff
             && now >= self.statements.requested_backoff
             && self.is_within_limit(now)
     }
@@ -309,6 +314,7 @@
 
     pub(super) fn record_success(&mut self, elapsed: Duration) {
         self.hard_failures = 0;
+        self.failure_backoff = Timestamp::ZERO;
         self.failure_rate -= OUTCOME_WEIGHT * self.failure_rate;
         self.response_time = self.response_time.mul_f64(1.0 - RESPONSE_TIME_WEIGHT)
             + elapsed.mul_f64(RESPONSE_TIME_WEIGHT);
@@ -325,7 +331,7 @@
         if self.hard_failures >= FAILURE_LIMIT {
             let doublings = (self.hard_failures - FAILURE_LIMIT).min(4);
             let backoff = INITIAL_BACKOFF * 2_u32.pow(doublings);
-            self.backoff_until = now + backoff.min(MAX_BACKOFF);
+            self.failure_backoff = now + backoff.min(MAX_BACKOFF);
         }
     }
 
@@ -344,6 +350,6 @@
         let backoff = limit.map_or(REFUSAL_BACKOFF, |limit| {
             limit.backoff(vm_count).max(REFUSAL_BACKOFF)
         });
-        self.backoff_until = self.backoff_until.max(now + backoff);
+        self.refusal_backoff = self.refusal_backoff.max(now + backoff);
     }
 }
--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -498,3 +498,19 @@
     fleet.mark_leaving("b", SECOND * 4);
     assert!(!fleet.has_room(&after(&["a"]), SECOND * 4));
 }
+
+#[test]
+fn record_success_ends_the_backoff_after_failures() {
+    let mut fleet = fleet(&[("a", "q-a")]);
+    for _ in 0..6 {
+        fleet.record_failure("a", true, SECOND);
+    }
+    assert_eq!(fleet.usable_count(SECOND * 4), 0);
+    fleet.record_success("a", SECOND);
+    assert_eq!(fleet.usable_count(SECOND), 1);
+    // The target's own refusal holds on.
+    fleet.record_refusal("a", SECOND);
+    fleet.record_success("a", SECOND);
+    assert_eq!(fleet.usable_count(SECOND), 0);
+    assert_eq!(fleet.usable_count(SECOND * 2), 1);
+}
