fix(relay): the silence of a stream is counted from its resumption at another target

Callers lost streams that had just been resumed: after a silence of the first target, the stream counted as silent at the new one from the first moment, was copied off it and stopped there. The time of the last progress is now reset when a stream goes on at another target. resumed_stream_is_not_moved_again_at_once failed before: the sound engine got two copy calls, and the caller an incomplete response after 8.1 s.

--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -123,6 +123,7 @@
     pub(super) fn begin(&mut self, exchange: Exchange, run: TargetRun) {
         self.exchange = exchange;
         self.run = run;
+        self.progress_at = clock::now();
         self.splitter = EventSplitter::default();
         self.has_events = false;
         self.backup = None;
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -245,6 +245,7 @@
         self.gateway.deliver(placements);
         self.exchange = exchange;
         self.run = run;
+        self.progress_at = clock::now();
         self.splitter = EventSplitter::default();
         self.has_events = false;
         self.choice = choice.clone();
