--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -98,11 +98,20 @@
         Ok(())
     }
 
-    /// Makes the connection end with a reset instead of an orderly close.
+    /// Makes the connection end with a reset instead of an orderly close, also if the process is killed.
     pub(crate) fn reset_on_close(&self) {
+        self.set_linger(Some(Duration::ZERO));
+    }
+
+    /// Makes the connection end with an orderly close again.
+    pub(crate) fn end_on_close(&self) {
+        self.set_linger(None);
+    }
+
+    fn set_linger(&self, time: Option<Duration>) {
         let options = SockRef::from(self.0.get_ref());
-        if let Err(error) = options.set_linger(Some(Duration::ZERO)) {
-            log::warn!(event = "reset-failed", error:% = error; "");
+        if let Err(error) = options.set_linger(time) {
+            log::warn!(event = "linger-failed", error:% = error; "");
         }
     }
 }
--- a/crates/almondcroft-gateway/src/tunnel/relay.rs
+++ b/crates/almondcroft-gateway/src/tunnel/relay.rs
@@ -12,8 +12,8 @@
 
 /// Copies bytes in both directions until one end closes; returns how the tunnel ended.
 ///
-/// After an error both ends are reset, because a response that ends with its connection is complete only
-/// after an orderly close.
+/// A response that ends with its connection is complete only after an orderly close. So both ends are reset unless
+/// one was closed in order: also after an error, when the tunnel's time is over, and when this process ends.
 pub(super) async fn relay(
     gateway: &Gateway,
     target_id: &TargetId,
@@ -21,6 +21,8 @@
     mut target: Connection,
 ) -> &'static str {
     let (to_vm, to_target) = (vm.sender(), target.sender());
+    to_vm.reset_on_close();
+    to_target.reset_on_close();
     let mut observer = HeadObserver {
         gateway,
         target: target_id,
@@ -35,12 +37,12 @@
         ("target-closed", copied)
     };
     let (end, copied) = or(requests, responses).await;
-    if copied.is_ok() {
-        return end;
+    if copied.is_err() {
+        return "broken";
     }
-    to_vm.reset_on_close();
-    to_target.reset_on_close();
-    "broken"
+    to_vm.end_on_close();
+    to_target.end_on_close();
+    end
 }
 
 async fn copy(
