fix(gateway): a request is not sent on a connection on which its target refused it

What callers saw: a caller repeated a refused request with the same id within 1.5 s, and was told "not run" (503) while a target ran it; a generation that moved to an engine which had refused it before went on at two engines.

Cause: the id of a response ties it to a request, not to a send. A target that writes an earlier refusal once more on a kept connection thereby refuses a later send of the same request on that connection: a retry of the caller that reuses its id, or a resumption.

Change: a connection records the ids (as hashes) of the requests that were refused on it, and is not taken for these; another idle connection or a new one is. After 32 refusals a connection is closed, which bounds the record. That is the cost: one new connection for a repeated send, and one for 32 refusals.

Before: earlier_refusal_does_not_refuse_a_retry_with_the_same_id failed in four of seven cases ("r-0 ran, Some(503), (503, Before, Id)", also InParts, BeforeSlow and with 421), earlier_refusal_does_not_refuse_a_resumption with "left: [1, 1] right: [1, 0]" (engines that got the resumption). Now both pass. earlier_refusal_does_not_refuse_the_next_request (a refusal of another request, with its id or none, at six moments) passed before and rules that case out.

--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -11,6 +11,7 @@
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::runtime::within;
 
@@ -29,6 +30,9 @@
 /// Time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of refusals after which a connection is not used again, as each is recorded as long as it is open.
+const MAX_REFUSALS: usize = 32;
+
 /// The reason why a connection failed.
 #[derive(Debug, Snafu)]
 pub(crate) enum ConnectionError {
@@ -115,6 +119,8 @@
     /// Number of reads since the last wait.
     reads_in_turn: u32,
     is_tunnel: bool,
+    /// Hashes of the ids of the requests that the other end refused on this connection.
+    refused: Vec<u64>,
 }
 
 impl Connection {
@@ -137,6 +143,7 @@
             buffer: Vec::new(),
             reads_in_turn: 0,
             is_tunnel: false,
+            refused: Vec::new(),
         })
     }
 
@@ -155,6 +162,23 @@
         self.is_tunnel
     }
 
+    /// Records that the other end refused a request.
+    pub(crate) fn record_refusal(&mut self, id: &str) {
+        self.refused.push(xxh3_64(id.as_bytes()));
+    }
+
+    /// Returns whether the other end refused a request with an id, so that a second refusal proves nothing.
+    #[must_use]
+    pub(crate) fn has_refused(&self, id: &str) -> bool {
+        self.refused.contains(&xxh3_64(id.as_bytes()))
+    }
+
+    /// Returns whether another refusal can be recorded.
+    #[must_use]
+    pub(crate) const fn can_record_refusal(&self) -> bool {
+        self.refused.len() < MAX_REFUSALS
+    }
+
     /// Returns the address of the other end; `None` if it is not connected any more.
     #[must_use]
     pub(crate) fn peer_ip(&self) -> Option<IpAddr> {
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::connection::{Connection, ConnectionError};
-use crate::pool;
+use crate::pool::{self, Purpose};
 use crate::runtime::within;
 use crate::state::{Gateway, lock};
 use crate::target_connect::Destination;
@@ -71,7 +71,10 @@
         send: &SendMeta,
         timeout: Duration,
     ) -> Result<Self, SendError> {
-        let run_once = !call.may_repeat();
+        let purpose = Purpose {
+            id: call.external_id(),
+            run_once: !call.may_repeat(),
+        };
         let regions = gateway.allowed_regions(call);
         let destination = Destination {
             regions: &regions,
@@ -80,7 +83,7 @@
             request: call.external_id(),
             time_left: send.time_left,
         };
-        let (mut connection, is_new) = pool::connect(gateway, destination, run_once, timeout)
+        let (mut connection, is_new) = pool::connect(gateway, destination, purpose, timeout)
             .await
             .map_err(|_| SendError::not_run("connect"))?;
         let send = &SendMeta {
@@ -158,8 +161,16 @@
         self.connection.read_body(&mut self.decoder, out).await
     }
 
+    /// Returns whether the target states that it did not run the request.
+    fn is_refusal(&self) -> bool {
+        self.meta.not_run || self.head.status == 421
+    }
+
     /// Returns the connection to the pool if the exchange is complete and the target keeps it open.
-    pub(crate) fn finish(self, gateway: &Gateway) {
+    pub(crate) fn finish(mut self, gateway: &Gateway) {
+        if let Some(id) = self.meta.id.as_deref().filter(|_| self.is_refusal()) {
+            self.connection.record_refusal(id);
+        }
         if self.fully_sent && self.decoder.is_done() && self.head.keeps_alive() {
             pool::release(
                 gateway,
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -8,7 +8,7 @@
 use crate::clock;
 use crate::exchange::{CONNECT_TIMEOUT, target_round_trip};
 use crate::logging::millis;
-use crate::pool;
+use crate::pool::{self, Purpose};
 use crate::runtime::{sleep, spawn, within};
 use crate::state::{Gateway, lock};
 use crate::target_connect::Destination;
@@ -222,9 +222,12 @@
             request: self.call.external_id(),
             time_left: COPY_TIMEOUT,
         };
-        let (mut connection, _) = pool::connect(&self.gateway, destination, false, CONNECT_TIMEOUT)
-            .await
-            .ok()?;
+        let purpose = Purpose {
+            id: "",
+            run_once: false,
+        };
+        let connected = pool::connect(&self.gateway, destination, purpose, CONNECT_TIMEOUT);
+        let (mut connection, _) = connected.await.ok()?;
         let response = target_round_trip(
             &self.gateway,
             &mut connection,
--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -33,6 +33,22 @@
     keep_alive: Duration,
 }
 
+/// What a connection is to be used for, which decides which idle ones will do.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Purpose<'a> {
+    /// The caller's id of the request, which its response states.
+    pub(crate) id: &'a str,
+    /// Whether it must not run twice; only a recently used connection is taken then.
+    pub(crate) run_once: bool,
+}
+
+impl Purpose<'_> {
+    /// Returns whether the response is told from earlier ones on the connection that arrive once more.
+    fn permits(self, connection: &Connection) -> bool {
+        !connection.has_refused(self.id)
+    }
+}
+
 /// Holds the idle connections by the address of their target.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -40,24 +56,25 @@
 }
 
 impl ConnectionPool {
-    /// Takes an open idle connection.
-    ///
-    /// For a request that must not run twice, only a recently used connection is taken.
+    /// Takes an open idle connection that will do for a purpose.
     pub(crate) fn take(
         &self,
         address: SocketAddr,
-        run_once: bool,
+        purpose: Purpose<'_>,
         now: Timestamp,
     ) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         // The last one was used most recently, so the target is least likely to be closing it.
-        while let Some(entry) = connections.pop() {
-            let age = now.saturating_sub(entry.idle_since);
-            if run_once && age >= RECENT_IDLE_TIME {
-                connections.push(entry);
+        for index in (0..connections.len()).rev() {
+            let age = now.saturating_sub(connections[index].idle_since);
+            if purpose.run_once && age >= RECENT_IDLE_TIME {
                 return None;
             }
+            if !purpose.permits(&connections[index].connection) {
+                continue;
+            }
+            let entry = connections.remove(index);
             if age < entry.keep_alive && entry.connection.is_idle() {
                 return Some(entry.connection);
             }
@@ -86,7 +103,8 @@
         let keep_alive = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |time| {
             time.saturating_sub(KEEP_ALIVE_MARGIN)
         });
-        if keep_alive.is_zero() || connection.is_tunnel() || !connection.is_idle() {
+        let is_reusable = !connection.is_tunnel() && connection.can_record_refusal();
+        if keep_alive.is_zero() || !is_reusable || !connection.is_idle() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -120,12 +138,12 @@
 pub(crate) async fn connect(
     gateway: &Gateway,
     destination: Destination<'_>,
-    run_once: bool,
+    purpose: Purpose<'_>,
     timeout: Duration,
 ) -> Result<(Connection, bool), ConnectionError> {
     let now = clock::now();
     if lock(&gateway.target_paths).trusts_idle(destination.target, now)
-        && let Some(connection) = gateway.pool.take(destination.address, run_once, now)
+        && let Some(connection) = gateway.pool.take(destination.address, purpose, now)
     {
         return Ok((connection, false));
     }
