fix(gateway): each copy call is the first call on its connection

What callers saw: a generation that was moved off a leaving engine was lost, with its source stopped.

Cause: the response to a copy call names no request. On a kept connection an earlier response that arrives once more (the response to an earlier copy call, or a refusal without an id) was taken for the response to the next copy call: a 200 names a handle that is of no use any more, a 503 counts as "no room" although the source copies or has stopped.

Change: a copy call is sent on a connection on which nothing was sent before. While a first copy runs, the connection for the next one is opened, so that the last copy does not wait for it. A response on a connection that was opened ahead and not used yet is judged like one on a new connection.

--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -119,6 +119,7 @@
     /// Number of reads since the last wait.
     reads_in_turn: u32,
     is_tunnel: bool,
+    is_used: bool,
     /// Hashes of the ids of the requests that the other end refused on this connection.
     refused: Vec<u64>,
 }
@@ -143,6 +144,7 @@
             buffer: Vec::new(),
             reads_in_turn: 0,
             is_tunnel: false,
+            is_used: false,
             refused: Vec::new(),
         })
     }
@@ -162,6 +164,21 @@
         self.is_tunnel
     }
 
+    /// Marks the connection as one that a request was sent on.
+    #[must_use]
+    pub(crate) fn into_used(self) -> Self {
+        Self {
+            is_used: true,
+            ..self
+        }
+    }
+
+    /// Returns whether a request was sent on the connection, so that a response may belong to that one.
+    #[must_use]
+    pub(crate) const fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Records that the other end refused a request.
     pub(crate) fn record_refusal(&mut self, id: &str) {
         self.refused.push(xxh3_64(id.as_bytes()));
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -71,7 +71,7 @@
         send: &SendMeta,
         timeout: Duration,
     ) -> Result<Self, SendError> {
-        let purpose = Purpose {
+        let purpose = Purpose::Request {
             id: call.external_id(),
             run_once: !call.may_repeat(),
         };
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -152,7 +152,12 @@
     async fn migrate_to(&self, target: Choice, started_at: Timestamp) -> MigrationAttempt {
         lock(&self.gateway.fleet).set_migration_target(&self.request, &target.target);
         self.gateway.request_gossip();
-        pool::preconnect(&self.gateway, target.address, &self.call.service);
+        let resumption = Purpose::Request {
+            id: self.call.external_id(),
+            run_once: true,
+        };
+        let service = &self.call.service;
+        pool::preconnect(&self.gateway, target.address, service, resumption);
         loop {
             let copy_started_at = clock::now();
             let copied = self.copy(target.address, false).await;
@@ -222,12 +227,13 @@
             request: self.call.external_id(),
             time_left: COPY_TIMEOUT,
         };
-        let purpose = Purpose {
-            id: "",
-            run_once: false,
-        };
+        let purpose = Purpose::UnidentifiedCall;
         let connected = pool::connect(&self.gateway, destination, purpose, CONNECT_TIMEOUT);
         let (mut connection, _) = connected.await.ok()?;
+        if !last {
+            // The next copy follows at once, and must not wait for its connection.
+            pool::preconnect(&self.gateway, address, &self.call.service, purpose);
+        }
         let response = target_round_trip(
             &self.gateway,
             &mut connection,
@@ -249,9 +255,6 @@
                 connection,
                 meta.keep_alive,
             );
-        } else if !last {
-            // A leaving target closes each connection, and the next copy follows at once.
-            pool::preconnect(&self.gateway, address, &self.call.service);
         }
         Some((head.status, body))
     }
--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -35,17 +35,24 @@
 
 /// What a connection is to be used for, which decides which idle ones will do.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Purpose<'a> {
-    /// The caller's id of the request, which its response states.
-    pub(crate) id: &'a str,
-    /// Whether it must not run twice; only a recently used connection is taken then.
-    pub(crate) run_once: bool,
+pub(crate) enum Purpose<'a> {
+    /// A request whose response states this id; if it must not run twice, only a recently used connection is taken.
+    Request { id: &'a str, run_once: bool },
+    /// A call whose response states no id, so that it must be the first one on its connection.
+    UnidentifiedCall,
 }
 
 impl Purpose<'_> {
     /// Returns whether the response is told from earlier ones on the connection that arrive once more.
     fn permits(self, connection: &Connection) -> bool {
-        !connection.has_refused(self.id)
+        match self {
+            Self::Request { id, .. } => !connection.has_refused(id),
+            Self::UnidentifiedCall => !connection.is_used(),
+        }
+    }
+
+    const fn runs_once(self) -> bool {
+        matches!(self, Self::Request { run_once: true, .. })
     }
 }
 
@@ -68,7 +75,7 @@
         // The last one was used most recently, so the target is least likely to be closing it.
         for index in (0..connections.len()).rev() {
             let age = now.saturating_sub(connections[index].idle_since);
-            if purpose.run_once && age >= RECENT_IDLE_TIME {
+            if purpose.runs_once() && age >= RECENT_IDLE_TIME {
                 return None;
             }
             if !purpose.permits(&connections[index].connection) {
@@ -82,16 +89,18 @@
         None
     }
 
-    /// Returns whether there is an idle connection that was used recently.
-    fn has_recent(&self, address: SocketAddr, now: Timestamp) -> bool {
+    /// Returns whether there is an idle connection that was used recently and will do for a purpose.
+    fn has_recent(&self, address: SocketAddr, purpose: Purpose<'_>, now: Timestamp) -> bool {
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_recent =
-            |entry: &IdleConnection| now.saturating_sub(entry.idle_since) < RECENT_IDLE_TIME;
+        let is_recent = |entry: &IdleConnection| {
+            now.saturating_sub(entry.idle_since) < RECENT_IDLE_TIME
+                && purpose.permits(&entry.connection)
+        };
         idle.get(&address)
             .is_some_and(|connections| connections.iter().any(is_recent))
     }
 
-    /// Adds a connection whose last response was read completely.
+    /// Adds a connection that is new or whose last response was read completely.
     fn put(
         &self,
         address: SocketAddr,
@@ -134,7 +143,7 @@
     }
 }
 
-/// Takes an idle connection to a target or opens one; also returns whether it is new.
+/// Takes an idle connection to a target or opens one; also returns whether nothing was sent on it yet.
 pub(crate) async fn connect(
     gateway: &Gateway,
     destination: Destination<'_>,
@@ -145,13 +154,14 @@
     if lock(&gateway.target_paths).trusts_idle(destination.target, now)
         && let Some(connection) = gateway.pool.take(destination.address, purpose, now)
     {
-        return Ok((connection, false));
+        let is_new = !connection.is_used();
+        return Ok((connection, is_new));
     }
     let connection = target_connect::connect(gateway, destination, timeout).await?;
     Ok((connection, true))
 }
 
-/// Returns a connection to the pool, within this VM's share of the target's connections.
+/// Returns a used connection to the pool, within this VM's share of the target's connections.
 pub(crate) fn release(
     gateway: &Gateway,
     address: SocketAddr,
@@ -159,24 +169,31 @@
     connection: Connection,
     keep_alive: Option<Duration>,
 ) {
-    let max_idle = gateway.idle_share(service);
+    let (max_idle, now) = (gateway.idle_share(service), clock::now());
+    let connection = connection.into_used();
     gateway
         .pool
-        .put(address, connection, keep_alive, max_idle, clock::now());
+        .put(address, connection, keep_alive, max_idle, now);
 }
 
-/// Opens a connection that will be needed soon.
+/// Opens a connection that will be needed soon, unless there is one that will do.
 ///
 /// It saves two round trips to another region while a generation is stalled.
-pub(crate) fn preconnect(gateway: &Arc<Gateway>, address: SocketAddr, service: &ServiceId) {
-    if gateway.pool.has_recent(address, clock::now()) {
+pub(crate) fn preconnect(
+    gateway: &Arc<Gateway>,
+    address: SocketAddr,
+    service: &ServiceId,
+    purpose: Purpose<'_>,
+) {
+    if gateway.pool.has_recent(address, purpose, clock::now()) {
         return;
     }
     let (gateway, service) = (Arc::clone(gateway), service.clone());
     spawn(async move {
         // After a failure, the request that needs a connection opens one and reports its error.
         if let Ok(connection) = Connection::connect(address, CONNECT_TIMEOUT).await {
-            release(&gateway, address, &service, connection, None);
+            let (max_idle, now) = (gateway.idle_share(&service), clock::now());
+            gateway.pool.put(address, connection, None, max_idle, now);
         }
     });
 }
