fix(gateway): a request is not called not run because its second run was not sent

What callers saw: 503 with the verdict "not run" for a repeatable request that a target had begun to run.

Cause: with a second run under way, the first target broke its connection off; the second one's connection then did not open. The result of the second run was used, "not run", and the first one, which may have run, was not counted.

Change: of two failures, the one after which the request may have run is used, and the other send counts as a run unless its target is proved not to have run it: its connection did not open, or it refused.

--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -54,19 +54,18 @@
         let first_end = async { (true, opening.as_mut().await) };
         let second_end = async { (false, hedging.as_mut().await) };
         let (is_first, opened) = or(first_end, second_end).await;
-        let (is_first, opened) = if is_final(&opened) {
-            (is_first, opened)
+        let (is_first, opened, unused_not_run) = if is_final(&opened) {
+            (is_first, opened, false)
         } else {
             let other = if is_first {
                 hedging.await
             } else {
                 opening.await
             };
-            // A failure that a target states says more than a broken connection.
-            if other.is_ok() || opened.is_err() {
-                (!is_first, other)
+            if prefers_second(&opened, &other) {
+                (!is_first, other, is_not_run(&opened))
             } else {
-                (is_first, opened)
+                (is_first, opened, is_not_run(&other))
             }
         };
         let (used, unused) = if is_first {
@@ -74,7 +73,7 @@
         } else {
             (second, first)
         };
-        self.record_hedge(&used, &unused, &opened, now);
+        self.record_hedge(&used, &unused, unused_not_run, now);
         (used, opened)
     }
 
@@ -126,12 +125,15 @@
         &mut self,
         used: &TargetSend,
         unused: &TargetSend,
-        opened: &Opened,
+        unused_not_run: bool,
         hedged_at: Timestamp,
     ) {
-        let not_run = matches!(opened, Err(error) if error.verdict == Verdict::NotRun);
-        // The other target may have run the request, whatever came of this one.
-        self.run_count += u32::from(!not_run);
+        if unused_not_run {
+            unused.run.record_not_run();
+        } else {
+            // The other target may have run the request, whatever came of this one.
+            self.run_count += 1;
+        }
         let elapsed = clock::now().saturating_sub(hedged_at);
         self.gateway
             .metrics
@@ -162,3 +164,21 @@
         .as_ref()
         .is_ok_and(|exchange| exchange.head.status < 500 && !exchange.meta.not_run)
 }
+
+/// Returns whether a target is proved not to have run the request.
+fn is_not_run(opened: &Opened) -> bool {
+    match opened {
+        Ok(exchange) => exchange.is_refusal(),
+        Err(error) => error.verdict == Verdict::NotRun,
+    }
+}
+
+/// Returns whether the second of two results that are not final says more than the first: a failure that a target
+/// states says more than a broken connection, and that more than one that did not open.
+fn prefers_second(first: &Opened, second: &Opened) -> bool {
+    match (first, second) {
+        (_, Ok(_)) => true,
+        (Ok(_), Err(_)) => false,
+        (Err(_), Err(_)) => is_not_run(first) || !is_not_run(second),
+    }
+}
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -162,7 +162,7 @@
     }
 
     /// Returns whether the target states that it did not run the request.
-    fn is_refusal(&self) -> bool {
+    pub(crate) fn is_refusal(&self) -> bool {
         self.meta.not_run || self.head.status == 421
     }
 
