fix(gateway): only the first response on a connection is believed without an id

What callers saw: 503 "not run" for a request that ran, if a target wrote a response to another request and then a refusal without an id on a new connection.

Cause: on a new connection a refusal without an id is believed, as nothing else was sent there. That holds for the first response only: where there is one to another request, the next one may belong to another request too.

Change: after a skipped response a response without an id is not believed; the request may have run, and the connection is closed.

--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -131,7 +131,7 @@
         connection: &mut Connection,
         is_new: bool,
     ) -> Result<(ResponseHead, ResponseMeta, BodyDecoder), SendError> {
-        for _ in 0..MAX_RESPONSES {
+        for skipped in 0..MAX_RESPONSES {
             let head = connection
                 .read_response(MAX_RESPONSE_HEAD)
                 .await
@@ -143,7 +143,8 @@
             let mut decoder = BodyDecoder::new(kind);
             let is_own = match &meta.id {
                 Some(id) => Some(id) == call.meta.id.as_ref(),
-                None => is_new && !is_success(&head),
+                // Only the first response on a connection cannot be a late one to another request.
+                None => is_new && skipped == 0 && !is_success(&head),
             };
             if is_own {
                 return Ok((head, meta, decoder));
