fix(almondcroftd): a call to a plain service has a connection of its own

What callers saw: the response to another call, possibly of another customer, or its refusal (503), if a target of an idempotent service wrote an earlier response once more on a connection that was in use again.

Cause: idempotent services were called over kept connections, where only the order ties a response to its call. The connection pool discards a connection on which bytes have arrived, but not if they arrive after that check.

Change: calls to plain services are sent over new connections, as those that run at most once were before. There is no header that all services echo, so that nothing else ties a response to its call.

Cost: one connection for each call to an idempotent service, with a round trip (and a TLS handshake).

--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -273,15 +273,12 @@
         }
         let limit = self.deadline.saturating_sub(app.clock.now());
         let body = self.body.clone();
-        let conn = if self.service.idempotent {
-            app.outbound
-                .call(self.method, &url, &headers, body, limit)
-                .await?
-        } else {
-            app.outbound
-                .call_fresh(self.method, &url, &headers, body, limit)
-                .await?
-        };
+        // Responses of plain services name no request. On a connection that is used again, a late second response to
+        // an earlier call would be taken for the one to this call.
+        let conn = app
+            .outbound
+            .call_fresh(self.method, &url, &headers, body, limit)
+            .await?;
         let limit = self.deadline.saturating_sub(app.clock.now());
         Ok(PlainResponse {
             status: conn.status().map_or(502, |status| status as u16),
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -86,7 +86,8 @@
         }
     }
 
-    /// Calls over a pooled connection. Use this only for calls that may be repeated.
+    /// Calls over a pooled connection. Use this only for calls that may be repeated, and not where a late second
+    /// response to an earlier call may be taken for the response.
     ///
     /// # Errors
     ///
