fix(almondcroftd): a response of a peer must have the id of its call

What callers saw: nothing yet; a VM that got the response to an earlier call once more on a connection that was in use again took it for the response to the next call, so that the grant of one claim granted another one, whose call may have run before.

Cause: each call between VMs had the id 1, and the id of the response was not read.

Change: a call has a random id; a response with another one ends the call with an error, and the connection is closed. VMs of earlier versions return the id that they get, so that versions can be mixed.

--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -139,6 +139,21 @@
         conn: Conn,
         max_bytes: usize,
         limit: Duration,
+    ) -> Result<Vec<u8>, CallError> {
+        Self::read_own_body(conn, max_bytes, limit, |_| true).await
+    }
+
+    /// Reads the whole body of a response like [`Outbound::read_body`] if it shows that it belongs to the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] as [`Outbound::read_body`] does, and if `is_own` denies that it belongs to the call.
+    /// The connection is closed then, as the response to the call may be on it.
+    pub(crate) async fn read_own_body(
+        conn: Conn,
+        max_bytes: usize,
+        limit: Duration,
+        is_own: impl FnOnce(&[u8]) -> bool,
     ) -> Result<Vec<u8>, CallError> {
         let mut body = ResponseBody::new(conn);
         let read = async {
@@ -154,8 +169,13 @@
         };
         match within(limit, read).await {
             Some(Ok(bytes)) if bytes.len() <= max_bytes => {
-                body.recycle().await;
-                Ok(bytes)
+                if is_own(&bytes) {
+                    body.recycle().await;
+                    Ok(bytes)
+                } else {
+                    body.close();
+                    Err(may_have_run(CallErrorKind::Broken))
+                }
             }
             Some(_) => Err(may_have_run(CallErrorKind::Broken)),
             None => Err(may_have_run(CallErrorKind::TimedOut)),
--- a/crates/almondcroftd/src/http/response_body.rs
+++ b/crates/almondcroftd/src/http/response_body.rs
@@ -45,6 +45,13 @@
             conn.recycle().await;
         }
     }
+
+    /// Closes the connection, which the client library would return to the pool otherwise.
+    pub fn close(self) {
+        if let Framing::Framed(conn) = self.0 {
+            drop(Upgrade::from(*conn));
+        }
+    }
 }
 
 fn is_close_delimited(conn: &Conn) -> bool {
--- a/crates/almondcroftd/src/peer_client.rs
+++ b/crates/almondcroftd/src/peer_client.rs
@@ -3,8 +3,8 @@
 use crate::http::Outbound;
 use almondcroft_proto::peer::compute_auth_code;
 use almondcroft_proto::peer::{AUTH_HEADER, RPC_PATH};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -28,6 +28,12 @@
     InvalidResponse,
 }
 
+/// The id of a JSON-RPC response.
+#[derive(Debug, Deserialize)]
+struct ResponseId {
+    id: u32,
+}
+
 /// Calls methods of other VMs by JSON-RPC.
 #[derive(Debug)]
 pub(crate) struct PeerClient {
@@ -51,7 +57,8 @@
         params: &impl Serialize,
         limit: Duration,
     ) -> Result<A, PeerError> {
-        let message = json!({"jsonrpc": "2.0", "id": 1, "method": method, "params": [params]});
+        let id: u32 = rand::random();
+        let message = json!({"jsonrpc": "2.0", "id": id, "method": method, "params": [params]});
         let body = message.to_string().into_bytes();
         let auth = compute_auth_code(&self.secret, &body);
         let url = format!("{}{RPC_PATH}", address.trim_end_matches('/'));
@@ -66,7 +73,11 @@
             crate::http::CallErrorKind::Refused => PeerError::Refused,
             _ => PeerError::NoResponse,
         })?;
-        let bytes = Outbound::read_body(conn, MAX_RESPONSE_BYTES, limit)
+        // A late second response to an earlier call on the connection has another id.
+        let is_own = |bytes: &[u8]| {
+            serde_json::from_slice(bytes).is_ok_and(|response: ResponseId| response.id == id)
+        };
+        let bytes = Outbound::read_own_body(conn, MAX_RESPONSE_BYTES, limit, is_own)
             .await
             .map_err(|_| PeerError::NoResponse)?;
         let mut response: Value =
@@ -78,3 +89,6 @@
         serde_json::from_value(result).map_err(|_| PeerError::InvalidResponse)
     }
 }
+
+#[cfg(test)]
+mod tests;
