--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -33,6 +33,29 @@
     keep_alive: Duration,
 }
 
+/// What a connection is to be used for, which decides which idle ones will do.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Purpose<'a> {
+    /// A request whose response states this id; if it must not run twice, only a recently used connection is taken.
+    Request { id: &'a str, run_once: bool },
+    /// A call whose response states no id, so that it must be the first one on its connection.
+    UnidentifiedCall,
+}
+
+impl Purpose<'_> {
+    /// Returns whether the response is told from earlier ones on the connection that arrive once more.
+    fn permits(self, connection: &Connection) -> bool {
+        match self {
+            Self::Request { id, .. } => !connection.has_refused(id),
+            Self::UnidentifiedCall => !connection.is_used(),
+        }
+    }
+
+    const fn runs_once(self) -> bool {
+        matches!(self, Self::Request { run_once: true, .. })
+    }
+}
+
 /// Holds the idle connections by the address of their target.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -40,24 +63,25 @@
 }
 
 impl ConnectionPool {
-    /// Takes an open idle connection.
-    ///
-    /// For a request that must not run twice, only a recently used connection is taken.
+    /// Takes an open idle connection that will do for a purpose.
     pub(crate) fn take(
         &self,
         address: SocketAddr,
-        run_once: bool,
+        purpose: Purpose<'_>,
         now: Timestamp,
     ) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         // The last one was used most recently, so the target is least likely to be closing it.
-        while let Some(entry) = connections.pop() {
-            let age = now.saturating_sub(entry.idle_since);
-            if run_once && age >= RECENT_IDLE_TIME {
-                connections.push(entry);
+        for index in (0..connections.len()).rev() {
+            let age = now.saturating_sub(connections[index].idle_since);
+            if purpose.runs_once() && age >= RECENT_IDLE_TIME {
                 return None;
             }
+            if !purpose.permits(&connections[index].connection) {
+                continue;
+            }
+            let entry = connections.remove(index);
             if age < entry.keep_alive && entry.connection.is_idle() {
                 return Some(entry.connection);
             }
@@ -65,16 +89,18 @@
         None
     }
 
-    /// Returns whether there is an idle connection that was used recently.
-    fn has_recent(&self, address: SocketAddr, now: Timestamp) -> bool {
+    /// Returns whether there is an idle connection that was used recently and will do for a purpose.
+    fn has_recent(&self, address: SocketAddr, purpose: Purpose<'_>, now: Timestamp) -> bool {
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_recent =
-            |entry: &IdleConnection| now.saturating_sub(entry.idle_since) < RECENT_IDLE_TIME;
+        let is_recent = |entry: &IdleConnection| {
+            now.saturating_sub(entry.idle_since) < RECENT_IDLE_TIME
+                && purpose.permits(&entry.connection)
+        };
         idle.get(&address)
             .is_some_and(|connections| connections.iter().any(is_recent))
     }
 
-    /// Adds a connection whose last response was read completely.
+    /// Adds a connection that is new or whose last response was read completely.
     fn put(
         &self,
         address: SocketAddr,
@@ -86,7 +112,8 @@
         let keep_alive = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |time| {
             time.saturating_sub(KEEP_ALIVE_MARGIN)
         });
-        if keep_alive.is_zero() || connection.is_tunnel() || !connection.is_idle() {
+        let is_reusable = !connection.is_tunnel() && connection.can_record_refusal();
+        if keep_alive.is_zero() || !is_reusable || !connection.is_idle() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -116,24 +143,25 @@
     }
 }
 
-/// Takes an idle connection to a target or opens one; also returns whether it is new.
+/// Takes an idle connection to a target or opens one; also returns whether nothing was sent on it yet.
 pub(crate) async fn connect(
     gateway: &Gateway,
     destination: Destination<'_>,
-    run_once: bool,
+    purpose: Purpose<'_>,
     timeout: Duration,
 ) -> Result<(Connection, bool), ConnectionError> {
     let now = clock::now();
     if lock(&gateway.target_paths).trusts_idle(destination.target, now)
-        && let Some(connection) = gateway.pool.take(destination.address, run_once, now)
+        && let Some(connection) = gateway.pool.take(destination.address, purpose, now)
     {
-        return Ok((connection, false));
+        let is_new = !connection.is_used();
+        return Ok((connection, is_new));
     }
     let connection = target_connect::connect(gateway, destination, timeout).await?;
     Ok((connection, true))
 }
 
-/// Returns a connection to the pool, within this VM's share of the target's connections.
+/// Returns a used connection to the pool, within this VM's share of the target's connections.
 pub(crate) fn release(
     gateway: &Gateway,
     address: SocketAddr,
@@ -141,24 +169,31 @@
     connection: Connection,
     keep_alive: Option<Duration>,
 ) {
-    let max_idle = gateway.idle_share(service);
+    let (max_idle, now) = (gateway.idle_share(service), clock::now());
+    let connection = connection.into_used();
     gateway
         .pool
-        .put(address, connection, keep_alive, max_idle, clock::now());
+        .put(address, connection, keep_alive, max_idle, now);
 }
 
-/// Opens a connection that will be needed soon.
+/// Opens a connection that will be needed soon, unless there is one that will do.
 ///
 /// It saves two round trips to another region while a generation is stalled.
-pub(crate) fn preconnect(gateway: &Arc<Gateway>, address: SocketAddr, service: &ServiceId) {
-    if gateway.pool.has_recent(address, clock::now()) {
+pub(crate) fn preconnect(
+    gateway: &Arc<Gateway>,
+    address: SocketAddr,
+    service: &ServiceId,
+    purpose: Purpose<'_>,
+) {
+    if gateway.pool.has_recent(address, purpose, clock::now()) {
         return;
     }
     let (gateway, service) = (Arc::clone(gateway), service.clone());
     spawn(async move {
         // After a failure, the request that needs a connection opens one and reports its error.
         if let Ok(connection) = Connection::connect(address, CONNECT_TIMEOUT).await {
-            release(&gateway, address, &service, connection, None);
+            let (max_idle, now) = (gateway.idle_share(&service), clock::now());
+            gateway.pool.put(address, connection, None, max_idle, now);
         }
     });
 }
