fix(dispatch): a broken tunnel is no hard failure of the target behind it

Callers of a VM that reaches no target itself were refused for half a second (503 overload after 1 ms) when the VM that helped it was killed or cut off: each broken tunnel counted as a hard failure of its sound target, and two at each target made the VM keep away from all. Sends and responses now say whether they led through a tunnel.

--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -86,7 +86,7 @@
                 Some(Ok(true)) => return self.stream_response(exchange, body).await,
                 Some(Ok(false)) => break,
                 Some(Err(error)) => {
-                    self.record_failure(&choice.target, true);
+                    self.record_failure(&choice.target, !exchange.is_tunneled());
                     let kind = error.kind();
                     self.request_log
                         .log_fault(&choice.target, kind, Verdict::MayHaveRun);
@@ -175,7 +175,9 @@
             .log_fault(target, error.kind, error.verdict);
         let is_timeout = error.kind == "target-timeout";
         let waited = clock::now().saturating_sub(*sent_at);
-        self.record_failure(target, !is_timeout || waited > MAX_SOUND_SILENCE);
+        // A broken tunnel may be the fault of the VM through which it leads, and a silent target may be sound.
+        let is_hard = !error.is_tunneled && (!is_timeout || waited > MAX_SOUND_SILENCE);
+        self.record_failure(target, is_hard);
         match error.verdict {
             Verdict::NotRun => {
                 run.record_not_run();
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -32,6 +32,8 @@
 pub(crate) struct SendError {
     pub(crate) kind: &'static str,
     pub(crate) verdict: Verdict,
+    /// Whether the connection led through another VM, which may have caused the failure.
+    pub(crate) is_tunneled: bool,
 }
 
 impl SendError {
@@ -39,6 +41,7 @@
         Self {
             kind,
             verdict: Verdict::NotRun,
+            is_tunneled: false,
         }
     }
 
@@ -46,6 +49,7 @@
         Self {
             kind,
             verdict: Verdict::MayHaveRun,
+            is_tunneled: false,
         }
     }
 }
@@ -111,7 +115,11 @@
             lock(&gateway.target_paths).record_silence(&send.target, clock::now());
             return Err(SendError::may_have_run("target-timeout"));
         };
-        let (head, meta, decoder) = response?;
+        let is_tunneled = connection.is_tunnel();
+        let (head, meta, decoder) = response.map_err(|error| SendError {
+            is_tunneled,
+            ..error
+        })?;
         gateway.observe_response(&send.target, &head, &meta);
         Ok(Self {
             head,
@@ -157,6 +165,11 @@
         Err(SendError::may_have_run("crossed"))
     }
 
+    /// Returns whether the connection leads through another VM.
+    pub(crate) const fn is_tunneled(&self) -> bool {
+        self.connection.is_tunnel()
+    }
+
     /// Reads the next part of the body; returns `false` once the body is complete.
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, ConnectionError> {
         self.connection.read_body(&mut self.decoder, out).await
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -125,7 +125,8 @@
         let migrated = self.migrated.take();
         if migrated.is_none() {
             request_log.log_fault(&self.choice.target, reason, Verdict::MayHaveRun);
-            lock(&self.gateway.fleet).record_failure(&self.choice.target, true, clock::now());
+            let hard = !self.exchange.is_tunneled();
+            lock(&self.gateway.fleet).record_failure(&self.choice.target, hard, clock::now());
             check_crash(
                 self.gateway,
                 self.call,
