fix(daemon): what is not a whole final response of a target is never passed on as one

Callers of almondcroftd got an interim 103 of a target as its final response, with verdict 'ran' and framed as whole, also if the target closed the connection before the real response. Bodies whose chunks ended at an empty chunk size or with a wrong size were passed on short, trailer fields that broke off were taken for complete, conflicting or unreadable lengths were read as chunks, and a status such as 299 made the task panic.

Cause: the HTTP client library takes each interim response but 100 for the final one, keeps the fields of a 100 for the response after it, reads a chunk size without digits as the last one, doesn't check the end of a chunk, doesn't wait for the trailer fields, and unwraps unknown status codes. almondctl and the stand-ins use the same client.

Change: the connection filters what it receives with the framing code of the gateway. Interim responses are dropped, except for the 100 that a body waits for; heads and lengths are checked; chunks are decoded and encoded again, the last one once the trailer fields are there. A connection with bytes after a response, or whose request was answered before its body was asked for, carries no other request.

--- a/crates/almondcroftd/src/http.rs
+++ b/crates/almondcroftd/src/http.rs
@@ -1,9 +1,11 @@
 //! HTTP client, TLS and streamed response bodies.
 
 mod body;
+mod filtered_transport;
 mod options;
 mod outbound;
 mod response_body;
+mod response_filter;
 mod tls;
 
 pub use body::{BodySender, stream_body};
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -1,5 +1,6 @@
 //! HTTP client for targets, peers and the platform.
 
+use super::filtered_transport::FilteredTransport;
 use super::{ResponseBody, client_config};
 use crate::runtime::{sleep, within};
 use almondcroft_core::Verdict;
@@ -262,7 +263,7 @@
 
 #[async_trait]
 impl Connector for SecureConnector {
-    type Transport = RustlsClientTransport<Tcp>;
+    type Transport = FilteredTransport<RustlsClientTransport<Tcp>>;
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
         let timeout = async {
@@ -271,7 +272,7 @@
         };
         let transport = futures_lite::future::or(self.open(url), timeout).await?;
         self.connected.store(true, Ordering::SeqCst);
-        Ok(transport)
+        Ok(transport.into())
     }
 
     fn spawn<Fut: Future<Output = ()> + Send + 'static>(&self, future: Fut) {
