fix(daemon): a repeat that finds no target does not make an earlier attempt 'not run'

Callers got 503 no-target with the verdict 'not-run' for repeatable calls and generations whose first attempt had been sent to a target and broken off. The verdict of the last attempt stood for all.

An earlier problem with 'may-have-run' is now returned if the last attempt did not run.

Measured: repeatable_call_head_cut_behind_an_interim_response_is_no_response failed before with left (503, not-run), right (502, may-have-run) after 0 bytes; stream_head_cut_anywhere_is_no_response with kind no-target, verdict NotRun, after the request was sent. The four tests pass (11 s); cut and reset heads of calls that may not be repeated held before.

--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -97,11 +97,18 @@
     /// Tries targets until one responds, within the deadline and the retry budget.
     async fn run_idempotent(&self, app: &Arc<App>) -> Result<PlainResponse, Problem> {
         let mut failed = None;
+        let mut may_have_run: Option<Problem> = None;
         loop {
-            let error = match self.attempt(app, failed.as_ref()).await {
+            let mut error = match self.attempt(app, failed.as_ref()).await {
                 Ok(response) => return Ok(response),
                 Err(error) => error,
             };
+            // That the last attempt did not run says nothing about the ones before.
+            if error.problem.verdict == Verdict::NotRun {
+                error.problem = may_have_run.clone().unwrap_or(error.problem);
+            } else {
+                may_have_run = Some(error.problem.clone());
+            }
             let before_deadline = app.clock.now() < self.deadline;
             let Some(target) = error.target.filter(|_| before_deadline) else {
                 return Err(error.problem);
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -129,8 +129,11 @@
 
     async fn open_new(&mut self) -> Result<Option<Event>, Problem> {
         let mut failed: Option<TargetId> = None;
+        let mut may_have_run: Option<Problem> = None;
         loop {
-            self.place(failed.as_ref()).await?;
+            if let Err(problem) = self.place(failed.as_ref()).await {
+                return Err(may_have_run.unwrap_or(problem));
+            }
             let problem = match self.start().await {
                 Ok(()) => match self.next().await {
                     Ok(event) => return Ok(event),
@@ -149,6 +152,11 @@
                 .remaining(self.job.fingerprint, now)
                 .is_some();
             let before_deadline = now < self.job.route.deadline;
+            // That the last attempt did not run says nothing about the ones before.
+            let problem = match may_have_run.take() {
+                Some(earlier) if problem.verdict == Verdict::NotRun => earlier,
+                _ => problem,
+            };
             if !retryable || blocked || !before_deadline || !self.app.retry_budget().try_take() {
                 self.released = true;
                 return Err(problem);
@@ -160,6 +168,9 @@
                 verdict = problem.verdict.as_str();
                 "engine failed before the first token"
             );
+            if problem.verdict != Verdict::NotRun {
+                may_have_run = Some(problem);
+            }
             failed = Some(std::mem::take(&mut self.target));
             self.released = false;
         }
