test(daemon): requests cut at any byte of their heads or bodies are never run

Holds on the code as it was, on new and kept connections, with a length and in chunks up to the last chunk's size line. Behind that line the HTTP server library doesn't wait for the trailer fields, and runs the request: its content is complete by then.

--- a/crates/almondcroft-standin/tests/truncated_heads.rs
+++ b/crates/almondcroft-standin/tests/truncated_heads.rs
@@ -1,10 +1,10 @@
 //! Targets whose responses break off within their heads.
 
 use almondcroft_core::Verdict;
-use almondcroft_standin::demo::{Caller, LocalDeployment, Reply, StreamEnd};
+use almondcroft_standin::demo::{Caller, LocalDeployment, Reply, StreamEnd, TOKEN};
 use almondcroftd::{block_on, sleep};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -176,3 +176,42 @@
         }
     });
 }
+
+#[test]
+fn request_cut_anywhere_is_never_run() {
+    block_on(async {
+        let deployment = LocalDeployment::start(1, 1).await.unwrap();
+        let address = deployment.vms[0].address();
+        let head = |framing: &str| {
+            format!(
+                "POST /v1/services/orders/confirm HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\
+                 Idempotency-Key: {}\r\n{framing}\r\n\r\n",
+                uuid::Uuid::now_v7()
+            )
+        };
+        let sized = head("Content-Length: 11") + "{\"fish\":12}";
+        let chunked = head("Transfer-Encoding: chunked") + "b;a=b\r\n{\"fish\":12}\r\n0\r\n";
+        for text in [sized, chunked] {
+            for cut in 0..text.len() {
+                let mut socket = TcpStream::connect(address).unwrap();
+                if cut % 2 == 0 {
+                    // A whole request before it makes the connection a kept one.
+                    let kept = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+                    socket.write_all(kept).unwrap();
+                    assert!(socket.read(&mut [0; 4096]).unwrap() > 0);
+                }
+                socket.write_all(&text.as_bytes()[..cut]).unwrap();
+                socket.shutdown(Shutdown::Write).unwrap();
+                socket
+                    .set_read_timeout(Some(Duration::from_secs(5)))
+                    .unwrap();
+                let mut response = String::new();
+                let _ = socket.read_to_string(&mut response);
+                let refused = response.is_empty() || response.starts_with("HTTP/1.1 4");
+                assert!(refused, "after {cut}: {response}");
+            }
+        }
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(deployment.orders_state.executions(), []);
+    });
+}
