fix(daemon): SIGHUP doesn't end the process

Callers of almondcroftd lost every open answer and stream when the process received a SIGHUP: only SIGTERM and SIGINT were handled, and the default action of SIGHUP ends the process. Also during a drain.

SIGHUP is now logged and changes nothing, as the configuration comes from the store.

--- a/crates/almondcroftd/src/program.rs
+++ b/crates/almondcroftd/src/program.rs
@@ -1,7 +1,7 @@
 //! Runs the daemon as a process until it receives a signal.
 
 use crate::{Daemon, Settings, block_on, init_threads, logging};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::process::ExitCode;
 
@@ -12,13 +12,15 @@
 
 /// Runs the daemon until SIGTERM or SIGINT; a second signal aborts the requests in flight.
 ///
+/// SIGHUP changes nothing, as the configuration is read from the store whenever it changes there.
+///
 /// Prints the address that it listens at. Returns 0 if all requests in flight finished, 1 if the
 /// daemon could not start, and 3 if requests were aborted.
 #[must_use]
 pub fn run_until_signal(settings: Settings) -> ExitCode {
     logging::init();
     init_threads(settings.threads);
-    let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+    let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(signals) => signals,
         Err(error) => {
             eprintln!("cannot install signal handlers: {error}");
@@ -28,6 +30,10 @@
     let (sender, receiver) = async_channel::unbounded();
     std::thread::spawn(move || {
         for signal in signals.forever() {
+            if signal == SIGHUP {
+                log::info!(event = "sighup"; "the store's configuration is applied without a signal");
+                continue;
+            }
             if sender.send_blocking(signal).is_err() {
                 return;
             }
