fix(daemon): a stop waits until responses have been sent, not only made

Callers that read slowly got a response cut short at a planned stop of almondcroftd, and streams could lose their last events: a request counted as in flight until its handler returned or its last event was queued, and the process ended while the response was still being written.

Requests of callers now count until the response has been written, or has failed.

Measured: sigterm_waits_for_callers_that_read_slowly failed before (3903488 of bytes, exit at once); it passes, and the process exits with 0.

--- a/crates/almondcroft-standin/tests/shutdown.rs
+++ b/crates/almondcroft-standin/tests/shutdown.rs
@@ -66,6 +66,29 @@
     }
 }
 
+/// A target that responds to each call with a large body.
+fn start_large_target(size: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                while socket.read(&mut bytes).is_ok_and(|count| count > 0) {
+                    let body = if bytes.starts_with(b"GET /load") {
+                        br#"{"age_ms":0,"running":0,"waiting":0,"kv_used":0,"kv_total":9000,"preemptions":0}"#.to_vec()
+                    } else {
+                        vec![b'x'; size]
+                    };
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    let _ = socket.write_all(&[head.as_bytes(), &body].concat());
+                }
+            });
+        }
+    });
+    address
+}
+
 /// A daemon process in front of targets behind proxies.
 struct Site {
     deployment: LocalDeployment,
@@ -331,3 +354,24 @@
         assert_eq!(site.entry.wait().unwrap(), Some(0));
     });
 }
+
+#[test]
+fn sigterm_waits_for_callers_that_read_slowly() {
+    block_on(async {
+        let deployment = LocalDeployment::start(0, 1).await.unwrap();
+        let target = start_large_target(15_000_000);
+        let mut site = Site::with_orders(deployment, target, 0, 20_000).await;
+        let mut callers = site.kept_callers(3);
+        for caller in &mut callers {
+            caller.send("POST", LOOKUP, "", 0);
+        }
+        sleep(Duration::from_millis(500)).await;
+        site.entry.signal("TERM").unwrap();
+        sleep(Duration::from_secs(1)).await;
+        for mut caller in callers {
+            let reply = caller.read().unwrap();
+            assert!(reply.is_success(), "{} bytes", reply.body.len());
+        }
+        assert_eq!(site.entry.wait().unwrap(), Some(0));
+    });
+}
--- a/crates/almondcroftd/src/server.rs
+++ b/crates/almondcroftd/src/server.rs
@@ -21,6 +21,9 @@
 /// Largest request body of a peer, in bytes.
 const MAX_PEER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Start of the paths of callers' requests.
+const CALLER_PREFIX: &str = "/v1/";
+
 /// Returns the handler of all requests.
 pub(crate) fn handler(app: &Arc<App>) -> impl Handler + use<> {
     let app = Arc::clone(app);
@@ -31,10 +34,15 @@
     }
 }
 
-async fn route(conn: Conn, app: Arc<App>, rpc: Arc<RpcModule<Arc<App>>>) -> Conn {
+async fn route(mut conn: Conn, app: Arc<App>, rpc: Arc<RpcModule<Arc<App>>>) -> Conn {
     if app.lifecycle.is_crashed() {
         return reset_connection(conn);
     }
+    if conn.path().starts_with(CALLER_PREFIX) {
+        // A stop waits until the caller has been sent the whole response.
+        let guard = app.lifecycle.track();
+        conn.inner_mut().after_send(move |_| drop(guard));
+    }
     let mut conn = dispatch(conn, &app, &rpc).await;
     if app.lifecycle.is_draining() {
         conn.response_headers_mut().insert("connection", "close");
--- a/crates/almondcroftd/src/server/admission.rs
+++ b/crates/almondcroftd/src/server/admission.rs
@@ -2,7 +2,6 @@
 
 use super::auth::{self, CustomerGuard};
 use crate::app::App;
-use crate::lifecycle::InFlightGuard;
 use crate::runtime::within;
 use almondcroft_core::config::{Config, Customer, Service, ServiceKind, Terms};
 use almondcroft_core::{RequestId, Timestamp, Verdict};
@@ -13,13 +12,12 @@
 use std::time::Duration;
 use trillium::Conn;
 
-/// Request that has been admitted; it counts as in flight until it is dropped.
+/// Request that has been admitted; it counts against its customer's limit until it is dropped.
 pub(crate) struct AdmittedRequest {
     pub(crate) id: RequestId,
     pub(crate) config: Arc<Config>,
     pub(crate) customer: Customer,
     pub(crate) arrived_at: Timestamp,
-    _in_flight_guard: InFlightGuard,
     _customer_guard: CustomerGuard,
 }
 
@@ -35,7 +33,6 @@
             config,
             customer,
             arrived_at: app.clock.now(),
-            _in_flight_guard: app.lifecycle.track(),
             _customer_guard: customer_guard,
             id,
         })
