fix(daemon): requests that are aborted at the end of a drain get an answer

Callers of almondcroftd whose targets stayed silent past the drain limit, or whose request body had not arrived by then, found their connection closed without an answer. Only streams that waited for an event noticed the abort: plain calls waited for their target, bodies for their caller, and generations for an engine to accept a request or a resume, which also delayed the answer to a passed deadline by up to 6 s. Half a second later the process ended.

All of these now end with the abort. A plain call is answered 503 stopping: 'not-run' if it has not been sent and is not sent any more, otherwise 'may-have-run'. A request without its body is answered 'not-run'.

--- a/crates/almondcroft-standin/tests/shutdown.rs
+++ b/crates/almondcroft-standin/tests/shutdown.rs
@@ -355,6 +355,27 @@
     });
 }
 
+#[test]
+fn sigterm_with_silent_targets_beyond_the_drain_limit_leaves_no_request_unanswered() {
+    block_on(async {
+        let mut site = Site::start(100, 600).await;
+        let callers = site.kept_callers(16);
+        site.set_silent(true);
+        let threads = call_all(callers);
+        sleep(Duration::from_millis(150)).await;
+        site.entry.signal("TERM").unwrap();
+        for (number, reply) in join(threads) {
+            let reply = reply.unwrap_or_else(|| panic!("{number}: closed without an answer"));
+            assert!(reply.is_whole, "{number}: {reply:?}");
+            let is_truthful = reply.has("may-have-run") && reply.has("stopping");
+            assert!(is_truthful, "{number}: {reply:?}");
+            assert!(reply.took < Duration::from_secs(2), "{number}: {reply:?}");
+        }
+        assert_eq!(site.entry.wait().unwrap(), Some(3));
+        site.set_silent(false);
+    });
+}
+
 #[test]
 fn sigterm_waits_for_callers_that_read_slowly() {
     block_on(async {
@@ -375,3 +396,20 @@
         assert_eq!(site.entry.wait().unwrap(), Some(0));
     });
 }
+
+#[test]
+fn sigterm_answers_requests_whose_bodies_have_not_arrived() {
+    block_on(async {
+        let mut site = Site::start(100, 300).await;
+        let mut callers = site.kept_callers(2);
+        callers[0].send("POST", ORDER, "{\"fish\"", 11);
+        callers[1].send("POST", STREAM, "{\"model\"", 100);
+        sleep(Duration::from_millis(100)).await;
+        site.entry.signal("TERM").unwrap();
+        for mut caller in callers {
+            let reply = caller.read().expect("closed without an answer");
+            assert!(reply.status == 503 && reply.has("not-run"), "{reply:?}");
+        }
+        site.entry.wait().unwrap();
+    });
+}
--- a/crates/almondcroftd/src/calls.rs
+++ b/crates/almondcroftd/src/calls.rs
@@ -1,5 +1,7 @@
 //! Calls to plain services, which run at most once if they may not be repeated.
 
+mod send_gate;
+
 use crate::app::App;
 use crate::claims;
 use crate::http::{CallError, CallErrorKind, Outbound};
@@ -10,6 +12,7 @@
 use almondcroft_core::router::RouteRequest;
 use almondcroft_core::{CustomerId, RequestId, TargetId, Timestamp, Verdict};
 use almondcroft_proto::Problem;
+use send_gate::SendGate;
 use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,25 +59,33 @@
 
 impl Call {
     /// Runs the call in a separate task, which completes even if the returned future is dropped.
+    ///
+    /// If the daemon aborts its requests, the call fails at once with the verdict known by then.
     pub(crate) async fn run(self, app: Arc<App>) -> Result<PlainResponse, Problem> {
         let guard = app.lifecycle.track();
+        let gate = Arc::new(SendGate::default());
         let (sender, receiver) = async_channel::bounded(1);
+        let (task_app, task_gate) = (Arc::clone(&app), Arc::clone(&gate));
         crate::runtime::spawn(async move {
-            let result = self.perform(&app).await;
-            drop(guard);
+            let result = self.perform(&task_app, &task_gate).await;
             let _ = sender.send(result).await;
+            drop(guard);
         });
-        receiver
-            .recv()
-            .await
-            .unwrap_or_else(|_| Err(Problem::new(500, "internal", Verdict::MayHaveRun)))
+        match app.lifecycle.until_aborted(receiver.recv()).await {
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(Problem::new(500, "internal", Verdict::MayHaveRun)),
+            None => Err(stopping(gate.close())),
+        }
     }
 
-    async fn perform(&self, app: &Arc<App>) -> Result<PlainResponse, Problem> {
+    async fn perform(&self, app: &Arc<App>, gate: &SendGate) -> Result<PlainResponse, Problem> {
         app.retry_budget().record_request();
         match &self.key {
-            Some(key) if !self.service.idempotent => self.run_once(app, key).await,
-            _ => self.run_idempotent(app).await,
+            Some(key) if !self.service.idempotent => self.run_once(app, key, gate).await,
+            _ => {
+                gate.open();
+                self.run_idempotent(app, gate).await
+            }
         }
     }
 
@@ -95,11 +106,15 @@
     }
 
     /// Tries targets until one responds, within the deadline and the retry budget.
-    async fn run_idempotent(&self, app: &Arc<App>) -> Result<PlainResponse, Problem> {
+    async fn run_idempotent(
+        &self,
+        app: &Arc<App>,
+        gate: &SendGate,
+    ) -> Result<PlainResponse, Problem> {
         let mut failed = None;
         let mut may_have_run: Option<Problem> = None;
         loop {
-            let mut error = match self.attempt(app, failed.as_ref()).await {
+            let mut error = match self.attempt(app, gate, failed.as_ref()).await {
                 Ok(response) => return Ok(response),
                 Err(error) => error,
             };
@@ -121,7 +136,12 @@
     }
 
     /// Claims the key, then sends the call to one target.
-    async fn run_once(&self, app: &Arc<App>, key: &str) -> Result<PlainResponse, Problem> {
+    async fn run_once(
+        &self,
+        app: &Arc<App>,
+        key: &str,
+        gate: &SendGate,
+    ) -> Result<PlainResponse, Problem> {
         let now = app.clock.now();
         let retention = app.settings.ledger.retention;
         let max_age = retention / KEY_MARGIN_DIVISOR * (KEY_MARGIN_DIVISOR - 1);
@@ -146,7 +166,8 @@
         if app.clock.now().saturating_sub(now) > retention / KEY_MARGIN_DIVISOR {
             return Err(Problem::new(503, "paused", Verdict::NotRun));
         }
-        self.run_claimed(app, &claim).await
+        gate.open();
+        self.run_claimed(app, &claim, gate).await
     }
 
     /// Waits until the claim is granted or an earlier run of the call has an outcome.
@@ -191,10 +212,15 @@
         }
     }
 
-    async fn run_claimed(&self, app: &Arc<App>, claim: &Claim) -> Result<PlainResponse, Problem> {
+    async fn run_claimed(
+        &self,
+        app: &Arc<App>,
+        claim: &Claim,
+        gate: &SendGate,
+    ) -> Result<PlainResponse, Problem> {
         let mut failed: Option<TargetId> = None;
         loop {
-            match self.attempt(app, failed.as_ref()).await {
+            match self.attempt(app, gate, failed.as_ref()).await {
                 Ok(response) => {
                     let outcome =
                         Outcome::new(response.status, response.media_type.clone(), &response.body);
@@ -222,6 +248,7 @@
     async fn attempt(
         &self,
         app: &Arc<App>,
+        gate: &SendGate,
         failed: Option<&TargetId>,
     ) -> Result<PlainResponse, AttemptError> {
         let route = self.route(app);
@@ -238,6 +265,14 @@
                     .retry_after(1),
             });
         };
+        if !gate.pass() {
+            let now = app.clock.now();
+            app.routing.finish(&self.service.id, &route.id, false, now);
+            return Err(AttemptError {
+                target: None,
+                problem: stopping(Verdict::NotRun),
+            });
+        }
         log::info!(
             event = "dispatch",
             request = self.request.as_str(),
@@ -352,6 +387,12 @@
         .retry_after(2)
 }
 
+fn stopping(verdict: Verdict) -> Problem {
+    Problem::new(503, "stopping", verdict)
+        .detail("the VM stopped before the call completed")
+        .retry_after(1)
+}
+
 fn outcome_unknown() -> Problem {
     Problem::new(409, "outcome-unknown", Verdict::MayHaveRun)
         .detail("an earlier attempt with this key may have run; its outcome is not known")
--- a/crates/almondcroftd/src/lifecycle.rs
+++ b/crates/almondcroftd/src/lifecycle.rs
@@ -64,6 +64,15 @@
         while self.abort_signal.recv().await.is_ok() {}
     }
 
+    /// Runs a future until it ends; `None` if the requests in flight are aborted first.
+    pub(crate) async fn until_aborted<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let aborted = async {
+            self.wait_aborted().await;
+            None
+        };
+        futures_lite::future::or(async { Some(future.await) }, aborted).await
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn track(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -6,8 +6,9 @@
 
 use crate::app::App;
 use crate::http::{CallErrorKind, Outbound};
+use crate::lifecycle::Lifecycle;
 use crate::metrics::StreamHistograms;
-use crate::runtime::{sleep, spawn};
+use crate::runtime::{sleep, spawn, within};
 use almondcroft_core::membership::Evidence;
 use almondcroft_core::router::RefusalReason;
 use almondcroft_core::{ResumeHandle, Sequencer, TargetId, Timestamp, TokenOrder, Verdict};
@@ -69,6 +70,15 @@
     released: bool,
 }
 
+/// Runs a future until it ends, `limit` has passed or the daemon aborts its requests.
+async fn run_bounded<T>(
+    lifecycle: &Lifecycle,
+    limit: Duration,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    lifecycle.until_aborted(within(limit, future)).await?
+}
+
 /// Reasons why a generation cannot be resumed at its engine.
 enum ResumeError {
     /// The engine does not know the generation.
@@ -186,7 +196,7 @@
         };
         let remaining = self.job.route.deadline.saturating_sub(now);
         let placed = async { placement.recv().await.ok() };
-        let placed = self.run_bounded(remaining, placed).await;
+        let placed = run_bounded(&self.app.lifecycle, remaining, placed).await;
         let waited = self.app.clock.now().saturating_sub(now);
         self.histograms.queue_wait.observe(waited.as_secs_f64());
         let target = match placed {
@@ -218,17 +228,6 @@
         Ok(())
     }
 
-    /// Runs a future until it ends, `limit` has passed or the daemon aborts its requests.
-    async fn run_bounded<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
-        let lifecycle = Arc::clone(&self.app.lifecycle);
-        let aborted = async {
-            let timeout = sleep(limit);
-            futures_lite::future::or(lifecycle.wait_aborted(), timeout).await;
-            None
-        };
-        futures_lite::future::or(async { Some(future.await) }, aborted).await
-    }
-
     /// Removes the request from the router.
     fn withdraw(&mut self) {
         let now = self.app.clock.now();
@@ -273,7 +272,13 @@
             .app
             .outbound
             .call_fresh(Method::Post, &url, &headers, bytes, OPEN_TIMEOUT);
-        match call.await {
+        let now = self.app.clock.now();
+        let remaining = self.job.route.deadline.saturating_sub(now);
+        let Some(response) = run_bounded(&self.app.lifecycle, remaining, call).await else {
+            // The engine may have started the generation, which is then aborted.
+            return Ok(());
+        };
+        match response {
             Ok(conn) => match conn.status().map_or(0, |status| status as u16) {
                 200 => {
                     self.source = Some(Source::new(conn));
@@ -324,7 +329,10 @@
                 return Err(self.abort(503, "stopping"));
             }
             if self.source.is_none() {
-                self.reconnect().await?;
+                // A silent engine must delay neither the deadline nor a stop.
+                let lifecycle = Arc::clone(&self.app.lifecycle);
+                let reconnected = run_bounded(&lifecycle, remaining, self.reconnect()).await;
+                reconnected.unwrap_or(Ok(()))?;
                 continue;
             }
             let silence = self.app.settings.limits.silence.min(remaining);
--- a/crates/almondcroftd/src/server/admission.rs
+++ b/crates/almondcroftd/src/server/admission.rs
@@ -88,7 +88,14 @@
             let mut reader = body.take(max_bytes as u64 + 1);
             reader.read_to_end(&mut bytes).await.map(|_| bytes)
         };
-        match within(limits.body_time, read).await {
+        let read = app.lifecycle.until_aborted(within(limits.body_time, read));
+        let Some(read) = read.await else {
+            return Err(self
+                .problem(503, "stopping", Verdict::NotRun)
+                .detail("the VM stopped before the body had arrived")
+                .retry_after(1));
+        };
+        match read {
             Some(Ok(bytes)) if bytes.len() <= max_bytes => Ok(bytes),
             Some(Ok(_)) => Err(self
                 .problem(413, "body-too-large", Verdict::NotRun)
