--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -183,7 +183,7 @@
     Evacuation(ZoneId, bool),
     /// An entry VM; `None` if it was removed.
     Vm(SmolStr, Option<VmEntry>),
-    /// An object that cannot be decoded, with its name and the reason.
+    /// An object that cannot be decoded, with the reason and its name, which is empty if it cannot be decoded either.
     Unreadable(SmolStr, String),
 }
 
