fix(sync): a target is no longer used once an entry that names none has replaced its own

What callers saw: a readable entry of a target was replaced by an odd one of the same id. Gateways that followed the changes kept sending requests to the target, while one that listed the entries did not use it.

Cause: the change was logged, and nothing else.

Change: such a change counts as the removal of the entry, as in a list.

Test: odd_entry_replaces_a_target, 28 entries through a running gateway; before: "with nested arrays, no status 503".

--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -410,6 +410,10 @@
                 item => {
                     self.outdated |= matches!(item, Item::Unreadable(..));
                     self.log_unreadable(&item);
+                    // What has replaced the entry of a target names none.
+                    if let Item::Unreadable(name, _) = item {
+                        events.push(EntryEvent::Absent(name));
+                    }
                 }
             }
         }
