fix(sync): an object without a readable name makes no configuration outdated

What callers saw: among the objects of the configuration's kind another writer left one without a readable name. The gateways no longer confirmed the configuration, and refused all keys (503) once the last confirmation was too old.

Cause: each unreadable object of the kind counted as the newest configuration.

A change of an object without a readable name does not tell which one it is, so it confirms nothing, and the objects are listed again.

--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -84,6 +84,7 @@
                 disconnected: false,
                 recent_changes: VecDeque::new(),
                 outdated: false,
+                has_unknown_change: false,
                 stored_config: 0,
                 position: StorePosition::default(),
             };
@@ -103,6 +104,8 @@
     recent_changes: VecDeque<Timestamp>,
     /// Whether the newest configuration is unreadable, so that the active one is outdated.
     outdated: bool,
+    /// Whether an object without a readable name has changed, so that it is not known which one.
+    has_unknown_change: bool,
     /// Newest configuration that the store is known to hold in its current era.
     stored_config: Revision,
     /// Position of the store up to which the objects are known.
@@ -153,7 +156,13 @@
                 return;
             }
             match self.watch(self.position).await {
-                Ok(next) => self.position = next,
+                Ok(next) => {
+                    self.position = next;
+                    if std::mem::take(&mut self.has_unknown_change) {
+                        sleep(MAX_BACKOFF).await;
+                        return;
+                    }
+                }
                 Err(StoreError::Restored) => {}
                 Err(StoreError::Status(HISTORY_GONE_STATUS)) => {
                     log::info!(event = "history-gone", kind = self.kind.as_str(),
@@ -292,6 +301,8 @@
         }
         let changed = !items.is_empty();
         let position = StorePosition { era, revision };
+        let is_unknown = |item: &Item| matches!(item, Item::Unreadable(name, _) if name.is_empty());
+        self.has_unknown_change = items.iter().any(is_unknown);
         self.apply_changes(items, position, confirmed_at);
         if changed && self.kind == ObjectKind::Targets {
             self.batch_changes().await;
@@ -408,10 +419,13 @@
                 Item::Target(event) => events.push(event),
                 Item::Evacuation(zone, is_evacuated) => evacuated.push((zone, is_evacuated)),
                 item => {
-                    self.outdated |= matches!(item, Item::Unreadable(..));
                     self.log_unreadable(&item);
-                    // What has replaced the entry of a target names none.
-                    if let Item::Unreadable(name, _) = item {
+                    // Which object has no name is known only after a list.
+                    if let Item::Unreadable(name, _) = item
+                        && !name.is_empty()
+                    {
+                        self.outdated = true;
+                        // What has replaced the entry of a target names none.
                         events.push(EntryEvent::Absent(name));
                     }
                 }
@@ -428,7 +442,8 @@
             });
         }
         let held = self.gateway.config().map(|config| config.revision);
-        let up_to_date = held == Some(self.stored_config) && !self.outdated;
+        let up_to_date =
+            held == Some(self.stored_config) && !self.outdated && !self.has_unknown_change;
         if self.kind == ObjectKind::Config && up_to_date {
             self.gateway.confirm_config(confirmed_at);
         }
