--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -247,6 +247,10 @@
                 return Err(StoreError::Restored);
             }
             items.extend(batch.items);
+            if batch.next.is_some() && batch.next == after {
+                let reason = "a page leads to itself".to_owned();
+                return Err(StoreError::Unreadable(reason));
+            }
             after = batch.next;
             if after.is_none() {
                 break;
