--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -19,6 +19,7 @@
 use crate::runtime::{sleep, spawn_forever};
 use crate::state::{Departure, Gateway, lock};
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
+use crate::unreadable_objects::UnreadableObjects;
 use almondcroft_core::gateway::GossipFanout;
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{Revision, Timestamp, VmId};
@@ -260,6 +261,7 @@
 /// Reads the list of VMs in the store and registers this VM there.
 async fn discover_peers(gateway: Arc<Gateway>, address: SocketAddr) {
     let mut client = StoreClient::new(gateway.settings.store);
+    let mut unreadable = UnreadableObjects::default();
     let own = gateway.settings.vm.clone();
     let mut entry = VmEntry {
         address,
@@ -271,7 +273,7 @@
     loop {
         let starting = clock::now() < started_at + ALONE_LIST_INTERVAL * 2;
         let call = gateway.registry.list(ObjectKind::Vms, None);
-        match list_peers(&gateway, &mut client, &call).await {
+        match list_peers(&gateway, &mut client, &mut unreadable, &call).await {
             Ok(entries) => {
                 if !std::mem::replace(&mut listed_before, true) {
                     refused_parts::restore(&gateway, entries.values());
@@ -317,6 +319,7 @@
 async fn list_peers(
     gateway: &Gateway,
     client: &mut StoreClient,
+    unreadable: &mut UnreadableObjects,
     call: &ControlCall,
 ) -> Result<HashMap<VmId, VmEntry>, StoreError> {
     let StoreResponse { body, .. } = client.call(gateway, call, CALL_TIMEOUT).await?;
@@ -324,6 +327,7 @@
         .registry
         .read_list(ObjectKind::Vms, &body, clock::now())
         .map_err(StoreError::Unreadable)?;
+    unreadable.log(ObjectKind::Vms, &batch.items);
     let entries = batch.items.into_iter().filter_map(|item| match item {
         Item::Vm(name, entry) => Some((name, entry?)),
         _ => None,
--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! | `connection`, `pool`, `listener`, `tunnel` | transport |
 //! | `caller`, `exchange`, `relay` | protocol |
 //! | `dispatch`, `target_connect`, `target_run`, `migration`, `sync`, `gossip` | coordination |
-//! | `state`, `lifecycle`, `metrics` | state |
+//! | `state`, `lifecycle`, `metrics`, `unreadable_objects` | state |
 //!
 //! ```no_run
 //! use almondcroft_gateway::adapter::{Dialect, Registry};
@@ -55,6 +55,7 @@
 mod target_connect;
 mod target_run;
 mod tunnel;
+mod unreadable_objects;
 
 pub use program::{Program, run};
 pub use runtime::block_on;
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -8,6 +8,7 @@
 use crate::runtime::{sleep, spawn_forever};
 use crate::state::Gateway;
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
+use crate::unreadable_objects::UnreadableObjects;
 use almondcroft_core::gateway::{EntryEvent, StorePosition, TargetEntry};
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
@@ -85,6 +86,7 @@
                 recent_changes: VecDeque::new(),
                 outdated: false,
                 has_unknown_change: false,
+                unreadable: UnreadableObjects::default(),
                 stored_config: 0,
                 position: StorePosition::default(),
             };
@@ -106,6 +108,7 @@
     outdated: bool,
     /// Whether an object without a readable name has changed, so that it is not known which one.
     has_unknown_change: bool,
+    unreadable: UnreadableObjects,
     /// Newest configuration that the store is known to hold in its current era.
     stored_config: Revision,
     /// Position of the store up to which the objects are known.
@@ -347,13 +350,11 @@
     }
 
     fn apply_list(&mut self, items: Vec<Item>, position: StorePosition, confirmed_at: Timestamp) {
+        self.unreadable.log(self.kind, &items);
         if self.kind == ObjectKind::Targets {
             let present = items.into_iter().filter_map(|item| match item {
                 Item::Target(EntryEvent::Present(entry)) => Some(entry),
-                item => {
-                    self.log_unreadable(&item);
-                    None
-                }
+                _ => None,
             });
             let entries: Vec<TargetEntry> = present.collect();
             self.log_restored_targets(&entries, position);
@@ -365,10 +366,7 @@
         } else if self.kind == ObjectKind::Evacuations {
             let zones = items.into_iter().filter_map(|item| match item {
                 Item::Evacuation(zone, true) => Some(zone),
-                item => {
-                    self.log_unreadable(&item);
-                    None
-                }
+                _ => None,
             });
             let zones = zones.collect();
             self.gateway.change_evacuations("store", |evacuations| {
@@ -405,6 +403,7 @@
         position: StorePosition,
         confirmed_at: Timestamp,
     ) {
+        self.unreadable.log(self.kind, &items);
         let now = clock::now();
         let mut events = Vec::new();
         let mut evacuated = Vec::new();
@@ -422,17 +421,13 @@
                 }
                 Item::Target(event) => events.push(event),
                 Item::Evacuation(zone, is_evacuated) => evacuated.push((zone, is_evacuated)),
-                item => {
-                    self.log_unreadable(&item);
-                    // Which object has no name is known only after a list.
-                    if let Item::Unreadable(name, _) = item
-                        && !name.is_empty()
-                    {
-                        self.outdated = true;
-                        // What has replaced the entry of a target names none.
-                        events.push(EntryEvent::Absent(name));
-                    }
+                // Which object has no name is known only after a list.
+                Item::Unreadable(name, _) if !name.is_empty() => {
+                    self.outdated = true;
+                    // What has replaced the entry of a target names none.
+                    events.push(EntryEvent::Absent(name));
                 }
+                Item::Unreadable(..) | Item::Vm(..) => {}
             }
         }
         if self.kind == ObjectKind::Targets {
@@ -453,13 +448,6 @@
         }
     }
 
-    fn log_unreadable(&self, item: &Item) {
-        if let Item::Unreadable(name, reason) = item {
-            log::warn!(event = "unreadable", kind = self.kind.as_str(), name = name.as_str(),
-                reason = reason.as_str(); "");
-        }
-    }
-
     fn record_response(&mut self) {
         self.backoff = INITIAL_BACKOFF;
         if std::mem::take(&mut self.disconnected) {
