--- a/crates/almondcroft-core/src/gateway/fleet/admission.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/admission.rs
@@ -172,6 +172,6 @@
     pub(super) fn starts_late(demand: &Demand, choice: &Choice, now: Timestamp) -> bool {
         demand
             .start_deadline
-            .is_some_and(|limit| now + choice.cost > limit)
+            .is_some_and(|limit| now.saturating_add(choice.cost) > limit)
     }
 }
--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -161,7 +161,8 @@
             target: state.entry.id.clone(),
             address: state.entry.address,
             request_count: u32::try_from(floor_to_usize(count)).unwrap_or(u32::MAX),
-            cost: Duration::from_secs_f64(cost.max(0.0)),
+            // An engine of no capacity that is empty has an infinite cost.
+            cost: Duration::try_from_secs_f64(cost.max(0.0)).unwrap_or(Duration::MAX),
         })
     }
 
