fix(quarantine): the largest crash count of another VM ends no quarantine

What callers saw (by reading the code): a VM reports crashes of a request, and the request crashes one more target. The count wrapped to zero, which ended the quarantine; with overflow checks the task that counted ended.

Change: the count saturates.

--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -101,7 +101,7 @@
         self.evict(now);
         let entry = self.crashes.entry(fingerprint);
         let entry = entry.or_insert_with(|| CrashRecord::new(now));
-        entry.count += 1;
+        entry.count = entry.count.saturating_add(1);
         entry.last = now;
         entry.count
     }
--- a/crates/almondcroft-core/src/quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/tests.rs
@@ -101,3 +101,14 @@
     assert!(quarantine.begin_trial(7, tried_at));
     assert_eq!(quarantine.retry_after(7, tried_at), Some(TRIAL_DELAY));
 }
+
+/// Guards against a count of another VM that ends the quarantine, or the task that counts, at the next crash.
+#[test]
+fn record_crash_after_the_largest_count() {
+    let mut quarantine = Quarantine::default();
+    quarantine.merge(7, u32::MAX, START);
+    quarantine.merge_trials(7, u32::MAX, Duration::MAX, START);
+    assert_eq!(quarantine.record_crash(7, START), u32::MAX);
+    assert!(quarantine.remaining(7, START).is_some());
+    assert!(!quarantine.begin_trial(7, START + Duration::from_mins(9)));
+}
