fix(daemon): an address that is no URL ends no task and no command

What operators saw: an entry of another writer states an address that is no URL, has port 65536 or no host. The HTTP client panics at it ("called `Result::unwrap()` on an `Err` value: UnexpectedUriFormat"), which ends the task that probes the other VMs, or a command of almondctl.

Change: such a call fails like one to an address that refuses connections; it has not run.

Test: call_of_an_odd_address, 15 addresses for pooled and for fresh connections; before: the panic at the empty one.

--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use trillium::Method;
-use trillium_client::{Client, Conn};
+use trillium_client::{Client, Conn, IntoUrl};
 use trillium_rustls::futures_rustls::TlsConnector;
 use trillium_rustls::rustls::pki_types::ServerName;
 use trillium_rustls::{RustlsClientTransport, rustls};
@@ -26,7 +26,7 @@
 /// How a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallErrorKind {
-    /// The connection was refused.
+    /// The connection was refused, or the address is none.
     Refused,
     /// No response arrived in time.
     TimedOut,
@@ -99,7 +99,7 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<Conn, CallError> {
-        let conn = build_request(&self.pooled, method, url, headers, body);
+        let conn = build_request(&self.pooled, method, url, headers, body)?;
         let response = within(limit, async { conn.await }).await;
         into_result(response, Verdict::MayHaveRun)
     }
@@ -119,7 +119,7 @@
     ) -> Result<Conn, CallError> {
         let connected = Arc::new(AtomicBool::new(false));
         let client = Client::new(connector(self.tls.clone(), Arc::clone(&connected)));
-        let conn = build_request(&client, method, url, headers, body);
+        let conn = build_request(&client, method, url, headers, body)?;
         let response = within(limit, async { conn.await }).await;
         let verdict = if connected.load(Ordering::SeqCst) {
             Verdict::MayHaveRun
@@ -186,17 +186,22 @@
     url: &str,
     headers: &[(&str, &str)],
     body: Vec<u8>,
-) -> Conn {
+) -> Result<Conn, CallError> {
+    // The client panics at a text that is no URL; entries of other writers contain such addresses.
+    let url = url.into_url(None).map_err(|_| CallError {
+        kind: CallErrorKind::Refused,
+        verdict: Verdict::NotRun,
+    })?;
     let mut conn = client.build_conn(method, url);
     for (name, value) in headers {
         conn.request_headers_mut()
             .insert((*name).to_owned(), (*value).to_owned());
     }
-    if body.is_empty() {
+    Ok(if body.is_empty() {
         conn
     } else {
         conn.with_body(body)
-    }
+    })
 }
 
 fn into_result(
--- a/crates/almondcroftd/src/http/outbound/tests.rs
+++ b/crates/almondcroftd/src/http/outbound/tests.rs
@@ -73,3 +73,34 @@
         assert!(read(&url, 1000).is_err(), "{framed}");
     }
 }
+
+/// Guards against the address of an odd entry that ends the task which calls it.
+#[test]
+fn call_of_an_odd_address() {
+    let long = format!("http://{}", "x".repeat(1_000_000));
+    for url in [
+        "",
+        "/status",
+        "vm-1",
+        "http://",
+        "http://127.0.0.1:99999/vms",
+        "http://127.0.0.1:-1/",
+        "http://127.0.0.1:0/",
+        "http://[::1/",
+        "http://a b/",
+        "http://127.0.0.1:1/\r\nx: y",
+        "http://\u{0}/",
+        "mailto:a@b",
+        "https://127.0.0.1:1/",
+        "ftp://127.0.0.1:1/",
+        &long,
+    ] {
+        let call = crate::block_on(async {
+            let outbound = Outbound::new();
+            let call = outbound.call(Method::Get, url, &[], Vec::new(), LIMIT);
+            let fresh = outbound.call_fresh(Method::Get, url, &[], Vec::new(), LIMIT);
+            (call.await.is_err(), fresh.await.is_err())
+        });
+        assert_eq!(call, (true, true), "{url:.40}");
+    }
+}
