fix(daemon): an odd entry no longer makes the whole VM list unreadable

What operators saw: with one entry in the VM list that is nested too deeply, states an unknown state or a number as its id, no VM followed the list any more, without a log line. New VMs were not known.

Cause: the list was decoded as a whole.

Change: each entry is read on its own, by the scanner that the gateway uses, which moves to almondcroft-proto. A VM whose entry cannot be read stays as it was, because one that was removed counts as ended and others may run its calls; with an entry without an id, no VM is removed. The numbers of unreadable entries are logged when they change.

--- a/platform/src/json_parts.rs
+++ b/crates/almondcroft-proto/src/json_parts.rs
@@ -1,10 +1,17 @@
 //! Splits a JSON text into the texts of its parts without reading these.
 //!
-//! A JSON library refuses a whole page of the store if one value in it is nested too deeply, holds a number that is
-//! out of range or bytes that are no UTF-8. The page is therefore split first, and each part is read on its own.
+//! A JSON library refuses a whole list if one value in it is nested too deeply, holds a number that is out of range or
+//! bytes that are no UTF-8. A list to which others write is therefore split first, and each part is read on its own.
+//!
+//! ```
+//! use almondcroft_proto::json_parts::elements;
+//!
+//! assert_eq!(elements(b"[1e400, {\"a\": 1}]"), Some(vec![&b"1e400"[..], b"{\"a\": 1}"]));
+//! ```
 
 /// Returns the texts of the elements of an array; `None` if the text is no array.
-pub(crate) fn elements(text: &[u8]) -> Option<Vec<&[u8]>> {
+#[must_use]
+pub fn elements(text: &[u8]) -> Option<Vec<&[u8]>> {
     let mut scanner = Scanner::enter(text, b'[')?;
     let mut elements = Vec::new();
     while !scanner.skip_close(b']')? {
@@ -15,7 +22,8 @@
 
 /// Returns the names of the members of an object, as written, with the texts of their values; `None` if the text is
 /// no object.
-pub(crate) fn members(text: &[u8]) -> Option<Vec<(&[u8], &[u8])>> {
+#[must_use]
+pub fn members(text: &[u8]) -> Option<Vec<(&[u8], &[u8])>> {
     let mut scanner = Scanner::enter(text, b'{')?;
     let mut members = Vec::new();
     while !scanner.skip_close(b'}')? {
@@ -28,7 +36,8 @@
 }
 
 /// Returns the text of the last member of this name.
-pub(crate) fn member<'a>(members: &[(&[u8], &'a [u8])], name: &str) -> Option<&'a [u8]> {
+#[must_use]
+pub fn member<'a>(members: &[(&[u8], &'a [u8])], name: &str) -> Option<&'a [u8]> {
     let mut matching = members
         .iter()
         .rev()
--- a/crates/almondcroft-proto/src/lib.rs
+++ b/crates/almondcroft-proto/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`caller`] | messages between callers and entry VMs |
 //! | [`engine`] | messages between entry VMs and model engines |
 //! | [`http1`] | HTTP/1.1 framing without I/O |
+//! | [`json_parts`] | texts of the parts of a JSON text |
 //! | [`object`] | messages of the platform's object API |
 //! | [`peer`] | messages between entry VMs |
 //! | [`problem`] | error responses for callers |
@@ -24,6 +25,7 @@
 pub mod caller;
 pub mod engine;
 pub mod http1;
+pub mod json_parts;
 pub mod object;
 pub mod peer;
 pub mod problem;
--- a/crates/almondcroft-standin/src/demo/deployment.rs
+++ b/crates/almondcroft-standin/src/demo/deployment.rs
@@ -238,8 +238,8 @@
                 zone: "quito-a".into(),
                 state: VmState::Live,
             })
-            .collect();
-        self.vm_list_state.set(entries);
+            .collect::<Vec<_>>();
+        self.vm_list_state.set(&entries);
     }
 
     /// Returns the base URLs of the entry VMs.
--- a/crates/almondcroft-standin/src/vm_list.rs
+++ b/crates/almondcroft-standin/src/vm_list.rs
@@ -1,6 +1,6 @@
 //! A test double of the platform's VM list, which shows changes after a lag.
 
-use crate::request::{json_response, replace_from_body};
+use crate::request::replace_from_body;
 use crate::server::{CrashFlag, Server, ServerError};
 use almondcroft_core::Timestamp;
 use almondcroft_proto::vm_list::VmEntry;
@@ -28,26 +28,35 @@
 /// Current and earlier states of the list.
 #[derive(Debug)]
 pub struct VmListState {
-    history: Mutex<Vec<(Timestamp, Vec<VmEntry>)>>,
+    history: Mutex<Vec<(Timestamp, String)>>,
     lag: Duration,
     clock: Clock,
 }
 
 impl VmListState {
     /// Replaces the list; readers see it after the lag.
-    pub fn set(&self, vms: Vec<VmEntry>) {
+    pub fn set(&self, vms: &[VmEntry]) {
+        self.set_text(encode(vms));
+    }
+
+    /// Replaces the list by a text, which may be no list.
+    pub fn set_text(&self, text: String) {
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
-        history.push((self.clock.now(), vms));
+        history.push((self.clock.now(), text));
     }
 
-    fn visible(&self) -> Vec<VmEntry> {
+    fn visible(&self) -> String {
         let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         let until = self.clock.now().saturating_sub(self.lag);
         let seen = history.iter().rev().find(|(at, _)| *at <= until);
-        seen.map(|(_, vms)| vms.clone()).unwrap_or_default()
+        seen.map(|(_, text)| text.clone()).unwrap_or_default()
     }
 }
 
+fn encode(vms: &[VmEntry]) -> String {
+    serde_json::to_string(vms).expect("a VM list serializes")
+}
+
 /// Starts a VM list.
 ///
 /// # Errors
@@ -55,7 +64,7 @@
 /// Returns a [`ServerError`] if the VM list cannot listen at the address.
 pub fn start(settings: VmListSettings) -> Result<(Server, Arc<VmListState>), ServerError> {
     let state = Arc::new(VmListState {
-        history: Mutex::new(vec![(Timestamp::ZERO, settings.vms)]),
+        history: Mutex::new(vec![(Timestamp::ZERO, encode(&settings.vms))]),
         lag: Duration::from_millis(settings.lag_ms),
         clock: Clock::new(),
     });
@@ -64,8 +73,10 @@
         let state = Arc::clone(&handler_state);
         async move {
             match (conn.method(), conn.path()) {
-                (Method::Get, "/vms") => json_response(conn, &state.visible()),
-                (Method::Put, "/vms") => replace_from_body(conn, |vms| state.set(vms)).await,
+                (Method::Get, "/vms") => conn.with_status(200).with_body(state.visible()).halt(),
+                (Method::Put, "/vms") => {
+                    replace_from_body(conn, |vms: Vec<VmEntry>| state.set(&vms)).await
+                }
                 _ => conn.with_status(404).halt(),
             }
         }
--- /dev/null
+++ b/crates/almondcroft-standin/tests/odd_entries.rs
@@ -0,0 +1,122 @@
+//! Entries of other writers that cannot be read, in the VM list and in the store.
+
+use almondcroft_proto::object::{STATUS_PREFIX, VmStatus};
+use almondcroft_standin::demo::LocalDeployment;
+use almondcroftd::http::Outbound;
+use almondcroftd::{HttpStore, block_on, sleep};
+use serde_json::{Value, json};
+use std::time::Duration;
+use trillium::Method;
+
+fn nested(depth: usize) -> String {
+    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
+}
+
+/// Returns the VMs that an entry VM knows.
+async fn known_vms(url: &str) -> Vec<String> {
+    let (outbound, time) = (Outbound::new(), Duration::from_secs(2));
+    let url = format!("{url}/status");
+    let call = outbound.call(Method::Get, &url, &[], Vec::new(), time);
+    let bytes = Outbound::read_body(call.await.unwrap(), 1 << 20, time).await;
+    let status: Value = serde_json::from_slice(&bytes.unwrap()).unwrap();
+    let vms = status["vms"].as_array().unwrap().iter();
+    vms.map(|vm| vm.as_str().unwrap().to_owned()).collect()
+}
+
+/// Waits until an entry VM knows another VM.
+async fn wait_known(url: &str, vm: &str, what: &str) {
+    for _ in 0..150 {
+        if known_vms(url).await.iter().any(|known| known == vm) {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what}: {vm} is not known");
+}
+
+fn entry(id: &str, address: &str) -> Value {
+    json!({"id": id, "address": address, "zone": "quito-a", "state": "live"})
+}
+
+/// Guards against a VM list that is unreadable as a whole because of one entry, and against an address that ends the
+/// task that probes the VMs.
+#[test]
+fn vm_list_with_an_odd_entry_holds_the_others() {
+    block_on(async {
+        let deployment = LocalDeployment::start(2, 1).await.unwrap();
+        let urls = deployment.vm_urls();
+        let sound = [entry("entry-0", &urls[0]), entry("entry-1", &urls[1])];
+        let odd = |field: &str, text: &str| {
+            let mut odd = entry("entry-5", "http://127.0.0.1:1");
+            odd[field] = json!("@");
+            odd.to_string().replace("\"@\"", text)
+        };
+        let deep = nested(100_000);
+        for (number, text) in [
+            deep.clone(),
+            odd("note", &deep),
+            odd("address", &deep),
+            odd("address", "\"nowhere\""),
+            odd("address", "\"http://127.0.0.1:65536\""),
+            odd("state", "\"asleep\""),
+            odd("zone", "1e400"),
+            odd("id", "7"),
+            "{\"id\":\"entry-1\"}".to_owned(),
+            format!("\"{}\"", "x".repeat(500_000)),
+        ]
+        .iter()
+        .enumerate()
+        {
+            let added = format!("added-{number}");
+            let list = format!(
+                "[{text},{},{text},{},{}]",
+                sound[0],
+                sound[1],
+                entry(&added, &urls[1])
+            );
+            deployment.vm_list_state.set_text(list);
+            wait_known(&urls[0], &added, &text[..60.min(text.len())]).await;
+        }
+    });
+}
+
+/// Guards against a command that ends because of one odd object.
+#[test]
+fn status_with_odd_objects_shows_the_others() {
+    block_on(async {
+        let deployment = LocalDeployment::start(2, 1).await.unwrap();
+        let store = HttpStore::new(&deployment.store.url(), Outbound::new());
+        write_odd_statuses(&store).await;
+        let status = almondctl::status(&store).await;
+        let running = status.vms.iter().filter(|row| row.in_flight.is_some());
+        assert_eq!(running.count(), 2, "{status:?}");
+        assert!(status.is_converged());
+    });
+}
+
+async fn write_odd_statuses(store: &HttpStore) {
+    let status = |address: &str, revision: u64| VmStatus {
+        vm: "odd".into(),
+        incarnation: u64::MAX,
+        address: address.into(),
+        revision,
+        at_ms: u64::MAX,
+    };
+    let encode = |status: &VmStatus| serde_json::to_vec(status).unwrap();
+    for (number, bytes) in [
+        encode(&status("nowhere", 1)),
+        encode(&status("http://127.0.0.1:65536", 1)),
+        encode(&status("http://127.0.0.1:0", u64::MAX)),
+        encode(&status("http://127.0.0.1:0", u64::MAX - 1)),
+        nested(100_000).into_bytes(),
+        b"{\"vm\":\"odd\",\"revision\":1e400}".to_vec(),
+        b"\xff\xfe".to_vec(),
+        Vec::new(),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let key = format!("{STATUS_PREFIX}odd-{number}");
+        store.put_unconditional(&key, bytes).await.unwrap();
+    }
+}
--- a/crates/almondcroftd/src/members.rs
+++ b/crates/almondcroftd/src/members.rs
@@ -6,7 +6,7 @@
 use almondcroft_core::{Incarnation, Timestamp, VmId};
 use almondcroft_proto::object::{STATUS_PREFIX, VmStatus};
 use almondcroft_proto::peer::{CONFIG_METHOD, ConfigResponse, GOSSIP_METHOD, GossipMessage};
-use almondcroft_proto::vm_list::{VmEntry, VmState};
+use almondcroft_proto::vm_list::{VmList, VmState};
 use std::collections::{BTreeMap, VecDeque};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -51,6 +51,8 @@
     health: HealthTable,
     /// VMs that were removed from the list, the newest last.
     removed: VecDeque<VmId>,
+    /// Numbers of unreadable entries of the last list, with and without an id.
+    unreadable: (usize, usize),
     /// VMs that the list has never shown, and when this VM first heard of them.
     unlisted: BTreeMap<VmId, Timestamp>,
 }
@@ -94,10 +96,13 @@
     }
 
     /// Applies the VM list and removes VMs that are no longer in it.
-    pub(crate) fn apply_list(&self, entries: &[VmEntry], now: Timestamp) {
+    ///
+    /// A VM whose entry cannot be read stays as it was: one that was removed counts as ended, and its calls may be
+    /// claimed by others.
+    pub(crate) fn apply_list(&self, list: &VmList, now: Timestamp) {
         let mut state = lock(&self.state);
         let state = &mut *state;
-        for entry in entries {
+        for entry in &list.entries {
             let member = state.members.entry(entry.id.clone()).or_insert(Member {
                 address: String::new(),
                 incarnation: None,
@@ -107,15 +112,25 @@
                 state.health.observe(&entry.id, Evidence::Leaving, now);
             }
         }
-        let listed = |id: &str| entries.iter().any(|entry| entry.id == id);
-        let removed = state.members.extract_if(.., |id, _| !listed(id));
+        let listed = |id: &str| list.contains(id);
+        // Any VM may be the one whose entry has no id.
+        let may_be_listed = |id: &str| list.unknown > 0 || listed(id);
+        let removed = state.members.extract_if(.., |id, _| !may_be_listed(id));
         let removed: Vec<VmId> = removed.map(|(id, _)| id).collect();
         state.removed.retain(|id| !listed(id));
         state.unlisted.retain(|id, _| !listed(id));
         for id in removed {
             state.record_removal(id);
         }
-        state.health.retain(listed);
+        state.health.retain(may_be_listed);
+    }
+
+    /// Records the numbers of unreadable entries, with and without an id; returns whether there are others than before.
+    fn record_unreadable(&self, with_id: usize, without_id: usize) -> bool {
+        let known = &mut lock(&self.state).unreadable;
+        let is_new = *known != (with_id, without_id) && with_id + without_id > 0;
+        *known = (with_id, without_id);
+        is_new
     }
 
     /// Records evidence about another VM.
@@ -213,12 +228,20 @@
         return;
     };
     let body = crate::http::Outbound::read_body(conn, MAX_LIST_BYTES, LIST_INTERVAL).await;
-    let entries = body
-        .ok()
-        .and_then(|bytes| serde_json::from_slice::<Vec<VmEntry>>(&bytes).ok());
-    if let Some(entries) = entries {
+    let Ok(bytes) = body else {
+        return;
+    };
+    let list = VmList::read(&bytes);
+    let (unreadable, unknown) = list
+        .as_ref()
+        .map_or((0, 1), |list| (list.unreadable.len(), list.unknown));
+    if app.members.record_unreadable(unreadable, unknown) {
+        log::warn!(event = "vm-list-unreadable", entries = unreadable, without_id = unknown,
+            is_list = list.is_some(); "");
+    }
+    if let Some(list) = list {
         let now = app.clock.now();
-        app.members.apply_list(&entries, now);
+        app.members.apply_list(&list, now);
         let count = app.members.reachable_vms(now).len();
         app.routing
             .set_vm_count(u32::try_from(count).unwrap_or(u32::MAX), now);
