fix(almondctl): a huge revision in the status of another writer is ignored

What operators saw: an object among the statuses of the VMs states the revision. `apply` ended ("attempt to add with overflow"); without overflow checks, the configuration would get the revision 0, which no VM applies. With the revision before that one, it would be the last configuration that VMs apply.

Cause: the next revision is one above the highest that a VM has confirmed, to be above those that a restored store lost.

Change: a confirmed revision counts if it is at most 1,000,000 ahead of the configuration; others are printed.

Test: apply_with_odd_objects, two applies; before: the overflow.

--- a/crates/almondcroft-standin/tests/odd_entries.rs
+++ b/crates/almondcroft-standin/tests/odd_entries.rs
@@ -94,6 +94,21 @@
     });
 }
 
+/// Guards against the revision of an odd object, after which no VM applies a configuration.
+#[test]
+fn apply_with_odd_objects() {
+    block_on(async {
+        let deployment = LocalDeployment::start(2, 1).await.unwrap();
+        let store = HttpStore::new(&deployment.store.url(), Outbound::new());
+        write_odd_statuses(&store).await;
+        for turn in 0..2 {
+            let sheet = deployment.sheet().replace("2.5", &format!("3.{turn}"));
+            let revision = deployment.apply(&sheet).await.unwrap();
+            assert!(revision < 10, "{revision}");
+        }
+    });
+}
+
 async fn write_odd_statuses(store: &HttpStore) {
     let status = |address: &str, revision: u64| VmStatus {
         vm: "odd".into(),
--- a/crates/almondctl/src/apply.rs
+++ b/crates/almondctl/src/apply.rs
@@ -21,6 +21,10 @@
 /// Maximum number of earlier applies recorded with the configuration.
 const MAX_EARLIER_APPLIES: usize = 16;
 
+/// Number of revisions that a restored store may have lost; more than years of applies. A status that is further
+/// ahead of the configuration is not one of a VM.
+const MAX_LOST_REVISIONS: Revision = 1_000_000;
+
 /// The reason why an apply failed.
 #[derive(Debug, Snafu)]
 pub enum ApplyError {
@@ -195,10 +199,11 @@
             let revision = current.revision;
             return Ok(Applied { revision, changes });
         }
+        let limit = current.revision.saturating_add(MAX_LOST_REVISIONS);
         config.revision = current
             .revision
-            .max(self.highest_confirmed_revision().await)
-            + 1;
+            .max(self.highest_confirmed_revision(limit).await)
+            .saturating_add(1);
         let object = self.create_object(head, config);
         let revision = object.config.revision;
         let bytes = object.to_bytes();
@@ -226,10 +231,10 @@
         }
     }
 
-    /// Returns the highest revision that a VM has confirmed.
+    /// Returns the highest revision up to a limit that a VM has confirmed.
     ///
     /// A restored store may hold a lower one; VMs do not apply a revision lower than their own.
-    async fn highest_confirmed_revision(&self) -> Revision {
+    async fn highest_confirmed_revision(&self, limit: Revision) -> Revision {
         let keys = self.store.list(STATUS_PREFIX).await;
         let keys = keys.map(|listed| listed.keys).unwrap_or_default();
         let mut highest = 0;
@@ -237,7 +242,12 @@
             let stored = self.store.get(&key).await.ok().flatten();
             let status =
                 stored.and_then(|stored| serde_json::from_slice::<VmStatus>(&stored.bytes).ok());
-            highest = highest.max(status.map_or(0, |status| status.revision));
+            let confirmed = status.map_or(0, |status| status.revision);
+            if confirmed > limit {
+                eprintln!("warning: {key} states the revision {confirmed}, which is ignored");
+                continue;
+            }
+            highest = highest.max(confirmed);
         }
         highest
     }
