fix(daemon): huge numbers in the load report of an engine end no task

What operators saw: an engine reports running generations and some that wait. With overflow checks the task that polls all engines ended ("attempt to add with overflow"), so a VM followed no load report and no drain any more; without them the engine counted as almost empty.

Cause: sums of reported numbers wrap.

Change: they saturate, also the sum of the preemptions of all engines.

--- a/crates/almondcroft-core/src/router/report.rs
+++ b/crates/almondcroft-core/src/router/report.rs
@@ -19,3 +19,10 @@
     /// Number of preemptions since the engine started.
     pub preemptions: u64,
 }
+
+impl LoadReport {
+    /// Returns the number of generations in the batch and in the queue.
+    pub(super) const fn generations(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
--- a/crates/almondcroft-core/src/router/target.rs
+++ b/crates/almondcroft-core/src/router/target.rs
@@ -119,7 +119,7 @@
             (count + 1.0, held + entry.tokens_at(report.at, now))
         });
         self.others_held = (as_f64(report.kv_used) - held).max(0.0);
-        self.others_running = (f64::from(report.running + report.waiting) - count).max(0.0);
+        self.others_running = (f64::from(report.generations()) - count).max(0.0);
         let since = self
             .requests
             .values()
@@ -194,9 +194,8 @@
 
     /// Returns the last reported load: generations, then KV tokens, for comparison between targets.
     pub(super) fn reported_load(&self) -> (u32, u64) {
-        self.last_report.map_or((0, 0), |report| {
-            (report.running + report.waiting, report.kv_used)
-        })
+        self.last_report
+            .map_or((0, 0), |report| (report.generations(), report.kv_used))
     }
 
     /// Estimates the KV tokens that the target's requests need at the same time, and whether there
--- a/crates/almondcroft-standin/tests/odd_entries.rs
+++ b/crates/almondcroft-standin/tests/odd_entries.rs
@@ -5,6 +5,11 @@
 use almondcroftd::http::Outbound;
 use almondcroftd::{HttpStore, block_on, sleep};
 use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 use trillium::Method;
 
@@ -109,6 +114,58 @@
     });
 }
 
+/// Guards against a load report that ends the task that reads the reports of all engines.
+#[test]
+fn odd_load_reports_end_no_polls() {
+    let max = format!(
+        "{{\"age_ms\":{0},\"running\":{1},\"waiting\":{1},\"kv_used\":{0},\"kv_total\":{0},\"preemptions\":{0}}}",
+        u64::MAX,
+        u32::MAX
+    );
+    let huge = max.replace(&u64::MAX.to_string(), "1e400");
+    let recent = max.replacen(&u64::MAX.to_string(), "0", 1);
+    let empty = recent.replace(&u64::MAX.to_string(), "0");
+    let reports = [
+        recent,
+        max,
+        huge,
+        empty,
+        nested(30_000),
+        "\"".into(),
+        String::new(),
+    ];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let polls = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&polls);
+    let count = reports.len();
+    thread::spawn(move || {
+        for (mut socket, report) in listener.incoming().flatten().zip(reports.iter().cycle()) {
+            let _ = socket.read(&mut [0; 4_096]);
+            counted.fetch_add(1, Ordering::Relaxed);
+            let length = report.len();
+            let head =
+                format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n");
+            let _ = socket.write_all((head + report.as_str()).as_bytes());
+        }
+    });
+    block_on(async {
+        let deployment = LocalDeployment::start(1, 1).await.unwrap();
+        let mut sheet = deployment.sheet();
+        for number in 0..2 {
+            sheet += &format!("target,odd-{number},,menus,,,{url},quito,quito-a,,,,,,\n");
+        }
+        deployment.apply(&sheet).await.unwrap();
+        for _ in 0..500 {
+            if polls.load(Ordering::Relaxed) > count * 3 {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the polls end after {}", polls.load(Ordering::Relaxed));
+    });
+}
+
 async fn write_odd_statuses(store: &HttpStore) {
     let status = |address: &str, revision: u64| VmStatus {
         vm: "odd".into(),
--- a/crates/almondcroftd/src/server/polls.rs
+++ b/crates/almondcroftd/src/server/polls.rs
@@ -60,7 +60,9 @@
             preemptions.insert(target, count);
         }
     }
-    let total: u64 = preemptions.values().sum();
+    let total = preemptions
+        .values()
+        .fold(0_u64, |total, count| total.saturating_add(*count));
     app.metrics
         .preemptions
         .set(i64::try_from(total).unwrap_or(i64::MAX));
