fix(daemon): a listing with a key that is no text holds the other keys

What operators saw (by reading the code): one element of a listing that is no text made the whole listing of that prefix unreadable, so claims could not be loaded and no status was shown.

Change: each key is read on its own; the number of elements that are none is logged.

--- a/crates/almondcroft-proto/src/object.rs
+++ b/crates/almondcroft-proto/src/object.rs
@@ -4,6 +4,7 @@
 //! `If-None-Match: *`. `GET /objects?prefix=` lists keys. `GET /watch/{key}?after=VERSION` responds
 //! once the object has a higher version, or with 204 after a timeout.
 
+use crate::json_parts::{elements, member, members};
 use flate2::Compression;
 use flate2::read::GzDecoder;
 use flate2::write::GzEncoder;
@@ -38,6 +39,21 @@
     pub keys: Vec<String>,
 }
 
+impl KeyList {
+    /// Reads a list and the number of its elements that are no texts, and so the keys of no object that almondcroft
+    /// writes; returns `None` if it is no list.
+    #[must_use]
+    pub fn read(text: &[u8]) -> Option<(Self, usize)> {
+        let elements = elements(member(&members(text)?, "keys")?)?;
+        let keys = elements.iter();
+        let keys: Vec<String> = keys
+            .filter_map(|key| serde_json::from_slice(key).ok())
+            .collect();
+        let unreadable = elements.len() - keys.len();
+        Some((Self { keys }, unreadable))
+    }
+}
+
 /// Records who applied a revision, when, and what it changed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AuditEntry {
--- a/crates/almondcroftd/src/store.rs
+++ b/crates/almondcroftd/src/store.rs
@@ -215,7 +215,10 @@
             let bytes = Outbound::read_body(conn, MAX_LIST_BYTES, STORE_TIMEOUT)
                 .await
                 .map_err(store_error)?;
-            let list: KeyList = serde_json::from_slice(&bytes).map_err(|_| StoreError::Refused)?;
+            let (list, unreadable) = KeyList::read(&bytes).ok_or(StoreError::Refused)?;
+            if unreadable > 0 {
+                log::info!(event = "keys-unreadable", prefix = prefix, keys = unreadable; "");
+            }
             Ok(Listed {
                 keys: list.keys,
                 era,
