--- a/crates/almondcroft-core/tests/router_reports.rs
+++ b/crates/almondcroft-core/tests/router_reports.rs
@@ -44,7 +44,7 @@
             service: "menus".into(),
             priority: 0,
             worth: 1.0,
-            deadline: now + Duration::from_secs(60),
+            deadline: now + Duration::from_mins(1),
             prompt: 100,
             prefix: None,
             region: "quito".into(),
--- a/crates/almondcroft-gateway/src/peer_view/message.rs
+++ b/crates/almondcroft-gateway/src/peer_view/message.rs
@@ -98,6 +98,9 @@
             is_list,
             body: self.body,
         };
+        let batch = batch.inspect_err(|reason| {
+            log::warn!(event = "copy-unreadable", reason = reason.as_str(); "");
+        });
         Some(StoreCopy::Config(batch.ok()?, document, age))
     }
 }
--- a/crates/almondcroft-gateway/src/unreadable_objects.rs
+++ b/crates/almondcroft-gateway/src/unreadable_objects.rs
@@ -38,7 +38,7 @@
                     }
                 }
                 // There is only one.
-                Item::Config(_) => self.names.retain(|name| name.is_empty()),
+                Item::Config(_) => self.names.retain(SmolStr::is_empty),
                 Item::Target(EntryEvent::Present(entry)) => {
                     self.names.remove(&entry.id);
                 }
--- a/crates/almondcroft-standin/src/demo/deployment.rs
+++ b/crates/almondcroft-standin/src/demo/deployment.rs
@@ -127,7 +127,7 @@
             faults: StoreFaults::default(),
         })
         .context(TestDoubleSnafu)?;
-        let (vm_list, vm_list_state) = vm_list::start(VmListSettings {
+        let (vm_list, vm_list_state) = vm_list::start(&VmListSettings {
             listen: loopback_address(),
             vms: Vec::new(),
             lag_ms: 0,
--- a/crates/almondcroft-standin/src/main.rs
+++ b/crates/almondcroft-standin/src/main.rs
@@ -87,7 +87,7 @@
             Ok(server.url())
         }),
         "vm-list" => settings(matches).and_then(|settings| {
-            let (server, _) = vm_list::start(settings).map_err(|error| error.to_string())?;
+            let (server, _) = vm_list::start(&settings).map_err(|error| error.to_string())?;
             Ok(server.url())
         }),
         _ => settings(matches).and_then(|settings| {
--- a/crates/almondcroft-standin/src/vm_list.rs
+++ b/crates/almondcroft-standin/src/vm_list.rs
@@ -62,7 +62,7 @@
 /// # Errors
 ///
 /// Returns a [`ServerError`] if the VM list cannot listen at the address.
-pub fn start(settings: VmListSettings) -> Result<(Server, Arc<VmListState>), ServerError> {
+pub fn start(settings: &VmListSettings) -> Result<(Server, Arc<VmListState>), ServerError> {
     let state = Arc::new(VmListState {
         history: Mutex::new(vec![(Timestamp::ZERO, encode(&settings.vms))]),
         lag: Duration::from_millis(settings.lag_ms),
--- a/crates/almondcroft-standin/tests/odd_entries.rs
+++ b/crates/almondcroft-standin/tests/odd_entries.rs
@@ -152,8 +152,15 @@
     block_on(async {
         let deployment = LocalDeployment::start(1, 1).await.unwrap();
         let mut sheet = deployment.sheet();
-        for number in 0..2 {
-            sheet += &format!("target,odd-{number},,menus,,,{url},quito,quito-a,,,,,,\n");
+        for number in ["0", "1"] {
+            let row = [
+                "target,odd-",
+                number,
+                ",,menus,,,",
+                &url,
+                ",quito,quito-a,,,,,,\n",
+            ];
+            sheet += &row.concat();
         }
         deployment.apply(&sheet).await.unwrap();
         for _ in 0..500 {
