--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -8,6 +8,7 @@
 use crate::runtime::{sleep, spawn_forever};
 use crate::state::Gateway;
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
+use crate::unreadable_objects::UnreadableObjects;
 use almondcroft_core::gateway::{EntryEvent, StorePosition, TargetEntry};
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
@@ -84,6 +85,8 @@
                 disconnected: false,
                 recent_changes: VecDeque::new(),
                 outdated: false,
+                has_unknown_change: false,
+                unreadable: UnreadableObjects::default(),
                 stored_config: 0,
                 position: StorePosition::default(),
             };
@@ -103,6 +106,9 @@
     recent_changes: VecDeque<Timestamp>,
     /// Whether the newest configuration is unreadable, so that the active one is outdated.
     outdated: bool,
+    /// Whether an object without a readable name has changed, so that it is not known which one.
+    has_unknown_change: bool,
+    unreadable: UnreadableObjects,
     /// Newest configuration that the store is known to hold in its current era.
     stored_config: Revision,
     /// Position of the store up to which the objects are known.
@@ -153,7 +159,13 @@
                 return;
             }
             match self.watch(self.position).await {
-                Ok(next) => self.position = next,
+                Ok(next) => {
+                    self.position = next;
+                    if std::mem::take(&mut self.has_unknown_change) {
+                        sleep(MAX_BACKOFF).await;
+                        return;
+                    }
+                }
                 Err(StoreError::Restored) => {}
                 Err(StoreError::Status(HISTORY_GONE_STATUS)) => {
                     log::info!(event = "history-gone", kind = self.kind.as_str(),
@@ -238,6 +250,10 @@
                 return Err(StoreError::Restored);
             }
             items.extend(batch.items);
+            if batch.next.is_some() && batch.next == after {
+                let reason = "a page leads to itself".to_owned();
+                return Err(StoreError::Unreadable(reason));
+            }
             after = batch.next;
             if after.is_none() {
                 break;
@@ -292,6 +308,8 @@
         }
         let changed = !items.is_empty();
         let position = StorePosition { era, revision };
+        let is_unknown = |item: &Item| matches!(item, Item::Unreadable(name, _) if name.is_empty());
+        self.has_unknown_change = items.iter().any(is_unknown);
         self.apply_changes(items, position, confirmed_at);
         if changed && self.kind == ObjectKind::Targets {
             self.batch_changes().await;
@@ -332,13 +350,11 @@
     }
 
     fn apply_list(&mut self, items: Vec<Item>, position: StorePosition, confirmed_at: Timestamp) {
+        self.unreadable.log(self.kind, &items);
         if self.kind == ObjectKind::Targets {
             let present = items.into_iter().filter_map(|item| match item {
                 Item::Target(EntryEvent::Present(entry)) => Some(entry),
-                item => {
-                    self.log_unreadable(&item);
-                    None
-                }
+                _ => None,
             });
             let entries: Vec<TargetEntry> = present.collect();
             self.log_restored_targets(&entries, position);
@@ -350,10 +366,7 @@
         } else if self.kind == ObjectKind::Evacuations {
             let zones = items.into_iter().filter_map(|item| match item {
                 Item::Evacuation(zone, true) => Some(zone),
-                item => {
-                    self.log_unreadable(&item);
-                    None
-                }
+                _ => None,
             });
             let zones = zones.collect();
             self.gateway.change_evacuations("store", |evacuations| {
@@ -390,6 +403,7 @@
         position: StorePosition,
         confirmed_at: Timestamp,
     ) {
+        self.unreadable.log(self.kind, &items);
         let now = clock::now();
         let mut events = Vec::new();
         let mut evacuated = Vec::new();
@@ -407,10 +421,13 @@
                 }
                 Item::Target(event) => events.push(event),
                 Item::Evacuation(zone, is_evacuated) => evacuated.push((zone, is_evacuated)),
-                item => {
-                    self.outdated |= matches!(item, Item::Unreadable(..));
-                    self.log_unreadable(&item);
+                // Which object has no name is known only after a list.
+                Item::Unreadable(name, _) if !name.is_empty() => {
+                    self.outdated = true;
+                    // What has replaced the entry of a target names none.
+                    events.push(EntryEvent::Absent(name));
                 }
+                Item::Unreadable(..) | Item::Vm(..) => {}
             }
         }
         if self.kind == ObjectKind::Targets {
@@ -424,19 +441,13 @@
             });
         }
         let held = self.gateway.config().map(|config| config.revision);
-        let up_to_date = held == Some(self.stored_config) && !self.outdated;
+        let up_to_date =
+            held == Some(self.stored_config) && !self.outdated && !self.has_unknown_change;
         if self.kind == ObjectKind::Config && up_to_date {
             self.gateway.confirm_config(confirmed_at);
         }
     }
 
-    fn log_unreadable(&self, item: &Item) {
-        if let Item::Unreadable(name, reason) = item {
-            log::warn!(event = "unreadable", kind = self.kind.as_str(), name = name.as_str(),
-                reason = reason.as_str(); "");
-        }
-    }
-
     fn record_response(&mut self) {
         self.backoff = INITIAL_BACKOFF;
         if std::mem::take(&mut self.disconnected) {
