fix(daemon): a request that may outlast a planned stop is refused at once

A draining almondcroftd admitted requests to the end, aborted those that took too long, and reset those that arrived after the last check of what is in flight, without an answer.

A request whose deadline is after the drain limit is now refused with 503 stopping, 'not-run' and Retry-After. Once nothing is in flight, all later ones are refused likewise, and the listener closes only then; a request that was admitted in between still ends whole.

Measured: sigterm_refuses_at_once_what_may_outlast_the_drain failed before with '0: closed without an answer'; with the change all 8 callers on kept connections are refused within 300 ms. The tests of almondcroftd and of almondcroft-standin pass (processes.rs: 490 s at a load average of 9 to 17; not compared with the time before).

--- a/crates/almondcroftd/src/daemon.rs
+++ b/crates/almondcroftd/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::runtime::{sleep, spawn};
 use crate::settings::Settings;
 use crate::{config_sync, members, server};
+use almondcroft_core::Timestamp;
 use snafu::{ResultExt, Snafu};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -142,38 +143,45 @@
     /// Stops gracefully.
     ///
     /// Waits for the drain delay, in which the load balancer notices the stop, then until the requests
-    /// in flight have finished. Returns whether all of them finished within the drain limit.
+    /// in flight have finished. Meanwhile, requests whose deadline is after the drain limit are refused.
+    /// Returns whether all requests finished within the drain limit.
     pub async fn stop(&self) -> bool {
         let limits = &self.app.settings.limits;
-        self.app.lifecycle.start_drain();
+        let lifecycle = &self.app.lifecycle;
+        let clock = self.app.clock;
+        let end = clock.now() + limits.drain_delay + limits.drain_limit;
+        lifecycle.start_drain_until(end);
         log::info!(event = "drain", active = self.in_flight(); "");
         sleep(limits.drain_delay).await;
-        let clock = self.app.clock;
-        let end = clock.now() + limits.drain_limit;
-        while self.in_flight() > 0 && clock.now() < end && !self.app.lifecycle.is_aborted() {
-            sleep(DRAIN_POLL).await;
-        }
+        self.wait_finished(end).await;
+        lifecycle.close();
+        let handle = self.server.clone();
+        spawn(async move { handle.stop().await });
+        // A request that was admitted just before still ends whole.
+        self.wait_finished(end).await;
         let clean = self.in_flight() == 0;
-        self.shut_down().await;
+        if !clean {
+            self.abort_requests().await;
+        }
+        lifecycle.crash();
+        log::info!(event = "stopped", active = self.in_flight(); "");
         clean
     }
 
+    /// Waits until no request is in flight, `end` has passed or the requests are aborted.
+    async fn wait_finished(&self, end: Timestamp) {
+        let app = &self.app;
+        while self.in_flight() > 0 && app.clock.now() < end && !app.lifecycle.is_aborted() {
+            sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Aborts all requests in flight with errors whose verdict states whether they may have run.
     pub async fn abort_requests(&self) {
         self.app.lifecycle.abort_requests();
         sleep(ABORT_GRACE).await;
     }
 
-    async fn shut_down(&self) {
-        let handle = self.server.clone();
-        spawn(async move { handle.stop().await });
-        if self.in_flight() > 0 {
-            self.abort_requests().await;
-        }
-        self.app.lifecycle.crash();
-        log::info!(event = "stopped", active = self.in_flight(); "");
-    }
-
     /// Closes all connections at once, as a crash of the VM does.
     pub fn crash(&self) {
         self.app.lifecycle.crash();
--- a/crates/almondcroftd/src/lifecycle.rs
+++ b/crates/almondcroftd/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Requests in flight and the stages of a stop.
 
+use almondcroft_core::Timestamp;
 use async_channel::{Receiver, Sender};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -8,6 +9,10 @@
 #[derive(Debug)]
 pub(crate) struct Lifecycle {
     draining: AtomicBool,
+    /// Time at which the requests in flight are aborted; `None` if no stop is planned.
+    stop_at: Mutex<Option<Timestamp>>,
+    /// Whether no more requests are admitted.
+    closed: AtomicBool,
     crashed: AtomicBool,
     in_flight: AtomicUsize,
     abort_sender: Mutex<Option<Sender<()>>>,
@@ -19,6 +24,8 @@
         let (sender, receiver) = async_channel::bounded(1);
         Arc::new(Self {
             draining: AtomicBool::new(false),
+            stop_at: Mutex::new(None),
+            closed: AtomicBool::new(false),
             crashed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             abort_sender: Mutex::new(Some(sender)),
@@ -31,6 +38,25 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Marks the daemon as draining until the requests in flight are aborted at a time.
+    pub(crate) fn start_drain_until(&self, stop_at: Timestamp) {
+        *self.stop_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(stop_at);
+        self.start_drain();
+    }
+
+    /// Admits no more requests.
+    ///
+    /// A request counts as in flight before it is admitted, so one that was admitted before is noticed.
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether a request may be admitted, given the time by which it must be complete.
+    pub(crate) fn admits_until(&self, deadline: Timestamp) -> bool {
+        let stop_at = *self.stop_at.lock().unwrap_or_else(PoisonError::into_inner);
+        !self.closed.load(Ordering::SeqCst) && stop_at.is_none_or(|stop_at| deadline <= stop_at)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
--- a/crates/almondcroftd/src/server/admission.rs
+++ b/crates/almondcroftd/src/server/admission.rs
@@ -62,8 +62,25 @@
 
     /// Returns the time by which the response must be complete.
     ///
-    /// A caller can only shorten the deadline of the contract.
-    pub(crate) fn deadline(&self, conn: &Conn, terms: &Terms) -> Result<Timestamp, Problem> {
+    /// A caller can only shorten the deadline of the contract. A request that may take longer than this VM
+    /// runs is refused.
+    pub(crate) fn deadline(
+        &self,
+        conn: &Conn,
+        app: &App,
+        terms: &Terms,
+    ) -> Result<Timestamp, Problem> {
+        let deadline = self.stated_deadline(conn, terms)?;
+        if app.lifecycle.admits_until(deadline) {
+            return Ok(deadline);
+        }
+        Err(self
+            .problem(503, "stopping", Verdict::NotRun)
+            .detail("the VM stops before the deadline of the request")
+            .retry_after(1))
+    }
+
+    fn stated_deadline(&self, conn: &Conn, terms: &Terms) -> Result<Timestamp, Problem> {
         let contract = Duration::from_millis(terms.deadline_ms);
         let Some(text) = conn.request_headers().get_str(DEADLINE_HEADER) else {
             return Ok(self.arrived_at + contract);
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -78,7 +78,7 @@
             .field(&error.path)
     })?;
     let (service, terms) = admitted.service(&request.model, ServiceKind::Engine, "model")?;
-    let deadline = admitted.deadline(conn, &terms)?;
+    let deadline = admitted.deadline(conn, app, &terms)?;
     let fingerprint = fingerprint(&request);
     if let Some(left) = app.quarantine().remaining(fingerprint, admitted.arrived_at) {
         return Err(admitted
@@ -166,7 +166,7 @@
         service: handle.service.clone(),
         priority: terms.priority,
         worth: terms.worth,
-        deadline: admitted.deadline(conn, &terms)?,
+        deadline: admitted.deadline(conn, app, &terms)?,
         prompt: 0,
         prefix: None,
         region: app.settings.region.clone(),
--- a/crates/almondcroftd/src/server/services.rs
+++ b/crates/almondcroftd/src/server/services.rs
@@ -54,7 +54,7 @@
 ) -> Result<Call, Problem> {
     let (id, path) = rest.split_once('/').unwrap_or((rest, ""));
     let (service, terms) = admitted.service(id, ServiceKind::Plain, "service")?;
-    let deadline = admitted.deadline(conn, &terms)?;
+    let deadline = admitted.deadline(conn, app, &terms)?;
     let key = conn.request_headers().get_str(IDEMPOTENCY_KEY_HEADER);
     let key = key.map(str::to_owned);
     if !service.idempotent && key.as_deref().is_none_or(|key| !is_idempotency_key(key)) {
