fix(almondcroftd): each call to the store has a connection of its own

What callers saw: nothing yet; if the store wrote an earlier response once more on a connection that was in use again, a conditional write that failed counted as done (so that the claim of a key could be granted twice), and a read returned another object.

Cause: responses of the store name no object, and were tied to their calls by their order on kept connections only.

Cost: one connection for each call.

--- a/crates/almondcroft-standin/tests/repeated_responses.rs
+++ b/crates/almondcroft-standin/tests/repeated_responses.rs
@@ -1,11 +1,14 @@
 //! Targets and VMs that write an earlier response once more on a connection that is in use again.
 
+use almondcroft_core::ledger::{Expected, ObjectStore, StoreError};
 use almondcroft_standin::demo::{Caller, LocalDeployment, StreamEnd};
-use almondcroftd::block_on;
+use almondcroftd::http::Outbound;
+use almondcroftd::{HttpStore, block_on, sleep};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// A request to a target.
 #[derive(Debug, Clone)]
@@ -76,7 +79,9 @@
 
 fn framed(status: u16, body: &str) -> Vec<u8> {
     let length = body.len();
-    let head = format!("HTTP/1.1 {status} X\r\nConnection: keep-alive\r\nContent-Length: {length}");
+    let head = format!(
+        "HTTP/1.1 {status} X\r\nConnection: keep-alive\r\nETag: 1\r\nContent-Length: {length}"
+    );
     [&head, "\r\n\r\n", body].concat().into_bytes()
 }
 
@@ -159,3 +164,31 @@
         assert!(starts.count() >= 6);
     });
 }
+
+/// Guards against the response to one call to the store that is taken for the response to the next one: a write that
+/// failed would count as done, so that a claim is granted twice.
+#[test]
+fn call_to_the_store_is_not_answered_by_the_response_to_another_one() {
+    let (url, requests) = start_target(|request| {
+        let is_first = request.line.contains("/a");
+        let (missing, done) = if request.line.starts_with("put") {
+            (412, 201)
+        } else {
+            (404, 200)
+        };
+        framed(if is_first { done } else { missing }, "{}")
+    });
+    block_on(async {
+        let store = HttpStore::new(&url, Outbound::new());
+        let written = store.put("a", b"{}".to_vec(), Expected::Absent).await;
+        assert!(written.is_ok(), "{written:?}");
+        // The connection is returned to the pool in the background.
+        sleep(Duration::from_millis(50)).await;
+        let written = store.put("b", b"{}".to_vec(), Expected::Absent).await;
+        assert_eq!(written, Err(StoreError::Conflict));
+        sleep(Duration::from_millis(50)).await;
+        assert!(store.get("a").await.unwrap().is_some());
+        assert!(store.get("b").await.unwrap().is_none());
+    });
+    assert_eq!(requests.lock().unwrap().len(), 4);
+}
--- a/crates/almondcroftd/src/store.rs
+++ b/crates/almondcroftd/src/store.rs
@@ -22,6 +22,9 @@
 const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
 
 /// Object store behind the object API at a base URL.
+///
+/// Each call has a connection of its own, as responses name no object: on a connection that is used again, a late second
+/// response to an earlier call would be taken for the one to the next call.
 #[derive(Debug, Clone)]
 pub struct HttpStore {
     base: String,
@@ -81,7 +84,7 @@
         let url = format!("{}{OBJECTS_PATH}{key}", self.base);
         let call = self
             .outbound
-            .call(Method::Put, &url, &[], bytes, STORE_TIMEOUT);
+            .call_fresh(Method::Put, &url, &[], bytes, STORE_TIMEOUT);
         self.parse_put_response(call.await)
     }
 
@@ -104,7 +107,7 @@
         let limit = timeout + STORE_TIMEOUT;
         let call = self
             .outbound
-            .call(Method::Get, &url, &[], Vec::new(), limit);
+            .call_fresh(Method::Get, &url, &[], Vec::new(), limit);
         self.read_response(call.await).await
     }
 
@@ -162,7 +165,7 @@
             let url = format!("{}{OBJECTS_PATH}{key}", self.base);
             let call = self
                 .outbound
-                .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
+                .call_fresh(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
             self.read_response(call.await).await
         })
     }
@@ -186,7 +189,7 @@
             let headers = [header];
             let call = self
                 .outbound
-                .call(Method::Put, &url, &headers, bytes, STORE_TIMEOUT);
+                .call_fresh(Method::Put, &url, &headers, bytes, STORE_TIMEOUT);
             self.parse_put_response(call.await)
         })
     }
@@ -194,9 +197,9 @@
     fn delete<'a>(&'a self, key: &'a str) -> StoreFuture<'a, ()> {
         Box::pin(async move {
             let url = format!("{}{OBJECTS_PATH}{key}", self.base);
-            let call = self
-                .outbound
-                .call(Method::Delete, &url, &[], Vec::new(), STORE_TIMEOUT);
+            let call =
+                self.outbound
+                    .call_fresh(Method::Delete, &url, &[], Vec::new(), STORE_TIMEOUT);
             call.await.map(|_| ()).map_err(store_error)
         })
     }
@@ -206,7 +209,7 @@
             let url = format!("{}{OBJECTS_PATH}?prefix={prefix}", self.base);
             let call = self
                 .outbound
-                .call(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
+                .call_fresh(Method::Get, &url, &[], Vec::new(), STORE_TIMEOUT);
             let conn = call.await.map_err(store_error)?;
             let era = self.observe_era(&conn).ok_or(StoreError::Refused)?;
             if status(&conn) != 200 {
