--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -193,7 +193,10 @@
 ) -> Conn {
     let mut relay = Relay::new(Arc::clone(app), job);
     // Nothing has been sent yet, so an error can still be a response without a stream.
-    let opened = conn.inner_mut().cancel_on_disconnect(relay.open()).await;
+    let opened = conn
+        .inner_mut()
+        .cancel_on_disconnect(Box::pin(relay.open()))
+        .await;
     let first = match opened {
         None => {
             relay.abandon();
@@ -209,7 +212,7 @@
     }
     let collected = conn
         .inner_mut()
-        .cancel_on_disconnect(relay.collect(first))
+        .cancel_on_disconnect(Box::pin(relay.collect(first)))
         .await;
     match collected {
         None => {
