--- a/crates/almondcroft-core/src/gateway/fleet/tests.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests.rs
@@ -514,3 +514,28 @@
     assert_eq!(fleet.usable_count(SECOND), 0);
     assert_eq!(fleet.usable_count(SECOND * 2), 1);
 }
+
+/// Guards against a request that is given up at its target for another one that does not get it.
+#[test]
+fn has_room_only_if_the_request_is_placed_at_once() {
+    for load in 0..9 {
+        let mut fleet = fleet(&[("a", "q-a"), ("b", "q-a")]);
+        fleet.record_backoff("a", SECOND * 2, SECOND);
+        for number in 0..load {
+            let id = number.to_string();
+            let _ = fleet.submit(generation(&id), SECOND);
+            fleet.record_response_start(&id.as_str().into(), SECOND);
+        }
+        // It has waited for its first response for longer than its latency objective.
+        let given_up = Demand {
+            start_deadline: Some(SECOND),
+            avoid: vec!["a".into()],
+            ..generation("given-up")
+        };
+        let now = SECOND * 4;
+        let has_room = fleet.has_room(&given_up, now);
+        let placements = fleet.submit(given_up, now);
+        let is_placed = chosen_targets(&placements) == ["b"];
+        assert!(!has_room || is_placed, "{load} generations: {placements:?}");
+    }
+}
--- a/crates/almondcroft-core/src/gateway/shutdown/tests.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown/tests.rs
@@ -91,3 +91,15 @@
         }
     }
 }
+
+/// Guards against a long prompt that is accepted although its prefill outlasts the process.
+#[test]
+fn admits_during_shutdown_by_the_size_of_the_prompt() {
+    let long = Need {
+        prompt: 30_000,
+        ..need(12)
+    };
+    let admits = |need| admits_during_shutdown(need, 12, None, Duration::from_millis(5_300), GRACE);
+    assert!(admits(need(12)));
+    assert!(!admits(long));
+}
