fix(shutdown): admission counts the prefill of a long prompt

A stopping VM accepted a generation by its output alone, so one with a long prompt could be cut at the end of the process.

--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -12,6 +12,9 @@
 /// Time for the response of a plain service or for the first token.
 const RESPONSE_TIME: Duration = Duration::from_millis(400);
 
+/// Time to prefill a token of the prompt on an engine that runs other generations.
+const PREFILL_TOKEN_TIME: Duration = Duration::from_micros(143);
+
 /// Time per output token that is assumed while none is known.
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(14);
 
@@ -51,7 +54,8 @@
         max_output
     };
     let token_time = token_time.map_or(DEFAULT_TOKEN_TIME, |time| time.mul_f64(BUSY_FACTOR));
-    MAX_SOUND_SILENCE + RESPONSE_TIME + token_time * tokens <= left
+    let start_time = MAX_SOUND_SILENCE.max(PREFILL_TOKEN_TIME * need.prefill_tokens());
+    start_time + RESPONSE_TIME + token_time * tokens <= left
 }
 
 #[cfg(test)]
