fix(fleet): a request is given up for another target only if it would be placed there at once

has_room ignored the queue, refusals and the smaller room of requests that are late anyway, so a request could lose its first target and then wait or be refused. has_room_only_if_the_request_is_placed_at_once (found by a review) failed before with five generations at the other engine.

--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -73,10 +73,21 @@
         self.cheapest(&eligible, demand, engine, headroom, now)
     }
 
-    /// Returns whether a target has room for a request now.
+    /// Returns whether a request would be placed on a target at once.
     #[must_use]
     pub fn has_room(&self, demand: &Demand, now: Timestamp) -> bool {
-        self.choose(demand, self.options.headroom, now).is_some()
+        let queue = self.queues.get(&demand.service);
+        if queue.is_some_and(|queue| queue.len() > 0)
+            || self.immediate_refusal(demand, now).is_some()
+        {
+            return false;
+        }
+        match self.choose(demand, self.options.headroom, now) {
+            Some(choice) if Self::starts_late(demand, &choice, now) => self
+                .choose(demand, self.options.late_headroom, now)
+                .is_some(),
+            choice => choice.is_some(),
+        }
     }
 
     /// Places a second run of a request under an id of its own; `None` if it would not start at once, or others wait.
