fix(dispatch): nothing is given up or charged for a send that a shutdown does not permit

Callers of a stopping VM got 502 with most of their time left: the first run was dropped and the retry budget charged before the shutdown was asked whether it permits another send. The time until then is named give_up_after.

--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -242,7 +242,7 @@
     ) -> Attempt {
         let now = clock::now();
         let time_left = self.call.time_left(now);
-        let patience = self.patience(time_left);
+        let give_up_after = self.give_up_after(time_left);
         let backup = self.choose_backup(&placement_guard, now);
         let send = send_meta(&self.call, &choice, backup.as_ref(), now);
         lock(&self.gateway.fleet).set_backup(
@@ -257,7 +257,7 @@
             run,
             sent_at: now,
         };
-        let (used, opened) = self.open(first, &send, patience).await;
+        let (used, opened) = self.open(first, &send, give_up_after).await;
         match opened {
             Some(Ok(exchange)) => {
                 self.record_response_time(used.sent_at);
@@ -269,7 +269,7 @@
     }
 
     /// Returns the time after which a request that has no response is sent to another target, if one has room.
-    fn patience(&self, time_left: Duration) -> Duration {
+    fn give_up_after(&self, time_left: Duration) -> Duration {
         if !self.call.may_repeat() || self.run_count + 1 >= self.call.route.max_attempts {
             return time_left;
         }
@@ -300,7 +300,10 @@
     fn permit_other_target(&mut self, target: &TargetId) -> bool {
         let mut demand = demand(self.gateway, &self.call, &self.avoid);
         demand.avoid.push(target.clone());
-        lock(&self.gateway.fleet).has_room(&demand, clock::now()) && self.permit_retry(target)
+        self.call.may_repeat()
+            && self.run_count + 1 < self.call.route.max_attempts
+            && lock(&self.gateway.fleet).has_room(&demand, clock::now())
+            && self.permit_retry(target)
     }
 
     /// Returns whether a request that may have run can be sent again.
@@ -321,6 +324,7 @@
             .is_some();
         let permitted = self.send_count < MAX_SENDS
             && !quarantined
+            && admit::shutdown_refusal(self.gateway, &self.call).is_none()
             && !self.call.time_left(now).is_zero()
             && self.gateway.take_retry(
                 ExtraSend::Repeat,
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -28,27 +28,27 @@
 impl Dispatch<'_> {
     /// Opens the response to a send, or to a second one if the first is slow; returns the send that it belongs to.
     ///
-    /// The response is `None` if there is none after `patience`, or a multiple of it, and another target may get the
+    /// The response is `None` if there is none after `give_up_after`, or a multiple of it, and another target may get the
     /// request. As long as none may, the first one is waited for: a silent target may be sound. Dropping the other one closes its connection, which cancels the run at its target.
     pub(super) async fn open(
         &mut self,
         first: TargetSend,
         send: &SendMeta,
-        patience: Duration,
+        give_up_after: Duration,
     ) -> (TargetSend, Option<Opened>) {
         let (gateway, call) = (self.gateway, self.call.clone());
         let address = first.choice.address;
         let opening = Exchange::open(gateway, &call, address, send, send.time_left);
         let mut opening = pin!(opening);
         let mut second = None;
-        if let Some(delay) = self.hedge_delay().filter(|delay| *delay < patience) {
+        if let Some(delay) = self.hedge_delay().filter(|delay| *delay < give_up_after) {
             if let Some(opened) = within(delay, opening.as_mut()).await {
                 return (first, Some(opened));
             }
             second = self.start_hedge(&first);
         }
         let Some(second) = second else {
-            let opened = self.wait_or_give_up(&first, opening, patience).await;
+            let opened = self.wait_or_give_up(&first, opening, give_up_after).await;
             return (first, opened);
         };
         let now = clock::now();
@@ -87,16 +87,16 @@
         &mut self,
         sent: &TargetSend,
         mut opening: Pin<&mut impl Future<Output = Opened>>,
-        mut patience: Duration,
+        mut give_up_after: Duration,
     ) -> Option<Opened> {
         loop {
-            if let Some(opened) = within(patience, opening.as_mut()).await {
+            if let Some(opened) = within(give_up_after, opening.as_mut()).await {
                 return Some(opened);
             }
             if self.permit_other_target(&sent.choice.target) {
                 return None;
             }
-            patience *= 2;
+            give_up_after *= 2;
         }
     }
 
