--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -93,7 +93,9 @@
                     return Attempt::MayHaveRun("truncated");
                 }
                 None => {
-                    self.record_failure(&choice.target, true);
+                    let waited = clock::now().saturating_sub(sent_at);
+                    let is_hard = !exchange.is_tunneled() && waited > MAX_SOUND_SILENCE;
+                    self.record_failure(&choice.target, is_hard);
                     return Attempt::MayHaveRun("timeout");
                 }
             }
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -113,7 +113,10 @@
         let read = within(timeout, futures_lite::future::or(read, write));
         let Some(response) = read.await else {
             lock(&gateway.target_paths).record_silence(&send.target, clock::now());
-            return Err(SendError::may_have_run("target-timeout"));
+            return Err(SendError {
+                is_tunneled: connection.is_tunnel(),
+                ..SendError::may_have_run("target-timeout")
+            });
         };
         let is_tunneled = connection.is_tunnel();
         let (head, meta, decoder) = response.map_err(|error| SendError {
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -111,7 +111,11 @@
         request_log: &mut RequestLog,
     ) {
         request_log.log_fault(&self.choice.target, error.kind, error.verdict);
-        lock(&self.gateway.fleet).record_failure(&self.choice.target, true, clock::now());
+        lock(&self.gateway.fleet).record_failure(
+            &self.choice.target,
+            !error.is_tunneled,
+            clock::now(),
+        );
         if error.verdict == Verdict::NotRun {
             run.record_not_run();
         } else {
