fix(migration): a generation that goes on at its source keeps its backup, and its copy is freed

A generation that was not moved after all left a copy behind, which took memory and a slot at another engine until it expired, and the fleet forgot its backup; and one whose events are as far apart as its route permits (180 ms) was still stopped, as the migration waited 150 ms for one. The copy is freed, the backup recorded again, the migration waits for the pause that the route permits and 100 ms more, and copies nothing again once events flow. copy_of_a_generation_that_is_not_moved_is_freed and generation_with_pauses_that_its_route_permits_is_not_stopped_after_a_silence (found by a review) failed before.

--- a/crates/almondcroft-core/src/gateway/fleet/migration.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/migration.rs
@@ -36,6 +36,14 @@
         self.set_copy_target(request, copy_target, false);
     }
 
+    /// Returns the target that holds a backup of a generation, if one does.
+    #[must_use]
+    pub fn backup_target(&self, request: &RequestId) -> Option<TargetId> {
+        let (_, in_flight) = self.running(request)?;
+        let copy_target = self.assignments.get(request)?.copy_target.clone();
+        copy_target.filter(|_| in_flight.has_backup)
+    }
+
     /// Records the target to which a generation is being migrated.
     pub fn set_migration_target(&mut self, request: &RequestId, target: &TargetId) {
         self.set_copy_target(request, Some(target), true);
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -142,6 +142,9 @@
     /// With `last`, the engine stops the generation first.
     fn copy_call(&self, request: &str, to: SocketAddr, last: bool) -> ControlCall;
 
+    /// Returns the call that asks an engine to free a copy that it has sent, at both ends.
+    fn free_copy_call(&self, handle: &str) -> ControlCall;
+
     /// Reads the handle of a copy from the response to [`Dialect::copy_call`].
     fn read_copy_handle(&self, body: &[u8]) -> Option<SmolStr>;
 }
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -44,9 +44,12 @@
 /// Targets announce a shutdown at least 1.5 s ahead.
 const STOP_DEADLINE: Duration = Duration::from_millis(1_100);
 
-/// Time for a target that answers copy calls to send an event of a generation that it runs; without one in this
-/// time it has preempted the generation.
-const EVENT_TIME: Duration = Duration::from_millis(150);
+/// Time, beside the longest pause that the route permits, for a target that answers copy calls to send an event of a
+/// generation that it runs; without one it has preempted the generation.
+const EVENT_MARGIN: Duration = Duration::from_millis(100);
+
+/// Timeout of the call that frees a copy.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Maximum size of a response to a copy call, in bytes.
 const MAX_RESPONSE_BODY: usize = 64 * 1024;
@@ -152,10 +155,18 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            match self.migrate_to(target, started_at).await {
-                MigrationAttempt::Migrated(migrated) => return Some(migrated),
-                MigrationAttempt::NoRoom => {}
-                MigrationAttempt::Failed => break,
+            let backup = lock(&self.gateway.fleet).backup_target(&self.request);
+            let mut copied = None;
+            let result = self.migrate_to(target, started_at, &mut copied).await;
+            if let MigrationAttempt::Migrated(migrated) = result {
+                return Some(migrated);
+            }
+            lock(&self.gateway.fleet).set_backup(&self.request, backup.as_ref());
+            if let Some(handle) = copied {
+                self.free_copy(&handle).await;
+            }
+            if matches!(result, MigrationAttempt::Failed) {
+                break;
             }
         }
         self.release_link();
@@ -183,8 +194,13 @@
     ///
     /// The generation stalls during its last copy, which may queue behind other copies on the link.
     /// So it waits until the fleet knows of no other first copies, and new tokens are copied again while
-    /// it runs, until a copy does not queue or time is short.
-    async fn migrate_to(&self, target: Choice, started_at: Timestamp) -> MigrationAttempt {
+    /// it runs, until a copy does not queue or time is short. `copy_handle` names the copy at the destination.
+    async fn migrate_to(
+        &self,
+        target: Choice,
+        started_at: Timestamp,
+        copy_handle: &mut Option<SmolStr>,
+    ) -> MigrationAttempt {
         lock(&self.gateway.fleet).set_migration_target(&self.request, &target.target);
         self.gateway.request_gossip();
         let resumption = Purpose::Request {
@@ -203,7 +219,14 @@
                 copy_started_at,
             );
             match copied {
-                Some((200, _)) => self.release_link(),
+                Some((200, body)) => {
+                    self.release_link();
+                    *copy_handle = self
+                        .gateway
+                        .dialect
+                        .read_copy_handle(&body)
+                        .or(copy_handle.take());
+                }
                 Some((503 | 409, _)) => return self.record_no_room(&target),
                 Some(_) | None => return MigrationAttempt::Failed,
             }
@@ -212,13 +235,13 @@
                 .await;
             let is_last =
                 elapsed < UNQUEUED_COPY_TIME || clock::now() + elapsed > started_at + STOP_DEADLINE;
-            if is_last {
+            if is_last || self.has_resumed() {
                 break;
             }
         }
         let stop_started_at = clock::now();
-        if let Some(reason) = self.reason_to_stay(started_at).await {
-            self.log_copy("last", reason, Some(&target), stop_started_at);
+        if let Err(reason) = self.prepare_stop(started_at).await {
+            self.log_copy("kept", reason, Some(&target), stop_started_at);
             return MigrationAttempt::Failed;
         }
         let stop_started_at = clock::now();
@@ -240,18 +263,25 @@
         }
     }
 
-    /// Returns why the generation must not be stopped at its source; otherwise charges the retry budget for its
-    /// resumption.
+    /// Returns whether a generation that is migrated for a silence has sent events since.
     ///
-    /// A generation that was stopped and may not be resumed is lost.
-    async fn reason_to_stay(&self, started_at: Timestamp) -> Option<&'static str> {
+    /// One whose target is leaving is migrated all the same.
+    fn has_resumed(&self) -> bool {
+        self.reason == MigrationReason::Silence
+            && !lock(&self.gateway.fleet).is_leaving(&self.source.target)
+            && self.events.load(Ordering::Relaxed) != self.events_before
+    }
+
+    /// Charges the retry budget for the resumption of the generation, before it is stopped.
+    ///
+    /// Returns why it must go on at its source: a generation that was stopped and may not be resumed is lost.
+    async fn prepare_stop(&self, started_at: Timestamp) -> Result<(), &'static str> {
         if self.reason == MigrationReason::Silence {
-            sleep(EVENT_TIME).await;
+            let permitted_pause = self.call.route.gap_objective.unwrap_or_default();
+            sleep(permitted_pause + EVENT_MARGIN).await;
         }
-        let is_leaving = lock(&self.gateway.fleet).is_leaving(&self.source.target);
-        let is_silence = self.reason == MigrationReason::Silence && !is_leaving;
-        if is_silence && self.events.load(Ordering::Relaxed) != self.events_before {
-            return Some("resumed-by-itself");
+        if self.has_resumed() {
+            return Err("resumed-by-itself");
         }
         loop {
             let now = clock::now();
@@ -261,15 +291,29 @@
                 .gateway
                 .take_retry(ExtraSend::Resumption, service, request, now)
             {
-                return None;
+                return Ok(());
             }
-            if is_silence || now > started_at + STOP_DEADLINE {
-                return Some("no-budget");
+            if self.reason == MigrationReason::Silence || now > started_at + STOP_DEADLINE {
+                return Err("no-budget");
             }
             sleep(RETRY_DELAY).await;
         }
     }
 
+    /// Frees the copy of a generation that goes on at its source.
+    async fn free_copy(&self, handle: &str) {
+        let freed_at = clock::now();
+        let call = self.gateway.dialect.free_copy_call(handle);
+        let response = within(FREE_TIMEOUT, self.send_copy_call(&call, true)).await;
+        let outcome = match response.flatten() {
+            Some((200..300, _)) => "freed",
+            Some((404, _)) => "unknown",
+            Some(_) => "failed",
+            None => "unreachable",
+        };
+        self.log_copy("free", outcome, None, freed_at);
+    }
+
     fn resident_tokens(&self) -> u32 {
         lock(&self.gateway.fleet).resident_tokens(&self.request)
     }
