fix(relay): a leave notice during a move for a silence is followed, and a slow caller is no silent target

A stream was lost with its target when the notice came while a move for a silence looked for a destination: the notice was dropped because a migration was running. It is remembered, and the generation is moved once that migration has failed.

--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -96,6 +96,8 @@
     /// Time at which to move the generation off the leaving target.
     leave_at: Option<Timestamp>,
     migration: Option<Receiver<Option<Migrated>>>,
+    /// Whether the target started to leave during the migration.
+    missed_notice: bool,
     migrated: Option<Migrated>,
 }
 
@@ -129,6 +131,7 @@
             leave_notice,
             leave_at: None,
             migration: None,
+            missed_notice: false,
             migrated: None,
         }
     }
@@ -192,6 +195,7 @@
                 Step::MigrationEnded(migrated) => {
                     self.migration = None;
                     self.migrated = migrated;
+                    self.follow_missed_notice();
                     None
                 }
                 Step::TimedOut
@@ -257,9 +261,6 @@
         let silent_for = clock::now().saturating_sub(self.progress_at);
         let silence_left = SILENCE_TIMEOUT.saturating_sub(silent_for);
         let detects_silence = !self.is_migrating() && SILENCE_TIMEOUT < time_left;
-        if detects_silence && silence_left.is_zero() {
-            return Step::Silent;
-        }
         let read = async {
             match self.exchange.read(&mut self.buffer).await {
                 Ok(true) => Step::BytesRead,
@@ -328,14 +329,17 @@
         if request_log.event_count.is_multiple_of(PROGRESS_INTERVAL) {
             self.report_progress(request_log.event_count);
         }
-        if writer.has_started() {
+        let sent = if writer.has_started() {
             writer.send_part(&bytes).await.is_ok()
         } else {
             writer
                 .start_response(&self.exchange.head, &bytes)
                 .await
                 .is_ok()
-        }
+        };
+        // The caller may have been slow to read.
+        self.progress_at = clock::now();
+        sent
     }
 
     fn report_progress(&self, event_count: u64) {
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -41,6 +41,7 @@
     /// is missing.
     pub(super) async fn leave_target(&mut self, request_log: &mut RequestLog) {
         if self.is_migrating() {
+            self.missed_notice = true;
             return;
         }
         let backup_copy = self.backup_copy();
@@ -99,6 +100,13 @@
         }
     }
 
+    /// Migrates the generation if its target started to leave during a migration that has failed.
+    pub(super) fn follow_missed_notice(&mut self) {
+        if std::mem::take(&mut self.missed_notice) && self.migrated.is_none() {
+            self.start_migration(MigrationReason::Leave);
+        }
+    }
+
     pub(super) fn start_migration(&mut self, reason: MigrationReason) {
         if self.migration.is_none() {
             self.migration = migration::start(
