fix(migration): a generation is resumed from its first copy if the response to the last one is lost

A stream was lost when its engine stopped it and the response to the last copy call did not arrive, although the destination held the first copy.

--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -61,6 +61,8 @@
 pub(crate) struct Migrated {
     pub(crate) target: Choice,
     pub(crate) handle: SmolStr,
+    /// Whether the source has stopped; unknown if the response to the last copy was lost.
+    pub(crate) has_stopped: bool,
 }
 
 /// Why a generation is migrated.
@@ -119,7 +121,7 @@
 
 /// The result of an attempt to migrate a generation to one target.
 enum MigrationAttempt {
-    /// The source has stopped.
+    /// The source has stopped, or may have.
     Migrated(Migrated),
     /// The destination has no room.
     NoRoom,
@@ -253,10 +255,22 @@
             stop_started_at,
         );
         let Some((status, body)) = stopped else {
-            return MigrationAttempt::Failed;
+            return copy_handle
+                .take()
+                .map_or(MigrationAttempt::Failed, |handle| {
+                    MigrationAttempt::Migrated(Migrated {
+                        target,
+                        handle,
+                        has_stopped: false,
+                    })
+                });
         };
         match (status, self.gateway.dialect.read_copy_handle(&body)) {
-            (200 | 503, Some(handle)) => MigrationAttempt::Migrated(Migrated { target, handle }),
+            (200 | 503, Some(handle)) => MigrationAttempt::Migrated(Migrated {
+                target,
+                handle,
+                has_stopped: true,
+            }),
             // Without a handle the generation was not stopped.
             (503 | 409, None) => self.record_no_room(&target),
             _ => MigrationAttempt::Failed,
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -99,6 +99,8 @@
     /// Whether the target started to leave during the migration.
     missed_notice: bool,
     migrated: Option<Migrated>,
+    /// A copy to resume from if the stream breaks off, as its source may have been stopped.
+    copied: Option<Migrated>,
 }
 
 impl<'a> Relay<'a> {
@@ -133,6 +135,7 @@
             migration: None,
             missed_notice: false,
             migrated: None,
+            copied: None,
         }
     }
 
@@ -194,8 +197,7 @@
                 }
                 Step::MigrationEnded(migrated) => {
                     self.migration = None;
-                    self.migrated = migrated;
-                    self.follow_missed_notice();
+                    self.record_migration_end(migrated);
                     None
                 }
                 Step::TimedOut
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -100,10 +100,16 @@
         }
     }
 
-    /// Migrates the generation if its target started to leave during a migration that has failed.
-    pub(super) fn follow_missed_notice(&mut self) {
-        if std::mem::take(&mut self.missed_notice) && self.migrated.is_none() {
-            self.start_migration(MigrationReason::Leave);
+    /// Records the result of a migration.
+    ///
+    /// If it has failed, the generation is migrated once more if its target started to leave meanwhile.
+    pub(super) fn record_migration_end(&mut self, migrated: Option<Migrated>) {
+        let missed_notice = std::mem::take(&mut self.missed_notice);
+        match migrated {
+            Some(migrated) if migrated.has_stopped => self.migrated = Some(migrated),
+            Some(copied) => self.copied = Some(copied),
+            None if missed_notice => self.start_migration(MigrationReason::Leave),
+            None => {}
         }
     }
 
@@ -130,7 +136,8 @@
             let result = async { result.recv().await.ok().flatten() };
             self.migrated = within(MIGRATION_TIMEOUT, result).await.flatten();
         }
-        let migrated = self.migrated.take();
+        let copied = self.copied.take();
+        let migrated = self.migrated.take().or(copied);
         if migrated.is_none() {
             request_log.log_fault(&self.choice.target, reason, Verdict::MayHaveRun);
             let hard = !self.exchange.is_tunneled();
