fix(daemon): an engine that is silent for long doesn't end a started stream before its deadline

A stream of almondcroftd whose engine accepted connections but was silent for more than about 8 s ended with 502 engine-lost ('the engine cannot be reached'), although its caller's deadline was a minute away and no other engine can continue it.

A resume that is accepted but not answered in time is now repeated until the deadline. Before the first token, another engine is tried as before.

--- a/crates/almondcroft-standin/tests/shutdown.rs
+++ b/crates/almondcroft-standin/tests/shutdown.rs
@@ -273,8 +273,9 @@
 const STREAM: &str = "/v1/completions";
 
 fn generation(stream: bool, tokens: u32) -> String {
-    json!({"model": "menus", "prompt": "soup", "stream": stream, "standin_tokens": tokens})
-        .to_string()
+    json!({"model": "menus", "prompt": "soup", "stream": stream, "standin_tokens": tokens,
+        "max_tokens": tokens})
+    .to_string()
 }
 
 /// Sends one request of each kind from each caller, in threads of their own.
@@ -441,3 +442,63 @@
         site.entry.wait().unwrap();
     });
 }
+
+/// Calls an engine that is silent before the first token or after some, for longer than reconnects take.
+async fn call_silent_engine(site: &Site, headers: &str, silence: Duration) -> Vec<Reply> {
+    let mut callers = site.kept_callers(2);
+    let body = generation(true, 80);
+    let request = |headers: &str| {
+        format!(
+            "POST {STREAM} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n{headers}\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    callers[0].0.write_all(request(headers).as_bytes()).unwrap();
+    sleep(Duration::from_millis(300)).await;
+    site.set_silent(true);
+    callers[1].0.write_all(request(headers).as_bytes()).unwrap();
+    let engine = site.engine.clone();
+    thread::spawn(move || {
+        thread::sleep(silence);
+        engine.set_silent(false);
+    });
+    let replies = callers.iter_mut().map(|caller| caller.read().unwrap());
+    replies.collect()
+}
+
+#[test]
+fn engine_silence_ends_no_started_stream_before_its_deadline() {
+    block_on(async {
+        let site = Site::start(100, 10_000).await;
+        let replies = call_silent_engine(&site, "", Duration::from_secs(11)).await;
+        let text = replies[0].text();
+        let end = text.lines().rev().find(|line| line.starts_with("data: "));
+        assert!(replies[0].is_success(), "{end:?}");
+        // Without a token, another engine would have been tried.
+        let is_truthful = replies[1].is_success() || replies[1].has("may-have-run");
+        assert!(is_truthful && replies[1].is_whole, "{:?}", replies[1]);
+    });
+}
+
+#[test]
+fn engine_silence_delays_no_deadline() {
+    block_on(async {
+        let site = Site::start(100, 10_000).await;
+        let deadline = "Almondcroft-Deadline-Ms: 7000\r\n";
+        let replies = call_silent_engine(&site, deadline, Duration::from_secs(15)).await;
+        for reply in replies {
+            assert!(
+                reply.has("\"type\":\"deadline\"") && reply.is_whole,
+                "{} {:?}",
+                reply.head,
+                reply.text().lines().last()
+            );
+            assert!(
+                reply.took < Duration::from_millis(7_500),
+                "{:?}",
+                reply.took
+            );
+        }
+    });
+}
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -85,6 +85,8 @@
     Unknown,
     /// The engine cannot be reached.
     Unreachable,
+    /// The engine accepts connections but does not respond.
+    Silent,
 }
 
 impl Relay {
@@ -274,7 +276,8 @@
             .call_fresh(Method::Post, &url, &headers, bytes, OPEN_TIMEOUT);
         let now = self.app.clock.now();
         let remaining = self.job.route.deadline.saturating_sub(now);
-        let Some(response) = run_bounded(&self.app.lifecycle, remaining, call).await else {
+        let response = run_bounded(&self.app.lifecycle, remaining, Box::pin(call));
+        let Some(response) = response.await else {
             // The engine may have started the generation, which is then aborted.
             return Ok(());
         };
@@ -331,7 +334,8 @@
             if self.source.is_none() {
                 // A silent engine must delay neither the deadline nor a stop.
                 let lifecycle = Arc::clone(&self.app.lifecycle);
-                let reconnected = run_bounded(&lifecycle, remaining, self.reconnect()).await;
+                let reconnect = Box::pin(self.reconnect());
+                let reconnected = run_bounded(&lifecycle, remaining, reconnect).await;
                 reconnected.unwrap_or(Ok(()))?;
                 continue;
             }
@@ -514,6 +518,11 @@
                 self.source = Some(source);
                 Ok(())
             }
+            // The deadline bounds the attempts at a silent engine, which take their time by themselves.
+            Err(ResumeError::Silent) => {
+                self.idle_reconnects = 0;
+                Ok(())
+            }
             Err(error) => Err(self.engine_lost(&error)),
         }
     }
@@ -544,6 +553,12 @@
                         CallErrorKind::TimedOut | CallErrorKind::Broken => Evidence::TimedOut,
                     };
                     self.app.observe_target(&self.target, evidence);
+                    // A process that is only silent still holds the generation, which no other engine can
+                    // continue. Before the first token, another engine is tried instead.
+                    let has_connected = error.verdict != Verdict::NotRun;
+                    if error.kind == CallErrorKind::TimedOut && has_connected && offset > 0 {
+                        return Err(ResumeError::Silent);
+                    }
                 }
             }
         }
@@ -571,7 +586,7 @@
         self.release();
         let detail = match error {
             ResumeError::Unknown => "the engine no longer knows the generation",
-            ResumeError::Unreachable => "the engine cannot be reached",
+            ResumeError::Unreachable | ResumeError::Silent => "the engine cannot be reached",
         };
         self.problem(502, "engine-lost", verdict).detail(detail)
     }
