--- a/crates/almondcroft-proto/src/http1/tests.rs
+++ b/crates/almondcroft-proto/src/http1/tests.rs
@@ -36,6 +36,32 @@
     assert_eq!(head(&text), Err(FrameError::TooLarge));
 }
 
+#[test]
+fn parse_response_cut_anywhere() {
+    let text = b"HTTP/1.1 200 OK\r\nContent-Length: 1200\r\nTransfer-Encodings: x\r\n\r\n";
+    for cut in 0..text.len() {
+        assert_eq!(parse_response(&text[..cut], 4096), Ok(None), "after {cut}");
+    }
+}
+
+#[test]
+fn parse_request_cut_anywhere() {
+    let text = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 12\r\n\r\n";
+    for cut in 0..text.len() {
+        assert_eq!(head(&text[..cut]), Ok(None), "after {cut}");
+    }
+}
+
+#[test]
+fn feed_cut_anywhere() {
+    let wire = b"c;a=b\r\n0123456789ab\r\n0d\r\n0123456789abc\r\n0\r\nX-Sum: 25\r\n\r\n";
+    for cut in 0..wire.len() {
+        let mut body = BodyDecoder::new(BodyKind::Chunked);
+        assert_eq!(body.feed(&wire[..cut], &mut Vec::new()), Ok(cut));
+        assert!(!body.is_done(), "after {cut}");
+    }
+}
+
 #[test]
 fn body_kind_response() {
     let text = b"HTTP/1.1 200 OK\r\n\r\n";
