fix(daemon): a connection whose request was answered before its body was sent carries no other request

The filter of responses took the rest of such a body for the head of the next request, and would then have held back the '100 Continue' that the next request waits for until its time is up.

Only bytes with the end of a head start a request; other ones mark the connection as spent.

--- a/crates/almondcroftd/src/http/response_filter.rs
+++ b/crates/almondcroftd/src/http/response_filter.rs
@@ -55,11 +55,16 @@
         }
     }
 
-    /// Records that bytes are sent, which start with the whole head of a request if none is open.
+    /// Records that bytes are sent; the client library sends the whole head of a request at once.
     pub(super) fn observe_request(&mut self, bytes: &[u8]) {
         if !matches!(self.state, State::Idle) {
             return;
         }
+        if !bytes.windows(4).any(|window| window == b"\r\n\r\n") {
+            // The rest of a request's body, which the other end has answered before it was sent.
+            self.is_spent = true;
+            return;
+        }
         let mut lines = bytes.split(|byte| *byte == b'\n');
         self.state = State::Head {
             // Only the response to this method is framed in another way.
@@ -169,3 +174,6 @@
 fn invalid(error: impl std::error::Error + Send + Sync + 'static) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
+
+#[cfg(test)]
+mod tests;
