--- a/crates/almondcroft-core/src/gateway/fleet/choice.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/choice.rs
@@ -73,6 +73,23 @@
         self.cheapest(&eligible, demand, engine, headroom, now)
     }
 
+    /// Returns whether a request would be placed on a target at once.
+    #[must_use]
+    pub fn has_room(&self, demand: &Demand, now: Timestamp) -> bool {
+        let queue = self.queues.get(&demand.service);
+        if queue.is_some_and(|queue| queue.len() > 0)
+            || self.immediate_refusal(demand, now).is_some()
+        {
+            return false;
+        }
+        match self.choose(demand, self.options.headroom, now) {
+            Some(choice) if Self::starts_late(demand, &choice, now) => self
+                .choose(demand, self.options.late_headroom, now)
+                .is_some(),
+            choice => choice.is_some(),
+        }
+    }
+
     /// Places a second run of a request under an id of its own; `None` if it would not start at once, or others wait.
     ///
     /// The first target is avoided, and its machine and availability zone if another one will do.
@@ -161,7 +178,8 @@
             target: state.entry.id.clone(),
             address: state.entry.address,
             request_count: u32::try_from(floor_to_usize(count)).unwrap_or(u32::MAX),
-            cost: Duration::from_secs_f64(cost.max(0.0)),
+            // An engine of no capacity that is empty has an infinite cost.
+            cost: Duration::try_from_secs_f64(cost.max(0.0)).unwrap_or(Duration::MAX),
         })
     }
 
--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -1,16 +1,19 @@
 //! Admission of requests during shutdown.
 
-use super::Need;
+use super::{MAX_SOUND_SILENCE, Need};
 use std::time::Duration;
 
-/// Time before the end of the grace period by which responses must be complete.
-const COMPLETION_MARGIN: Duration = Duration::from_millis(800);
+/// Time before the end of the grace period by which responses must be complete; the process ends 0.3 s before it.
+const COMPLETION_MARGIN: Duration = Duration::from_millis(400);
 
 /// Time after the start of a shutdown by which the load balancer sends callers elsewhere.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Time for the response of a plain service or for the first token, with a wide margin.
-const RESPONSE_TIME: Duration = Duration::from_millis(800);
+/// Time for the response of a plain service or for the first token.
+const RESPONSE_TIME: Duration = Duration::from_millis(400);
+
+/// Time to prefill a token of the prompt on an engine that runs other generations.
+const PREFILL_TOKEN_TIME: Duration = Duration::from_micros(143);
 
 /// Time per output token that is assumed while none is known.
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(14);
@@ -19,7 +22,7 @@
 /// else.
 const BUSY_FACTOR: f64 = 1.3;
 
-/// Returns whether a VM that shuts down can still complete a request.
+/// Returns whether a VM that shuts down can still complete a request, also if its target is silent for a while first.
 ///
 /// Requests still arrive until the load balancer notices the shutdown, and later if most VMs of a zone
 /// shut down at once. A generation that outlasts the grace period would be cut off, so it is refused
@@ -51,7 +54,8 @@
         max_output
     };
     let token_time = token_time.map_or(DEFAULT_TOKEN_TIME, |time| time.mul_f64(BUSY_FACTOR));
-    RESPONSE_TIME + token_time * tokens <= left
+    let start_time = MAX_SOUND_SILENCE.max(PREFILL_TOKEN_TIME * need.prefill_tokens());
+    start_time + RESPONSE_TIME + token_time * tokens <= left
 }
 
 #[cfg(test)]
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 use almondcroft_core::gateway::{Choice, Demand, ExtraSend, HedgePolicy, Need, Placement};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use almondcroft_proto::http1::ResponseHead;
+use futures_lite::future::or;
 use hedge::TargetSend;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,6 +67,8 @@
     NotRun(&'static str),
     /// The target may have run the request.
     MayHaveRun(&'static str),
+    /// The target did not respond for a while, and another one may get the request; the retry budget was charged.
+    GivenUp,
 }
 
 /// Handles one request; returns whether the caller's connection can be used for another one.
@@ -85,8 +88,17 @@
                 avoid: Vec::new(),
                 run_count: 0,
                 send_count: 0,
+                is_in_flight: false,
             };
-            dispatch.run().await
+            let ended = async {
+                gateway.lifecycle.wait_for_end().await;
+                None
+            };
+            let handled = or(async { Some(dispatch.run().await) }, ended).await;
+            match handled {
+                Some(reusable) => reusable,
+                None => dispatch.end_with_process().await,
+            }
         }
         Err(rejection) => {
             let id = rejection.id.clone();
@@ -115,6 +127,8 @@
     /// Number of sends that the targets ran or may have run.
     run_count: u32,
     send_count: u32,
+    /// Whether a target may be running the request now.
+    is_in_flight: bool,
 }
 
 impl Dispatch<'_> {
@@ -136,6 +150,11 @@
                 // The configuration or an evacuation has excluded the target while the request waited.
                 continue;
             }
+            if let Some(retry_after) = admit::shutdown_refusal(self.gateway, &self.call) {
+                // It may have waited for its place since before the shutdown.
+                let reply = Reply::refused("stopping", retry_after);
+                return self.finish(last_response, reply).await;
+            }
             let run = match TargetRun::admit(self.gateway, &self.call, &target) {
                 Ok(run) => run,
                 Err(remaining) => {
@@ -143,7 +162,10 @@
                     return self.finish(last_response, reply).await;
                 }
             };
-            match self.attempt(placement_guard, choice, run).await {
+            self.is_in_flight = true;
+            let attempt = self.attempt(placement_guard, choice, run).await;
+            self.is_in_flight = false;
+            match attempt {
                 Attempt::Relayed(complete) => return complete,
                 Attempt::Response(head, body) => {
                     self.run_count += 1;
@@ -158,6 +180,7 @@
                         return self.finish(last_response, reply).await;
                     }
                 }
+                Attempt::GivenUp => self.run_count += 1,
                 Attempt::MayHaveRun(reason) => {
                     self.run_count += 1;
                     if !self.permit_repeat(&target) {
@@ -171,6 +194,23 @@
         }
     }
 
+    /// Answers a request that is open when the process is about to end; returns `false`, as the connection ends too.
+    async fn end_with_process(&mut self) -> bool {
+        self.writer.close_after_response();
+        if self.writer.has_started() {
+            self.request_log.log_end(0, "cut");
+        } else if self.is_in_flight {
+            self.finish(None, Reply::failed(504, "stopping")).await;
+        } else {
+            let lifecycle = &self.gateway.lifecycle;
+            let elapsed = lifecycle.draining_for(clock::now()).unwrap_or_default();
+            let retry_after = self.gateway.shutdown_retry(elapsed);
+            self.finish(None, Reply::refused("stopping", retry_after))
+                .await;
+        }
+        false
+    }
+
     /// Waits until the request is placed on a target, or refused.
     async fn acquire_target(&mut self) -> Result<(PlacementGuard, Choice), Reply> {
         let now = clock::now();
@@ -202,7 +242,7 @@
     ) -> Attempt {
         let now = clock::now();
         let time_left = self.call.time_left(now);
-        let timeout = self.attempt_timeout(time_left);
+        let patience = self.patience(time_left);
         let backup = self.choose_backup(&placement_guard, now);
         let send = send_meta(&self.call, &choice, backup.as_ref(), now);
         lock(&self.gateway.fleet).set_backup(
@@ -217,18 +257,19 @@
             run,
             sent_at: now,
         };
-        let (used, opened) = self.open(first, &send, timeout).await;
+        let (used, opened) = self.open(first, &send, patience).await;
         match opened {
-            Ok(exchange) => {
+            Some(Ok(exchange)) => {
                 self.record_response_time(used.sent_at);
                 self.handle_response(used, backup, exchange).await
             }
-            Err(error) => self.handle_send_error(&used.choice, &used.run, error),
+            Some(Err(error)) => self.handle_send_error(&used, error),
+            None => self.record_given_up(&used.choice.target),
         }
     }
 
-    /// Returns the time after which the gateway stops waiting for the response to a send.
-    fn attempt_timeout(&self, time_left: Duration) -> Duration {
+    /// Returns the time after which a request that has no response is sent to another target, if one has room.
+    fn patience(&self, time_left: Duration) -> Duration {
         if !self.call.may_repeat() || self.run_count + 1 >= self.call.route.max_attempts {
             return time_left;
         }
@@ -255,6 +296,13 @@
         lock(&self.gateway.fleet).record_failure(target, hard, clock::now());
     }
 
+    /// Returns whether the request can be sent to another target while this one has not responded.
+    fn permit_other_target(&mut self, target: &TargetId) -> bool {
+        let mut demand = demand(self.gateway, &self.call, &self.avoid);
+        demand.avoid.push(target.clone());
+        lock(&self.gateway.fleet).has_room(&demand, clock::now()) && self.permit_retry(target)
+    }
+
     /// Returns whether a request that may have run can be sent again.
     fn permit_repeat(&mut self, target: &TargetId) -> bool {
         self.call.may_repeat()
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -11,7 +11,8 @@
 use almondcroft_core::gateway::{Choice, ExtraSend, HedgePolicy};
 use almondcroft_core::{RequestId, Timestamp, Verdict};
 use futures_lite::future::or;
-use std::pin::pin;
+use std::future::Future;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 /// One send of a request with its place at the target.
@@ -27,24 +28,28 @@
 impl Dispatch<'_> {
     /// Opens the response to a send, or to a second one if the first is slow; returns the send that it belongs to.
     ///
-    /// Dropping the other one closes its connection, which cancels the run at its target.
+    /// The response is `None` if there is none after `patience`, or a multiple of it, and another target may get the
+    /// request. As long as none may, the first one is waited for: a silent target may be sound. Dropping the other one closes its connection, which cancels the run at its target.
     pub(super) async fn open(
         &mut self,
         first: TargetSend,
         send: &SendMeta,
-        timeout: Duration,
-    ) -> (TargetSend, Opened) {
+        patience: Duration,
+    ) -> (TargetSend, Option<Opened>) {
         let (gateway, call) = (self.gateway, self.call.clone());
-        let opening = Exchange::open(gateway, &call, first.choice.address, send, timeout);
+        let address = first.choice.address;
+        let opening = Exchange::open(gateway, &call, address, send, send.time_left);
         let mut opening = pin!(opening);
-        let Some(delay) = self.hedge_delay().filter(|delay| *delay < timeout) else {
-            return (first, opening.await);
-        };
-        if let Some(opened) = within(delay, opening.as_mut()).await {
-            return (first, opened);
+        let mut second = None;
+        if let Some(delay) = self.hedge_delay().filter(|delay| *delay < patience) {
+            if let Some(opened) = within(delay, opening.as_mut()).await {
+                return (first, Some(opened));
+            }
+            second = self.start_hedge(&first);
         }
-        let Some(second) = self.start_hedge(&first) else {
-            return (first, opening.await);
+        let Some(second) = second else {
+            let opened = self.wait_or_give_up(&first, opening, patience).await;
+            return (first, opened);
         };
         let now = clock::now();
         let hedge = send_meta(&call, &second.choice, None, now);
@@ -54,19 +59,18 @@
         let first_end = async { (true, opening.as_mut().await) };
         let second_end = async { (false, hedging.as_mut().await) };
         let (is_first, opened) = or(first_end, second_end).await;
-        let (is_first, opened) = if is_final(&opened) {
-            (is_first, opened)
+        let (is_first, opened, unused_not_run) = if is_final(&opened) {
+            (is_first, opened, false)
         } else {
             let other = if is_first {
                 hedging.await
             } else {
                 opening.await
             };
-            // A failure that a target states says more than a broken connection.
-            if other.is_ok() || opened.is_err() {
-                (!is_first, other)
+            if prefers_second(&opened, &other) {
+                (!is_first, other, is_not_run(&opened))
             } else {
-                (is_first, opened)
+                (is_first, opened, is_not_run(&other))
             }
         };
         let (used, unused) = if is_first {
@@ -74,8 +78,26 @@
         } else {
             (second, first)
         };
-        self.record_hedge(&used, &unused, &opened, now);
-        (used, opened)
+        self.record_hedge(&used, &unused, unused_not_run, now);
+        (used, Some(opened))
+    }
+
+    /// Waits for a response, or until another target may get the request.
+    async fn wait_or_give_up(
+        &mut self,
+        sent: &TargetSend,
+        mut opening: Pin<&mut impl Future<Output = Opened>>,
+        mut patience: Duration,
+    ) -> Option<Opened> {
+        loop {
+            if let Some(opened) = within(patience, opening.as_mut()).await {
+                return Some(opened);
+            }
+            if self.permit_other_target(&sent.choice.target) {
+                return None;
+            }
+            patience *= 2;
+        }
     }
 
     /// Returns the time after which the request counts as slow; `None` if it gets no second run.
@@ -126,12 +148,15 @@
         &mut self,
         used: &TargetSend,
         unused: &TargetSend,
-        opened: &Opened,
+        unused_not_run: bool,
         hedged_at: Timestamp,
     ) {
-        let not_run = matches!(opened, Err(error) if error.verdict == Verdict::NotRun);
-        // The other target may have run the request, whatever came of this one.
-        self.run_count += u32::from(!not_run);
+        if unused_not_run {
+            unused.run.record_not_run();
+        } else {
+            // The other target may have run the request, whatever came of this one.
+            self.run_count += 1;
+        }
         let elapsed = clock::now().saturating_sub(hedged_at);
         self.gateway
             .metrics
@@ -162,3 +187,21 @@
         .as_ref()
         .is_ok_and(|exchange| exchange.head.status < 500 && !exchange.meta.not_run)
 }
+
+/// Returns whether a target is proved not to have run the request.
+fn is_not_run(opened: &Opened) -> bool {
+    match opened {
+        Ok(exchange) => exchange.is_refusal(),
+        Err(error) => error.verdict == Verdict::NotRun,
+    }
+}
+
+/// Returns whether the second of two results that are not final says more than the first: a failure that a target
+/// states says more than a broken connection, and that more than one that did not open.
+fn prefers_second(first: &Opened, second: &Opened) -> bool {
+    match (first, second) {
+        (_, Ok(_)) => true,
+        (Ok(_), Err(_)) => false,
+        (Err(_), Err(_)) => is_not_run(first) || !is_not_run(second),
+    }
+}
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::connection::{Connection, ConnectionError};
-use crate::pool;
+use crate::pool::{self, Purpose};
 use crate::runtime::within;
 use crate::state::{Gateway, lock};
 use crate::target_connect::Destination;
@@ -32,6 +32,8 @@
 pub(crate) struct SendError {
     pub(crate) kind: &'static str,
     pub(crate) verdict: Verdict,
+    /// Whether the connection led through another VM, which may have caused the failure.
+    pub(crate) is_tunneled: bool,
 }
 
 impl SendError {
@@ -39,6 +41,7 @@
         Self {
             kind,
             verdict: Verdict::NotRun,
+            is_tunneled: false,
         }
     }
 
@@ -46,6 +49,7 @@
         Self {
             kind,
             verdict: Verdict::MayHaveRun,
+            is_tunneled: false,
         }
     }
 }
@@ -71,7 +75,10 @@
         send: &SendMeta,
         timeout: Duration,
     ) -> Result<Self, SendError> {
-        let run_once = !call.may_repeat();
+        let purpose = Purpose::Request {
+            id: call.external_id(),
+            run_once: !call.may_repeat(),
+        };
         let regions = gateway.allowed_regions(call);
         let destination = Destination {
             regions: &regions,
@@ -80,7 +87,7 @@
             request: call.external_id(),
             time_left: send.time_left,
         };
-        let (mut connection, is_new) = pool::connect(gateway, destination, run_once, timeout)
+        let (mut connection, is_new) = pool::connect(gateway, destination, purpose, timeout)
             .await
             .map_err(|_| SendError::not_run("connect"))?;
         let send = &SendMeta {
@@ -108,7 +115,11 @@
             lock(&gateway.target_paths).record_silence(&send.target, clock::now());
             return Err(SendError::may_have_run("target-timeout"));
         };
-        let (head, meta, decoder) = response?;
+        let is_tunneled = connection.is_tunnel();
+        let (head, meta, decoder) = response.map_err(|error| SendError {
+            is_tunneled,
+            ..error
+        })?;
         gateway.observe_response(&send.target, &head, &meta);
         Ok(Self {
             head,
@@ -128,7 +139,7 @@
         connection: &mut Connection,
         is_new: bool,
     ) -> Result<(ResponseHead, ResponseMeta, BodyDecoder), SendError> {
-        for _ in 0..MAX_RESPONSES {
+        for skipped in 0..MAX_RESPONSES {
             let head = connection
                 .read_response(MAX_RESPONSE_HEAD)
                 .await
@@ -140,7 +151,8 @@
             let mut decoder = BodyDecoder::new(kind);
             let is_own = match &meta.id {
                 Some(id) => Some(id) == call.meta.id.as_ref(),
-                None => is_new && !is_success(&head),
+                // Only the first response on a connection cannot be a late one to another request.
+                None => is_new && skipped == 0 && !is_success(&head),
             };
             if is_own {
                 return Ok((head, meta, decoder));
@@ -153,13 +165,26 @@
         Err(SendError::may_have_run("crossed"))
     }
 
+    /// Returns whether the connection leads through another VM.
+    pub(crate) const fn is_tunneled(&self) -> bool {
+        self.connection.is_tunnel()
+    }
+
     /// Reads the next part of the body; returns `false` once the body is complete.
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, ConnectionError> {
         self.connection.read_body(&mut self.decoder, out).await
     }
 
+    /// Returns whether the target states that it did not run the request.
+    pub(crate) fn is_refusal(&self) -> bool {
+        self.meta.not_run || self.head.status == 421
+    }
+
     /// Returns the connection to the pool if the exchange is complete and the target keeps it open.
-    pub(crate) fn finish(self, gateway: &Gateway) {
+    pub(crate) fn finish(mut self, gateway: &Gateway) {
+        if let Some(id) = self.meta.id.as_deref().filter(|_| self.is_refusal()) {
+            self.connection.record_refusal(id);
+        }
         if self.fully_sent && self.decoder.is_done() && self.head.keeps_alive() {
             pool::release(
                 gateway,
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -108,7 +108,7 @@
         &mut self,
         run: &TargetRun,
         error: SendError,
-        request_log: &RequestLog,
+        request_log: &mut RequestLog,
     ) {
         request_log.log_fault(&self.choice.target, error.kind, error.verdict);
         lock(&self.gateway.fleet).record_failure(&self.choice.target, true, clock::now());
@@ -123,6 +123,7 @@
     pub(super) fn begin(&mut self, exchange: Exchange, run: TargetRun) {
         self.exchange = exchange;
         self.run = run;
+        self.progress_at = clock::now();
         self.splitter = EventSplitter::default();
         self.has_events = false;
         self.backup = None;
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::{RequestLog, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
-use crate::migration::{self, Migrated};
+use crate::migration::{self, Migrated, MigrationReason};
 use crate::runtime::within;
 use crate::state::lock;
 use crate::target_connect;
@@ -46,15 +46,17 @@
         let backup_copy = self.backup_copy();
         let switched = match backup_copy {
             Some((choice, copy)) => {
-                self.resume(&choice, copy, SWITCH_TIMEOUT, request_log)
-                    .await
+                self.take_resumption()
+                    && self
+                        .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
+                        .await
             }
             None => false,
         };
         if switched {
             self.gateway.metrics.count_migration("switched");
         } else {
-            self.start_migration();
+            self.start_migration(MigrationReason::Leave);
         }
     }
 
@@ -81,13 +83,14 @@
     /// closed. So the stream stays open: a target that accepts a connection is asked to migrate the
     /// generation, and one that does not is abandoned only once another engine has resumed it.
     pub(super) async fn probe_target(&mut self, request_log: &mut RequestLog) {
-        request_log.log_fault(&self.choice.target, "silent", Verdict::MayHaveRun);
         let request = self.call.external_id();
         let reached =
             target_connect::is_reached(self.gateway, &self.choice, request, PROBE_TIMEOUT).await;
+        request_log.log_silence(&self.choice.target, reached);
         if reached {
-            self.start_migration();
+            self.start_migration(MigrationReason::Silence);
         } else if let Some((choice, copy)) = self.backup_copy()
+            && self.take_resumption()
             && self
                 .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
                 .await
@@ -96,10 +99,16 @@
         }
     }
 
-    pub(super) fn start_migration(&mut self) {
+    pub(super) fn start_migration(&mut self, reason: MigrationReason) {
         if self.migration.is_none() {
-            self.migration =
-                migration::start(self.gateway, self.call, &self.placement_id, &self.choice);
+            self.migration = migration::start(
+                self.gateway,
+                self.call,
+                &self.placement_id,
+                &self.choice,
+                reason,
+                &self.events,
+            );
         }
     }
 
@@ -116,7 +125,8 @@
         let migrated = self.migrated.take();
         if migrated.is_none() {
             request_log.log_fault(&self.choice.target, reason, Verdict::MayHaveRun);
-            lock(&self.gateway.fleet).record_failure(&self.choice.target, true, clock::now());
+            let hard = !self.exchange.is_tunneled();
+            lock(&self.gateway.fleet).record_failure(&self.choice.target, hard, clock::now());
             check_crash(
                 self.gateway,
                 self.call,
@@ -125,7 +135,12 @@
                 request_log.event_count,
             );
         }
+        // The migration has charged the retry budget for one resumption.
+        let mut is_charged = migrated.is_some();
         for (choice, copy) in self.resume_options(migrated) {
+            if !std::mem::take(&mut is_charged) && !self.take_resumption() {
+                return false;
+            }
             if self
                 .resume(&choice, copy, RESUME_TIMEOUT, request_log)
                 .await
@@ -156,6 +171,16 @@
         options
     }
 
+    /// Charges the retry budget for a resumption; returns whether it permits one.
+    fn take_resumption(&self) -> bool {
+        self.gateway.take_retry(
+            ExtraSend::Resumption,
+            &self.call.service,
+            self.call.external_id(),
+            clock::now(),
+        )
+    }
+
     /// Resumes the generation at a target from a copy; returns whether it succeeded.
     ///
     /// The current stream is replaced only if the target resumes.
@@ -171,15 +196,6 @@
             request_log.log_fault(&choice.target, "part-quarantined", Verdict::NotRun);
             return false;
         };
-        if !self.gateway.take_retry(
-            ExtraSend::Resumption,
-            &self.call.service,
-            self.call.external_id(),
-            now,
-        ) {
-            run.record_not_run();
-            return false;
-        }
         let backup = lock(&self.gateway.fleet).choose_backup_target(&self.placement_id, now);
         let backup = backup.filter(|other| other.target != choice.target);
         let send = SendMeta {
@@ -230,12 +246,13 @@
         self.gateway.deliver(placements);
         self.exchange = exchange;
         self.run = run;
+        self.progress_at = clock::now();
         self.splitter = EventSplitter::default();
         self.has_events = false;
         self.choice = choice.clone();
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
-            self.start_migration();
+            self.start_migration(MigrationReason::Leave);
         }
         true
     }
--- a/crates/almondcroft-standin/src/demo/deployment.rs
+++ b/crates/almondcroft-standin/src/demo/deployment.rs
@@ -127,7 +127,7 @@
             faults: StoreFaults::default(),
         })
         .context(TestDoubleSnafu)?;
-        let (vm_list, vm_list_state) = vm_list::start(VmListSettings {
+        let (vm_list, vm_list_state) = vm_list::start(&VmListSettings {
             listen: loopback_address(),
             vms: Vec::new(),
             lag_ms: 0,
@@ -238,8 +238,8 @@
                 zone: "quito-a".into(),
                 state: VmState::Live,
             })
-            .collect();
-        self.vm_list_state.set(entries);
+            .collect::<Vec<_>>();
+        self.vm_list_state.set(&entries);
     }
 
     /// Returns the base URLs of the entry VMs.
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -1,5 +1,6 @@
 //! HTTP client for targets, peers and the platform.
 
+use super::filtered_transport::FilteredTransport;
 use super::{ResponseBody, client_config};
 use crate::runtime::{sleep, within};
 use almondcroft_core::Verdict;
@@ -10,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use trillium::Method;
-use trillium_client::{Client, Conn};
+use trillium_client::{Client, Conn, IntoUrl};
 use trillium_rustls::futures_rustls::TlsConnector;
 use trillium_rustls::rustls::pki_types::ServerName;
 use trillium_rustls::{RustlsClientTransport, rustls};
@@ -26,7 +27,7 @@
 /// How a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallErrorKind {
-    /// The connection was refused.
+    /// The connection was refused, or the address is none.
     Refused,
     /// No response arrived in time.
     TimedOut,
@@ -86,7 +87,8 @@
         }
     }
 
-    /// Calls over a pooled connection. Use this only for calls that may be repeated.
+    /// Calls over a pooled connection. Use this only for calls that may be repeated, and not where a late second
+    /// response to an earlier call may be taken for the response.
     ///
     /// # Errors
     ///
@@ -99,7 +101,7 @@
         body: Vec<u8>,
         limit: Duration,
     ) -> Result<Conn, CallError> {
-        let conn = build_request(&self.pooled, method, url, headers, body);
+        let conn = build_request(&self.pooled, method, url, headers, body)?;
         let response = within(limit, async { conn.await }).await;
         into_result(response, Verdict::MayHaveRun)
     }
@@ -119,7 +121,7 @@
     ) -> Result<Conn, CallError> {
         let connected = Arc::new(AtomicBool::new(false));
         let client = Client::new(connector(self.tls.clone(), Arc::clone(&connected)));
-        let conn = build_request(&client, method, url, headers, body);
+        let conn = build_request(&client, method, url, headers, body)?;
         let response = within(limit, async { conn.await }).await;
         let verdict = if connected.load(Ordering::SeqCst) {
             Verdict::MayHaveRun
@@ -138,6 +140,21 @@
         conn: Conn,
         max_bytes: usize,
         limit: Duration,
+    ) -> Result<Vec<u8>, CallError> {
+        Self::read_own_body(conn, max_bytes, limit, |_| true).await
+    }
+
+    /// Reads the whole body of a response like [`Outbound::read_body`] if it shows that it belongs to the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] as [`Outbound::read_body`] does, and if `is_own` denies that it belongs to the call.
+    /// The connection is closed then, as the response to the call may be on it.
+    pub(crate) async fn read_own_body(
+        conn: Conn,
+        max_bytes: usize,
+        limit: Duration,
+        is_own: impl FnOnce(&[u8]) -> bool,
     ) -> Result<Vec<u8>, CallError> {
         let mut body = ResponseBody::new(conn);
         let read = async {
@@ -153,8 +170,13 @@
         };
         match within(limit, read).await {
             Some(Ok(bytes)) if bytes.len() <= max_bytes => {
-                body.recycle().await;
-                Ok(bytes)
+                if is_own(&bytes) {
+                    body.recycle().await;
+                    Ok(bytes)
+                } else {
+                    body.close();
+                    Err(may_have_run(CallErrorKind::Broken))
+                }
             }
             Some(_) => Err(may_have_run(CallErrorKind::Broken)),
             None => Err(may_have_run(CallErrorKind::TimedOut)),
@@ -186,17 +208,22 @@
     url: &str,
     headers: &[(&str, &str)],
     body: Vec<u8>,
-) -> Conn {
+) -> Result<Conn, CallError> {
+    // The client panics at a text that is no URL; entries of other writers contain such addresses.
+    let url = url.into_url(None).map_err(|_| CallError {
+        kind: CallErrorKind::Refused,
+        verdict: Verdict::NotRun,
+    })?;
     let mut conn = client.build_conn(method, url);
     for (name, value) in headers {
         conn.request_headers_mut()
             .insert((*name).to_owned(), (*value).to_owned());
     }
-    if body.is_empty() {
+    Ok(if body.is_empty() {
         conn
     } else {
         conn.with_body(body)
-    }
+    })
 }
 
 fn into_result(
@@ -262,7 +289,7 @@
 
 #[async_trait]
 impl Connector for SecureConnector {
-    type Transport = RustlsClientTransport<Tcp>;
+    type Transport = FilteredTransport<RustlsClientTransport<Tcp>>;
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
         let timeout = async {
@@ -271,7 +298,7 @@
         };
         let transport = futures_lite::future::or(self.open(url), timeout).await?;
         self.connected.store(true, Ordering::SeqCst);
-        Ok(transport)
+        Ok(transport.into())
     }
 
     fn spawn<Fut: Future<Output = ()> + Send + 'static>(&self, future: Fut) {
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -6,8 +6,9 @@
 
 use crate::app::App;
 use crate::http::{CallErrorKind, Outbound};
+use crate::lifecycle::Lifecycle;
 use crate::metrics::StreamHistograms;
-use crate::runtime::{sleep, spawn};
+use crate::runtime::{sleep, spawn, within};
 use almondcroft_core::membership::Evidence;
 use almondcroft_core::router::RefusalReason;
 use almondcroft_core::{ResumeHandle, Sequencer, TargetId, Timestamp, TokenOrder, Verdict};
@@ -69,12 +70,23 @@
     released: bool,
 }
 
+/// Runs a future until it ends, `limit` has passed or the daemon aborts its requests.
+async fn run_bounded<T>(
+    lifecycle: &Lifecycle,
+    limit: Duration,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    lifecycle.until_aborted(within(limit, future)).await?
+}
+
 /// Reasons why a generation cannot be resumed at its engine.
 enum ResumeError {
     /// The engine does not know the generation.
     Unknown,
     /// The engine cannot be reached.
     Unreachable,
+    /// The engine accepts connections but does not respond.
+    Silent,
 }
 
 impl Relay {
@@ -129,8 +141,11 @@
 
     async fn open_new(&mut self) -> Result<Option<Event>, Problem> {
         let mut failed: Option<TargetId> = None;
+        let mut may_have_run: Option<Problem> = None;
         loop {
-            self.place(failed.as_ref()).await?;
+            if let Err(problem) = self.place(failed.as_ref()).await {
+                return Err(may_have_run.unwrap_or(problem));
+            }
             let problem = match self.start().await {
                 Ok(()) => match self.next().await {
                     Ok(event) => return Ok(event),
@@ -149,6 +164,11 @@
                 .remaining(self.job.fingerprint, now)
                 .is_some();
             let before_deadline = now < self.job.route.deadline;
+            // That the last attempt did not run says nothing about the ones before.
+            let problem = match may_have_run.take() {
+                Some(earlier) if problem.verdict == Verdict::NotRun => earlier,
+                _ => problem,
+            };
             if !retryable || blocked || !before_deadline || !self.app.retry_budget().try_take() {
                 self.released = true;
                 return Err(problem);
@@ -160,6 +180,9 @@
                 verdict = problem.verdict.as_str();
                 "engine failed before the first token"
             );
+            if problem.verdict != Verdict::NotRun {
+                may_have_run = Some(problem);
+            }
             failed = Some(std::mem::take(&mut self.target));
             self.released = false;
         }
@@ -175,7 +198,7 @@
         };
         let remaining = self.job.route.deadline.saturating_sub(now);
         let placed = async { placement.recv().await.ok() };
-        let placed = self.run_bounded(remaining, placed).await;
+        let placed = run_bounded(&self.app.lifecycle, remaining, placed).await;
         let waited = self.app.clock.now().saturating_sub(now);
         self.histograms.queue_wait.observe(waited.as_secs_f64());
         let target = match placed {
@@ -207,17 +230,6 @@
         Ok(())
     }
 
-    /// Runs a future until it ends, `limit` has passed or the daemon aborts its requests.
-    async fn run_bounded<T>(&self, limit: Duration, future: impl Future<Output = T>) -> Option<T> {
-        let lifecycle = Arc::clone(&self.app.lifecycle);
-        let aborted = async {
-            let timeout = sleep(limit);
-            futures_lite::future::or(lifecycle.wait_aborted(), timeout).await;
-            None
-        };
-        futures_lite::future::or(async { Some(future.await) }, aborted).await
-    }
-
     /// Removes the request from the router.
     fn withdraw(&mut self) {
         let now = self.app.clock.now();
@@ -262,7 +274,14 @@
             .app
             .outbound
             .call_fresh(Method::Post, &url, &headers, bytes, OPEN_TIMEOUT);
-        match call.await {
+        let now = self.app.clock.now();
+        let remaining = self.job.route.deadline.saturating_sub(now);
+        let response = run_bounded(&self.app.lifecycle, remaining, Box::pin(call));
+        let Some(response) = response.await else {
+            // The engine may have started the generation, which is then aborted.
+            return Ok(());
+        };
+        match response {
             Ok(conn) => match conn.status().map_or(0, |status| status as u16) {
                 200 => {
                     self.source = Some(Source::new(conn));
@@ -313,7 +332,11 @@
                 return Err(self.abort(503, "stopping"));
             }
             if self.source.is_none() {
-                self.reconnect().await?;
+                // A silent engine must delay neither the deadline nor a stop.
+                let lifecycle = Arc::clone(&self.app.lifecycle);
+                let reconnect = Box::pin(self.reconnect());
+                let reconnected = run_bounded(&lifecycle, remaining, reconnect).await;
+                reconnected.unwrap_or(Ok(()))?;
                 continue;
             }
             let silence = self.app.settings.limits.silence.min(remaining);
@@ -495,6 +518,11 @@
                 self.source = Some(source);
                 Ok(())
             }
+            // The deadline bounds the attempts at a silent engine, which take their time by themselves.
+            Err(ResumeError::Silent) => {
+                self.idle_reconnects = 0;
+                Ok(())
+            }
             Err(error) => Err(self.engine_lost(&error)),
         }
     }
@@ -525,6 +553,12 @@
                         CallErrorKind::TimedOut | CallErrorKind::Broken => Evidence::TimedOut,
                     };
                     self.app.observe_target(&self.target, evidence);
+                    // A process that is only silent still holds the generation, which no other engine can
+                    // continue. Before the first token, another engine is tried instead.
+                    let has_connected = error.verdict != Verdict::NotRun;
+                    if error.kind == CallErrorKind::TimedOut && has_connected && offset > 0 {
+                        return Err(ResumeError::Silent);
+                    }
                 }
             }
         }
@@ -552,7 +586,7 @@
         self.release();
         let detail = match error {
             ResumeError::Unknown => "the engine no longer knows the generation",
-            ResumeError::Unreachable => "the engine cannot be reached",
+            ResumeError::Unreachable | ResumeError::Silent => "the engine cannot be reached",
         };
         self.problem(502, "engine-lost", verdict).detail(detail)
     }
--- a/crates/almondcroftd/src/server/admission.rs
+++ b/crates/almondcroftd/src/server/admission.rs
@@ -2,7 +2,6 @@
 
 use super::auth::{self, CustomerGuard};
 use crate::app::App;
-use crate::lifecycle::InFlightGuard;
 use crate::runtime::within;
 use almondcroft_core::config::{Config, Customer, Service, ServiceKind, Terms};
 use almondcroft_core::{RequestId, Timestamp, Verdict};
@@ -13,13 +12,12 @@
 use std::time::Duration;
 use trillium::Conn;
 
-/// Request that has been admitted; it counts as in flight until it is dropped.
+/// Request that has been admitted; it counts against its customer's limit until it is dropped.
 pub(crate) struct AdmittedRequest {
     pub(crate) id: RequestId,
     pub(crate) config: Arc<Config>,
     pub(crate) customer: Customer,
     pub(crate) arrived_at: Timestamp,
-    _in_flight_guard: InFlightGuard,
     _customer_guard: CustomerGuard,
 }
 
@@ -35,7 +33,6 @@
             config,
             customer,
             arrived_at: app.clock.now(),
-            _in_flight_guard: app.lifecycle.track(),
             _customer_guard: customer_guard,
             id,
         })
@@ -65,8 +62,25 @@
 
     /// Returns the time by which the response must be complete.
     ///
-    /// A caller can only shorten the deadline of the contract.
-    pub(crate) fn deadline(&self, conn: &Conn, terms: &Terms) -> Result<Timestamp, Problem> {
+    /// A caller can only shorten the deadline of the contract. A request that may take longer than this VM
+    /// runs is refused.
+    pub(crate) fn deadline(
+        &self,
+        conn: &Conn,
+        app: &App,
+        terms: &Terms,
+    ) -> Result<Timestamp, Problem> {
+        let deadline = self.stated_deadline(conn, terms)?;
+        if app.lifecycle.admits_until(deadline) {
+            return Ok(deadline);
+        }
+        Err(self
+            .problem(503, "stopping", Verdict::NotRun)
+            .detail("the VM stops before the deadline of the request")
+            .retry_after(1))
+    }
+
+    fn stated_deadline(&self, conn: &Conn, terms: &Terms) -> Result<Timestamp, Problem> {
         let contract = Duration::from_millis(terms.deadline_ms);
         let Some(text) = conn.request_headers().get_str(DEADLINE_HEADER) else {
             return Ok(self.arrived_at + contract);
@@ -91,7 +105,14 @@
             let mut reader = body.take(max_bytes as u64 + 1);
             reader.read_to_end(&mut bytes).await.map(|_| bytes)
         };
-        match within(limits.body_time, read).await {
+        let read = app.lifecycle.until_aborted(within(limits.body_time, read));
+        let Some(read) = read.await else {
+            return Err(self
+                .problem(503, "stopping", Verdict::NotRun)
+                .detail("the VM stopped before the body had arrived")
+                .retry_after(1));
+        };
+        match read {
             Some(Ok(bytes)) if bytes.len() <= max_bytes => Ok(bytes),
             Some(Ok(_)) => Err(self
                 .problem(413, "body-too-large", Verdict::NotRun)
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -78,7 +78,7 @@
             .field(&error.path)
     })?;
     let (service, terms) = admitted.service(&request.model, ServiceKind::Engine, "model")?;
-    let deadline = admitted.deadline(conn, &terms)?;
+    let deadline = admitted.deadline(conn, app, &terms)?;
     let fingerprint = fingerprint(&request);
     if let Some(left) = app.quarantine().remaining(fingerprint, admitted.arrived_at) {
         return Err(admitted
@@ -166,7 +166,7 @@
         service: handle.service.clone(),
         priority: terms.priority,
         worth: terms.worth,
-        deadline: admitted.deadline(conn, &terms)?,
+        deadline: admitted.deadline(conn, app, &terms)?,
         prompt: 0,
         prefix: None,
         region: app.settings.region.clone(),
@@ -193,7 +193,10 @@
 ) -> Conn {
     let mut relay = Relay::new(Arc::clone(app), job);
     // Nothing has been sent yet, so an error can still be a response without a stream.
-    let opened = conn.inner_mut().cancel_on_disconnect(relay.open()).await;
+    let opened = conn
+        .inner_mut()
+        .cancel_on_disconnect(Box::pin(relay.open()))
+        .await;
     let first = match opened {
         None => {
             relay.abandon();
@@ -209,7 +212,7 @@
     }
     let collected = conn
         .inner_mut()
-        .cancel_on_disconnect(relay.collect(first))
+        .cancel_on_disconnect(Box::pin(relay.collect(first)))
         .await;
     match collected {
         None => {
--- a/crates/almondctl/src/logs/explain.rs
+++ b/crates/almondctl/src/logs/explain.rs
@@ -123,6 +123,7 @@
         ("answered", status) if status >= "400" => Cause::TargetFailed,
         ("answered", _) => late_cause(request_lines, end),
         ("caller-gone", _) => Cause::CallerGone,
+        ("cut", _) => Cause::VmEnded,
         ("timeout" | "target-timeout", _) => Cause::TargetTimeout,
         ("broken-off" | "broken", _) => broken_off_cause(request_lines),
         ("closed" | "reset" | "unsigned" | "garbled" | "too-large" | "truncated", _) => {
@@ -156,6 +157,7 @@
     let last_copy = last("copy");
     match last_copy.map(|line| line.get("outcome")) {
         Some("no-destination" | "no-room") => Cause::NoDestination,
+        Some("resumed-by-itself") if !resume_failed => Cause::ConnectionLost,
         _ if resume_failed => Cause::CopyMissing,
         Some(_) => Cause::CopyTooLate,
         None if request_lines
