--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -3,7 +3,8 @@
 use super::{MAX_SOUND_SILENCE, Need};
 use std::time::Duration;
 
-/// Time before the end of the grace period by which responses must be complete; the process ends 0.3 s before it.
+/// Time before the end of the grace period by which responses must be complete; the process stops
+/// waiting for them 0.3 s before it.
 const COMPLETION_MARGIN: Duration = Duration::from_millis(400);
 
 /// Time after the start of a shutdown by which the load balancer sends callers elsewhere.
--- a/crates/almondcroft-core/src/gateway/target.rs
+++ b/crates/almondcroft-core/src/gateway/target.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 /// Longest time for which a sound target may be silent; what it was sent is not lost then.
+///
+/// Operators have seen sound targets silent for up to 1.3 s.
 pub const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Describes a registered target.
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -28,8 +28,9 @@
 impl Dispatch<'_> {
     /// Opens the response to a send, or to a second one if the first is slow; returns the send that it belongs to.
     ///
-    /// The response is `None` if there is none after `give_up_after`, or a multiple of it, and another target may get the
-    /// request. As long as none may, the first one is waited for: a silent target may be sound. Dropping the other one closes its connection, which cancels the run at its target.
+    /// The response is `None` if there is none after `give_up_after`, or a multiple of it, and another target may get
+    /// the request. As long as none may, the first one is waited for: a silent target may be sound. Dropping a send
+    /// closes its connection, which cancels the run at its target.
     pub(super) async fn open(
         &mut self,
         first: TargetSend,
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -398,8 +398,8 @@
         log::info!(event = "copy", request = self.call.external_id(),
             from = self.source.target.as_str(),
             target_id = target.map_or("-", |choice| choice.target.as_str()), part = phase, outcome = outcome,
-            reason = self.reason.as_str(), tokens = self.resident_tokens(), beside = target.map_or(0, |choice| choice.request_count),
-            took_ms = millis(elapsed); "");
+            reason = self.reason.as_str(), tokens = self.resident_tokens(),
+            beside = target.map_or(0, |choice| choice.request_count), took_ms = millis(elapsed); "");
     }
 }
 
