--- a/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
+++ b/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
@@ -25,6 +25,18 @@
     Resumption,
 }
 
+impl ExtraSend {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Repeat => "repeat",
+            Self::Hedge => "hedge",
+            Self::Resumption => "resumption",
+        }
+    }
+}
+
 /// Counts requests and extra sends within the window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct SendCounts {
--- a/crates/almondcroft-gateway/src/state/retries.rs
+++ b/crates/almondcroft-gateway/src/state/retries.rs
@@ -31,11 +31,14 @@
         let (permitted, own) = self.with_retry_budget(service, |budget| {
             (budget.try_take(send, fleet_sends, now), budget.counts(now))
         });
-        if !permitted {
-            log::info!(event = "retry-refused", request = request, service = service.as_str(),
-                extra = own.extra, extra_of_others = others.extra,
-                requests = own.requests + others.requests, vms_heard = reachable_vms, vms = fleet_sends.total_vms; "");
-        }
+        let event = if permitted {
+            "extra-send"
+        } else {
+            "retry-refused"
+        };
+        log::info!(event = event, request = request, service = service.as_str(), kind = send.as_str(),
+            extra = own.extra, extra_of_others = others.extra, own_requests = own.requests,
+            requests = own.requests + others.requests, vms_heard = reachable_vms, vms = fleet_sends.total_vms; "");
         permitted
     }
 
