fix(gateway): the retry budget is divided among the VMs, so that nothing is spent twice

Cause: each VM spent what was left of one common budget by the counts that it had heard.

Change: each VM has a share of the fixed number (BudgetShare) and the ratio of its own requests, checked over every window; a process that starts has no share until its predecessor's sends have left the window. A VM that needs more borrows from peers, which count what they lend as sent. Sends are settled when they are written. Beside VMs of the version before, the counts that were heard must leave room, too.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -7,6 +7,7 @@
 //! | item | question that it answers |
 //! |---|---|
 //! | [`AllowedRegions`] | where may a request be served? |
+//! | [`BudgetShare`] | which part of the fleet's retry budget is this VM's? |
 //! | [`ConfigFreshness`] | is the configuration recent enough to accept keys? |
 //! | [`GatewayConfig`] | which route and customer does a request belong to? |
 //! | [`Directory`] | which targets exist, and which of them are draining? |
@@ -22,6 +23,7 @@
 //! | [`admits_during_shutdown`] | can a request still complete before this VM stops? |
 
 mod allowed_regions;
+mod budget_share;
 mod config;
 mod config_freshness;
 mod directory;
@@ -40,6 +42,7 @@
 mod target_paths;
 
 pub use allowed_regions::AllowedRegions;
+pub use budget_share::{BudgetShare, LOAN_TIME};
 pub use config::{CallerLimits, ColdStart, CustomerSpec, EngineSpec, GatewayConfig, PoolSpec};
 pub use config_freshness::ConfigFreshness;
 pub use directory::{ChangeCursor, Directory, EntryEvent, RestoredTargets, TargetChange};
--- a/crates/almondcroft-core/src/gateway/config.rs
+++ b/crates/almondcroft-core/src/gateway/config.rs
@@ -158,6 +158,12 @@
                 .is_some_and(|shortest| route.latency_objective >= *shortest * PATIENCE_RATIO)
     }
 
+    /// Returns whether streams, which may have to be resumed, can go to a service.
+    #[must_use]
+    pub fn has_streams(&self, service: &str) -> bool {
+        self.shortest_objectives.contains_key(service)
+    }
+
     /// Returns whether requests need a key unless their route is public.
     #[must_use]
     pub const fn requires_key(&self) -> bool {
--- a/crates/almondcroft-core/src/gateway/fleet/load.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/load.rs
@@ -58,6 +58,9 @@
     pub loads: HashMap<TargetId, PeerLoad>,
     /// Requests and extra sends by service.
     pub sends: HashMap<ServiceId, SendCounts>,
+    /// Extra sends that the VM can lend, by service; `None` for VMs of an earlier version, which spend the fleet's
+    /// retry budget without shares.
+    pub spare_sends: Option<HashMap<ServiceId, u32>>,
 }
 
 /// Sums up the load of all VMs of a zone.
--- a/crates/almondcroft-core/src/gateway/fleet/peers.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/peers.rs
@@ -78,6 +78,7 @@
             is_cut_off: false,
             loads: loads.collect(),
             sends: HashMap::new(),
+            spare_sends: None,
         }
     }
 
@@ -101,6 +102,15 @@
                 let total = sums.sends.entry(service.clone()).or_default();
                 *total = total.add(*counts);
             }
+            // A zone divides the retry budget if all of its VMs do.
+            let spare_sends = sums.spare_sends.zip(snapshot.spare_sends.as_ref());
+            sums.spare_sends = spare_sends.map(|(mut sum, spare_sends)| {
+                for (service, count) in spare_sends {
+                    let total: &mut u32 = sum.entry(service.clone()).or_default();
+                    *total = total.saturating_add(*count);
+                }
+                sum
+            });
         }
         ZoneDigest {
             sums,
@@ -142,6 +152,32 @@
         counts.fold(SendCounts::default(), SendCounts::add)
     }
 
+    /// Returns whether a peer, or a VM of a zone, spends the retry budget without shares, as an earlier version does.
+    ///
+    /// One that was heard in the last window counts, too: what it has spent is not in any share.
+    #[must_use]
+    pub fn has_peers_without_shares(&self) -> bool {
+        let zones = self.zones.values().map(|digest| &digest.sums);
+        let mut known = self.peers.values().chain(zones);
+        known.any(|snapshot| snapshot.spare_sends.is_none())
+    }
+
+    /// Lists the reachable VMs that can lend extra sends of a service, and the zones with such VMs.
+    #[must_use]
+    pub fn lenders(&self, service: &str, now: Timestamp) -> (Vec<VmId>, Vec<ZoneId>) {
+        let can_lend = |snapshot: &PeerSnapshot| {
+            let spare_sends = snapshot.spare_sends.as_ref();
+            spare_sends.is_some_and(|spare| spare.get(service).is_some_and(|count| *count > 0))
+        };
+        let single = self.reachable_peers(now).filter(|(_, peer)| can_lend(peer));
+        let zones = self.reachable_zones(now);
+        let zones = zones.filter(|(_, digest)| can_lend(&digest.sums));
+        (
+            single.map(|(vm, _)| vm.clone()).collect(),
+            zones.map(|(zone, _)| zone.clone()).collect(),
+        )
+    }
+
     /// Returns the time after which a caller that this VM refuses during its shutdown may return.
     ///
     /// Callers return at once if another VM of the zone serves them. If only VMs elsewhere do, the
--- a/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
+++ b/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
@@ -4,16 +4,19 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Fraction of the budget that may be spent; the rest covers extra sends of peers since their last
-/// snapshot.
-const USABLE_FRACTION: f64 = 0.8;
-
-/// Fraction of the usable budget that repeats may spend; the rest is kept for resumptions.
+/// Fraction of the budget that repeats may spend where generations are resumed; the rest is kept for those.
 const REPEAT_FRACTION: f64 = 0.8;
 
 /// Fraction of the budget of repeats up to which hedges may be sent; repeats are needed, hedges are not.
 const HEDGE_FRACTION: f64 = 0.5;
 
+/// Fraction of the fleet's budget that may be spent beside VMs of an earlier version, which spend what is left
+/// of the whole budget by the counts that they have heard.
+const MIXED_FRACTION: f64 = 0.8;
+
+/// Resolution of the counts; a check of the budget looks at each step of a window.
+const STEP: Duration = Duration::from_millis(100);
+
 /// Why a request is sent once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExtraSend {
@@ -70,31 +73,40 @@
 
 /// Permits sends beyond the first of each request within a sliding window.
 ///
-/// The budget covers the whole fleet: a ratio of all requests plus a fixed number (`slack`) per window.
-/// VMs that can reach each other spend one common budget. Its fixed number is scaled by the
-/// fraction of the fleet that they make up, so that the sides of a network partition together keep the
-/// bound without exchanging messages. Repeats leave a part of the budget to resumptions, which matters
-/// most to a VM that hears no peers while targets fail.
+/// The budget covers the whole fleet: a ratio of all requests plus a fixed number (`slack`) per window. It is
+/// divided in advance: each VM has its share of the fixed number ([`BudgetShare`](super::BudgetShare)) and the ratio
+/// of its own requests. In no window, however it lies, does a VM send more than its share of the fixed number and
+/// the ratio of the requests that it got in the window that begins half a window before. The sum over all VMs is
+/// therefore within the budget, whatever they know of each other. A VM that needs more borrows from peers, which count what they
+/// lend as sent.
+///
+/// An extra send is taken first, and settled or returned once it is known whether it was sent. Until then it counts
+/// in all windows, so that it cannot arrive in one in which it is not counted.
 ///
 /// ```
-/// use almondcroft_core::gateway::{ExtraSend, FleetRetryBudget, FleetSends, SendCounts};
+/// use almondcroft_core::gateway::{ExtraSend, FleetRetryBudget};
 /// use std::time::Duration;
 ///
-/// let mut budget = FleetRetryBudget::new(0.2, 10.0, Duration::from_secs(10));
-/// let now = Duration::from_secs(1);
-/// let others = SendCounts { requests: 0, extra: 7 };
-/// let sends = FleetSends { others, reachable_vms: 4, total_vms: 4 };
-/// assert!(!budget.try_take(ExtraSend::Repeat, sends, now));
-/// assert!(budget.try_take(ExtraSend::Resumption, sends, now));
-/// assert!(!budget.try_take(ExtraSend::Resumption, sends, now));
+/// let mut budget = FleetRetryBudget::new(0.2, 20.0, Duration::from_secs(10));
+/// let (now, share) = (Duration::from_secs(1), 0.1);
+/// assert!(budget.try_take(ExtraSend::Repeat, share, now));
+/// assert!(!budget.try_take(ExtraSend::Repeat, share, now));
+/// assert!(budget.try_take(ExtraSend::Resumption, share, now));
+/// assert!(!budget.try_take(ExtraSend::Resumption, share, now));
+/// budget.refund();
+/// assert!(budget.try_take(ExtraSend::Resumption, share, now));
 /// ```
 #[derive(Debug)]
 pub struct FleetRetryBudget {
     ratio: f64,
     slack: f64,
     window: Duration,
-    requests: VecDeque<Timestamp>,
-    extra: VecDeque<Timestamp>,
+    reserves_resumptions: bool,
+    requests: VecDeque<(u64, u32)>,
+    /// Extra sends that were sent, and loans that may be used until a later time.
+    extra: VecDeque<(u64, u32)>,
+    /// Extra sends that were taken and neither settled nor returned.
+    open: u32,
 }
 
 impl FleetRetryBudget {
@@ -105,8 +117,10 @@
             ratio,
             slack,
             window,
+            reserves_resumptions: true,
             requests: VecDeque::new(),
             extra: VecDeque::new(),
+            open: 0,
         }
     }
 
@@ -117,53 +131,182 @@
         self.window = window;
     }
 
+    /// Sets whether a part is kept for resumptions, which services without generations do not need.
+    pub const fn reserve_resumptions(&mut self, reserves: bool) {
+        self.reserves_resumptions = reserves;
+    }
+
     /// Records a request of a caller.
     pub fn record_request(&mut self, now: Timestamp) {
-        self.requests.push_back(now);
         self.expire(now);
+        count_at(&mut self.requests, step_of(now));
     }
 
-    /// Takes one extra send from the budget; returns whether the budget permits it.
-    pub fn try_take(&mut self, send: ExtraSend, sends: FleetSends, now: Timestamp) -> bool {
+    /// Takes one extra send; returns whether this VM's part of the budget permits it.
+    ///
+    /// `share` is the fraction of the fixed number that this VM may spend.
+    pub fn try_take(&mut self, send: ExtraSend, share: f64, now: Timestamp) -> bool {
         self.expire(now);
-        let counts = self.counts(now).add(sends.others);
-        let fraction = f64::from(sends.reachable_vms)
-            / f64::from(sends.total_vms.max(sends.reachable_vms).max(1));
-        let budget =
-            (self.ratio * f64::from(counts.requests) + self.slack * fraction) * USABLE_FRACTION;
-        let share = match send {
+        let permitted = self.spare(send, share, now) > 0;
+        self.open += u32::from(permitted);
+        permitted
+    }
+
+    /// Records that a send that was taken is sent now.
+    pub fn settle(&mut self, now: Timestamp) {
+        self.refund();
+        count_at(&mut self.extra, step_of(now));
+    }
+
+    /// Returns a send that was taken and not sent.
+    pub const fn refund(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// Lends an extra send to a peer, which may send it until a later time; returns whether this VM can spare it.
+    pub fn try_lend(
+        &mut self,
+        send: ExtraSend,
+        share: f64,
+        until: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let permitted = self.try_take(send, share, now);
+        if permitted {
+            self.settle(until);
+        }
+        permitted
+    }
+
+    /// Records that a loan, which ran until a time, has been used or is not needed.
+    pub fn end_loan(&mut self, until: Timestamp, is_used: bool, now: Timestamp) {
+        let until = step_of(until);
+        let index = self.extra.binary_search_by_key(&until, |(step, _)| *step);
+        let Some((_, count)) = index.ok().and_then(|index| self.extra.get_mut(index)) else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if is_used {
+            count_at(&mut self.extra, step_of(now).min(until));
+        }
+    }
+
+    /// Returns how many more extra sends this VM's part of the budget permits.
+    #[must_use]
+    pub fn spare(&self, send: ExtraSend, share: f64, now: Timestamp) -> u32 {
+        let repeats = if self.reserves_resumptions {
+            REPEAT_FRACTION
+        } else {
+            1.0
+        };
+        let fraction = match send {
+            ExtraSend::Repeat => repeats,
+            ExtraSend::Hedge => repeats * HEDGE_FRACTION,
+            ExtraSend::Resumption => 1.0,
+        };
+        let window = steps(self.window);
+        let last = step_of(now);
+        let first = last.saturating_sub(window);
+        // Going back from now, the sends since a step grow, and the window of its requests moves.
+        let mut used = self.open + self.extra_since(last + 1);
+        let mut requests = self.requests_between(last.saturating_sub(window / 2), u64::MAX);
+        let mut room = f64::INFINITY;
+        for start in (first..=last).rev() {
+            used += count_of(&self.extra, start);
+            let permitted = (self.slack * share + self.ratio * f64::from(requests)) * fraction;
+            room = room.min(permitted - f64::from(used));
+            let half = window / 2 + 1;
+            let entering = start.checked_sub(half);
+            requests += entering.map_or(0, |step| count_of(&self.requests, step));
+            if let Some(leaving) = (start + window).checked_sub(half) {
+                requests -= count_of(&self.requests, leaving);
+            }
+        }
+        super::number::floor_to_u32(room)
+    }
+
+    /// Returns whether the counts that this VM has heard of leave room for one more send of the whole fleet.
+    ///
+    /// VMs of an earlier version know no shares, so beside them this is required, too.
+    #[must_use]
+    pub fn permits_beside(&self, send: ExtraSend, fleet: FleetSends, now: Timestamp) -> bool {
+        let counts = self.counts(now).add(fleet.others);
+        let reachable = f64::from(fleet.reachable_vms)
+            / f64::from(fleet.total_vms.max(fleet.reachable_vms).max(1));
+        let budget = self.ratio * f64::from(counts.requests) + self.slack * reachable;
+        let fraction = match send {
             ExtraSend::Repeat => REPEAT_FRACTION,
             ExtraSend::Hedge => REPEAT_FRACTION * HEDGE_FRACTION,
             ExtraSend::Resumption => 1.0,
         };
-        let permitted = f64::from(counts.extra) + 1.0 <= budget * share;
-        if permitted {
-            self.extra.push_back(now);
-        }
-        permitted
+        f64::from(counts.extra) + 1.0 <= budget * MIXED_FRACTION * fraction
     }
 
     /// Returns this VM's counts within the window.
     #[must_use]
     pub fn counts(&self, now: Timestamp) -> SendCounts {
-        let recent = |times: &VecDeque<Timestamp>| {
-            let count = times.iter().filter(|at| **at + self.window >= now).count();
-            u32::try_from(count).unwrap_or(u32::MAX)
-        };
+        let last = step_of(now);
+        let first = last.saturating_sub(steps(self.window));
         SendCounts {
-            requests: recent(&self.requests),
-            extra: recent(&self.extra),
+            requests: self.requests_between(first, last + 1),
+            extra: self.open + self.extra_since(first),
         }
     }
 
+    fn requests_between(&self, first: u64, end: u64) -> u32 {
+        let within = self.requests.iter();
+        within
+            .filter(|(step, _)| (first..end).contains(step))
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    fn extra_since(&self, first: u64) -> u32 {
+        let within = self.extra.iter().filter(|(step, _)| *step >= first);
+        within.map(|(_, count)| count).sum()
+    }
+
     fn expire(&mut self, now: Timestamp) {
-        for times in [&mut self.requests, &mut self.extra] {
-            while times.front().is_some_and(|at| *at + self.window < now) {
-                times.pop_front();
-            }
+        let (last, window) = (step_of(now), steps(self.window));
+        while self
+            .requests
+            .front()
+            .is_some_and(|(step, _)| step + 2 * window + 1 < last)
+        {
+            self.requests.pop_front();
+        }
+        while self
+            .extra
+            .front()
+            .is_some_and(|(step, _)| step + window < last)
+        {
+            self.extra.pop_front();
         }
     }
 }
 
+/// Adds one to the count of a step.
+fn count_at(counts: &mut VecDeque<(u64, u32)>, step: u64) {
+    let index = counts.partition_point(|(at, _)| *at < step);
+    match counts.get_mut(index) {
+        Some((at, count)) if *at == step => *count += 1,
+        _ => counts.insert(index, (step, 1)),
+    }
+}
+
+fn count_of(counts: &VecDeque<(u64, u32)>, step: u64) -> u32 {
+    counts
+        .binary_search_by_key(&step, |(at, _)| *at)
+        .map_or(0, |index| counts[index].1)
+}
+
+fn step_of(time: Timestamp) -> u64 {
+    steps(time)
+}
+
+fn steps(time: Duration) -> u64 {
+    u64::try_from(time.as_millis() / STEP.as_millis()).unwrap_or(u64::MAX)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::logging::millis;
 use crate::reply::Reply;
 use crate::runtime::{spawn, within};
-use crate::state::{Gateway, PlacementGuard, lock};
+use crate::state::{ExtraPermit, Gateway, PlacementGuard, lock};
 use crate::target_connect;
 use crate::target_run::{TargetRun, crash_id};
 use almondcroft_core::gateway::{Choice, Demand, ExtraSend, HedgePolicy, Need, Placement};
@@ -89,6 +89,7 @@
                 run_count: 0,
                 send_count: 0,
                 is_in_flight: false,
+                permit: None,
             };
             let ended = async {
                 gateway.lifecycle.wait_for_end().await;
@@ -129,6 +130,8 @@
     send_count: u32,
     /// Whether a target may be running the request now.
     is_in_flight: bool,
+    /// The permission to send the request once more.
+    permit: Option<ExtraPermit>,
 }
 
 impl Dispatch<'_> {
@@ -155,6 +158,10 @@
                 let reply = Reply::refused("stopping", retry_after);
                 return self.finish(last_response, reply).await;
             }
+            if !self.renew_permit().await {
+                let reply = Reply::refused("no-budget", RETRY_AFTER);
+                return self.finish(last_response, reply).await;
+            }
             let run = match TargetRun::admit(self.gateway, &self.call, &target) {
                 Ok(run) => run,
                 Err(remaining) => {
@@ -169,13 +176,13 @@
                 Attempt::Relayed(complete) => return complete,
                 Attempt::Response(head, body) => {
                     self.run_count += 1;
-                    if head.status < 500 || !self.permit_repeat(&target) {
+                    if head.status < 500 || !self.permit_repeat(&target).await {
                         return self.send_response(&head, &body).await;
                     }
                     last_response = Some((head, body));
                 }
                 Attempt::NotRun(reason) => {
-                    if !self.permit_retry(&target) {
+                    if !self.permit_retry(&target).await {
                         let reply = Reply::refused(reason, RETRY_AFTER);
                         return self.finish(last_response, reply).await;
                     }
@@ -183,7 +190,7 @@
                 Attempt::GivenUp => self.run_count += 1,
                 Attempt::MayHaveRun(reason) => {
                     self.run_count += 1;
-                    if !self.permit_repeat(&target) {
+                    if !self.permit_repeat(&target).await {
                         let status = if reason == "timeout" { 504 } else { 502 };
                         return self
                             .finish(last_response, Reply::failed(status, reason))
@@ -256,6 +263,7 @@
             choice,
             run,
             sent_at: now,
+            permit: self.permit.take(),
         };
         let (used, opened) = self.open(first, &send, give_up_after).await;
         match opened {
@@ -297,27 +305,27 @@
     }
 
     /// Returns whether the request can be sent to another target while this one has not responded.
-    fn permit_other_target(&mut self, target: &TargetId) -> bool {
+    pub(super) async fn permit_other_target(&mut self, target: &TargetId) -> bool {
         let mut demand = demand(self.gateway, &self.call, &self.avoid);
         demand.avoid.push(target.clone());
         self.call.may_repeat()
             && self.run_count + 1 < self.call.route.max_attempts
             && lock(&self.gateway.fleet).has_room(&demand, clock::now())
-            && self.permit_retry(target)
+            && self.permit_retry(target).await
     }
 
     /// Returns whether a request that may have run can be sent again.
-    fn permit_repeat(&mut self, target: &TargetId) -> bool {
+    async fn permit_repeat(&mut self, target: &TargetId) -> bool {
         self.call.may_repeat()
             && self.run_count < self.call.route.max_attempts
-            && self.permit_retry(target)
+            && self.permit_retry(target).await
     }
 
     /// Returns whether the request can be sent to another target.
     ///
     /// If so, takes the send from the fleet's retry budget and excludes the given target from
     /// further sends.
-    fn permit_retry(&mut self, target: &TargetId) -> bool {
+    async fn permit_retry(&mut self, target: &TargetId) -> bool {
         let now = clock::now();
         let quarantined = lock(&self.gateway.quarantine)
             .remaining(self.call.fingerprint, now)
@@ -325,17 +333,26 @@
         let permitted = self.send_count < MAX_SENDS
             && !quarantined
             && admit::shutdown_refusal(self.gateway, &self.call).is_none()
-            && !self.call.time_left(now).is_zero()
-            && self.gateway.take_retry(
-                ExtraSend::Repeat,
-                &self.call.service,
-                self.call.external_id(),
-                now,
-            );
-        if permitted {
-            self.avoid.push(target.clone());
+            && !self.call.time_left(now).is_zero();
+        if !permitted || !self.take_repeat().await {
+            return false;
         }
-        permitted
+        self.avoid.push(target.clone());
+        true
+    }
+
+    /// Takes a repeat from the fleet's retry budget; returns whether it permits one.
+    async fn take_repeat(&mut self) -> bool {
+        let (service, request) = (&self.call.service, self.call.external_id());
+        let taken = self.gateway.take_retry(ExtraSend::Repeat, service, request);
+        self.permit = taken.await;
+        self.permit.is_some()
+    }
+
+    /// Returns whether the request may be sent now; a borrowed permission may have run out while it waited.
+    async fn renew_permit(&mut self) -> bool {
+        let is_valid = |permit: &ExtraPermit| permit.is_valid(clock::now());
+        self.permit.as_ref().is_none_or(is_valid) || self.take_repeat().await
     }
 
     /// Responds with the last response of a target or, if there is none, with the gateway's reply.
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -6,9 +6,9 @@
 use crate::exchange::{Exchange, SendError};
 use crate::logging::millis;
 use crate::runtime::within;
-use crate::state::{PlacementGuard, lock};
+use crate::state::{ExtraPermit, PlacementGuard, lock};
 use crate::target_run::TargetRun;
-use almondcroft_core::gateway::{Choice, ExtraSend, HedgePolicy};
+use almondcroft_core::gateway::{Choice, HedgePolicy};
 use almondcroft_core::{RequestId, Timestamp, Verdict};
 use futures_lite::future::or;
 use std::future::Future;
@@ -21,6 +21,8 @@
     pub(super) choice: Choice,
     pub(super) run: TargetRun,
     pub(super) sent_at: Timestamp,
+    /// The permission to send a request that was sent before.
+    pub(super) permit: Option<ExtraPermit>,
 }
 
 type Opened = Result<Exchange, SendError>;
@@ -33,13 +35,14 @@
     /// closes its connection, which cancels the run at its target.
     pub(super) async fn open(
         &mut self,
-        first: TargetSend,
+        mut first: TargetSend,
         send: &SendMeta,
         give_up_after: Duration,
     ) -> (TargetSend, Option<Opened>) {
         let (gateway, call) = (self.gateway, self.call.clone());
         let address = first.choice.address;
-        let opening = Exchange::open(gateway, &call, address, send, send.time_left);
+        let permit = first.permit.take();
+        let opening = Exchange::open(gateway, &call, address, send, send.time_left, permit);
         let mut opening = pin!(opening);
         let mut second = None;
         if let Some(delay) = self.hedge_delay().filter(|delay| *delay < give_up_after) {
@@ -48,14 +51,15 @@
             }
             second = self.start_hedge(&first);
         }
-        let Some(second) = second else {
+        let Some(mut second) = second else {
             let opened = self.wait_or_give_up(&first, opening, give_up_after).await;
             return (first, opened);
         };
         let now = clock::now();
         let hedge = send_meta(&call, &second.choice, None, now);
         let address = second.choice.address;
-        let hedging = Exchange::open(gateway, &call, address, &hedge, hedge.time_left);
+        let permit = second.permit.take();
+        let hedging = Exchange::open(gateway, &call, address, &hedge, hedge.time_left, permit);
         let mut hedging = pin!(hedging);
         let first_end = async { (true, opening.as_mut().await) };
         let second_end = async { (false, hedging.as_mut().await) };
@@ -94,7 +98,7 @@
             if let Some(opened) = within(give_up_after, opening.as_mut()).await {
                 return Some(opened);
             }
-            if self.permit_other_target(&sent.choice.target) {
+            if self.permit_other_target(&sent.choice.target).await {
                 return None;
             }
             give_up_after *= 2;
@@ -127,13 +131,10 @@
             .gateway
             .with_hedge_policy(service, HedgePolicy::try_take)?;
         let request = self.call.external_id();
-        if !in_share
-            || !self
-                .gateway
-                .take_retry(ExtraSend::Hedge, service, request, now)
-        {
+        if !in_share {
             return None;
         }
+        let permit = self.gateway.take_hedge(service, request, now)?;
         let run = TargetRun::admit(self.gateway, &self.call, &choice.target).ok()?;
         self.send_count += 1;
         self.request_log.log_send(&choice, None, now);
@@ -142,6 +143,7 @@
             choice,
             run,
             sent_at: now,
+            permit: Some(permit),
         })
     }
 
--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -25,6 +25,7 @@
             choice,
             mut run,
             sent_at,
+            ..
         } = sent;
         let now = clock::now();
         let target = &choice.target;
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::pool::{self, Purpose};
 use crate::runtime::within;
-use crate::state::{Gateway, lock};
+use crate::state::{ExtraPermit, Gateway, lock};
 use crate::target_connect::Destination;
 use almondcroft_core::{ServiceId, Verdict};
 use almondcroft_proto::http1::{BodyDecoder, BodyKind, Headers, ResponseHead};
@@ -68,12 +68,15 @@
 
 impl Exchange {
     /// Sends a request and reads the head of its response.
+    ///
+    /// `permit` is needed if the request was sent before.
     pub(crate) async fn open(
         gateway: &Gateway,
         call: &Call,
         address: SocketAddr,
         send: &SendMeta,
         timeout: Duration,
+        permit: Option<ExtraPermit>,
     ) -> Result<Self, SendError> {
         let purpose = Purpose::Request {
             id: call.external_id(),
@@ -90,6 +93,9 @@
         let (mut connection, is_new) = pool::connect(gateway, destination, purpose, timeout)
             .await
             .map_err(|_| SendError::not_run("connect"))?;
+        if permit.is_some_and(|permit| !permit.settle(clock::now())) {
+            return Err(SendError::not_run("no-budget"));
+        }
         let send = &SendMeta {
             time_left: call.time_left(clock::now()),
             ..send.clone()
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -7,10 +7,12 @@
 //! list in the platform's store.
 
 mod digests;
+mod loans;
 mod message;
 mod refused_parts;
 mod watchers;
 
+pub(crate) use loans::{Borrowed, LoanDesk, borrow};
 pub(crate) use message::{AgeMs, TargetUpdate, age_ms};
 pub(crate) use watchers::UnfinishedPages;
 
@@ -54,6 +56,9 @@
 /// Maximum size of a datagram, in bytes; targets beyond the few hundred that fit are left out.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
+/// Time between two checks whether a VM that stops has spent nothing of its share of the retry budget in the last window.
+const GIVE_UP_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Status of the store's response to a registration if the object already exists.
 const CONFLICT_STATUS: u16 = 409;
 
@@ -68,6 +73,7 @@
     run_forever(&shared, send_snapshots);
     run_forever(&shared, digests::send_digests);
     run_forever(&shared, watchers::send_queries);
+    run_forever(&shared, loans::send_messages);
     run_forever(&shared, move |gateway, _| discover_peers(gateway, address));
     run_forever(&shared, move |gateway, _| {
         refused_parts::keep_stored(gateway, address)
@@ -85,10 +91,17 @@
 }
 
 /// Removes this VM from the list, so that its peers stop sending to it.
+///
+/// The entry of a VM that has spent of its share of the retry budget stays for the rest of the window, or if the process
+/// ends before, until it starts again.
 pub(crate) async fn unregister(gateway: Arc<Gateway>) {
     if gateway.settings.peers.is_none() {
         return;
     }
+    // Until then, a process that follows must see that one before it may have spent its share.
+    while !gateway.give_up_budget_share(clock::now()) {
+        sleep(GIVE_UP_INTERVAL).await;
+    }
     let mut client = StoreClient::new(gateway.settings.store);
     let call = gateway.registry.unregister(&gateway.settings.vm);
     if let Err(error) = client.call(&gateway, &call, CALL_TIMEOUT).await {
@@ -117,6 +130,11 @@
             Ok(Datagram::Response(response)) => {
                 watchers::apply_response(&gateway, &socket, response, from);
             }
+            Ok(Datagram::LoanRequest(request)) => {
+                send(&socket, &loans::respond(&gateway, &request), from);
+            }
+            Ok(Datagram::Loan(loan)) => gateway.loans.apply(loan),
+            Ok(Datagram::LoanEnd(end)) => loans::apply_end(&gateway, end),
             Err(error) => log::warn!(event = "news-unreadable", from:% = from, error:% = error; ""),
         }
     }
@@ -136,6 +154,7 @@
     if previous.is_none() {
         let peers = lock(&gateway.peers);
         lock(&gateway.fleet).set_registered_vms(peers.keys());
+        lock(&gateway.budget_share).record_vms(vm_count(peers.len()), now);
         log::info!(event = "vm-heard", vm = message.vm.as_str(), address:% = from; "");
     }
     merge_observations(gateway, &message, now);
@@ -270,11 +289,16 @@
     };
     let (mut registered, mut listed_before) = (false, false);
     let started_at = clock::now();
+    let mut was_listed = false;
     loop {
         let starting = clock::now() < started_at + ALONE_LIST_INTERVAL * 2;
         let call = gateway.registry.list(ObjectKind::Vms, None);
+        let asked_at = clock::now();
         match list_peers(&gateway, &mut client, &mut unreadable, &call).await {
             Ok(entries) => {
+                was_listed |= !registered && entries.contains_key(&own);
+                let vms = vm_count(entries.keys().filter(|vm| **vm != own).count());
+                lock(&gateway.budget_share).record_list(vms, asked_at);
                 if !std::mem::replace(&mut listed_before, true) {
                     refused_parts::restore(&gateway, entries.values());
                 }
@@ -292,13 +316,22 @@
             entry.refused_parts = lock(&gateway.prompt_quarantine).refused_parts();
             let call = gateway.registry.register(&own, &entry);
             registered = match client.call(&gateway, &call, CALL_TIMEOUT).await {
-                Ok(_) | Err(StoreError::Status(CONFLICT_STATUS)) => true,
+                Ok(_) => true,
+                Err(StoreError::Status(CONFLICT_STATUS)) => {
+                    was_listed = true;
+                    true
+                }
                 Err(error) => {
+                    // It may have been done, so a conflict of the next one would tell nothing.
+                    was_listed = true;
                     log::info!(event = "register-failed", error:% = error; "");
                     false
                 }
             };
         }
+        if registered {
+            lock(&gateway.budget_share).record_registration(!was_listed, clock::now());
+        }
         let first = clock::now() < started_at + ALONE_LIST_INTERVAL;
         let alone = lock(&gateway.peers).is_empty();
         let interval = sleep(if alone || first {
@@ -315,6 +348,11 @@
     }
 }
 
+/// Returns the number of VMs that a VM with so many peers knows, itself included.
+fn vm_count(peers: usize) -> u32 {
+    u32::try_from(peers + 1).unwrap_or(u32::MAX)
+}
+
 /// Replaces the peers by those listed in the store; returns the entries of all VMs.
 async fn list_peers(
     gateway: &Gateway,
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -38,6 +38,38 @@
     /// Responds to a query.
     #[serde(rename = "answer")]
     Response(Response),
+    /// Asks a VM to lend an extra send.
+    #[serde(rename = "loan-request")]
+    LoanRequest(LoanRequest),
+    /// Grants or refuses a loan.
+    #[serde(rename = "loan")]
+    Loan(Loan),
+    /// Tells the lender what has become of a loan.
+    #[serde(rename = "loan-end")]
+    LoanEnd(LoanEnd),
+}
+
+/// Asks a VM to lend an extra send of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoanRequest {
+    pub(crate) nonce: u64,
+    pub(crate) service: ServiceId,
+    /// Whether it is for a resumption; otherwise it is for a repeat.
+    pub(crate) resumption: bool,
+}
+
+/// Ends a loan before it runs out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoanEnd {
+    pub(crate) nonce: u64,
+    pub(crate) used: bool,
+}
+
+/// Responds to a [`LoanRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Loan {
+    pub(crate) nonce: u64,
+    pub(crate) granted: bool,
 }
 
 impl Datagram {
@@ -56,7 +88,11 @@
             let left_out = match &mut self {
                 Self::Snapshot(message) => message.leave_out_targets(),
                 Self::Digest(message) => message.sums.leave_out_targets(),
-                Self::Query(_) | Self::Response(_) => false,
+                Self::Query(_)
+                | Self::Response(_)
+                | Self::LoanRequest(_)
+                | Self::Loan(_)
+                | Self::LoanEnd(_) => false,
             };
             if bytes.len() <= max_bytes || !left_out {
                 return bytes;
@@ -104,6 +140,9 @@
     progressed_parts: Vec<PartId>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     limits: Vec<LimitMessage>,
+    /// Extra sends that the VM can lend; VMs of earlier versions do not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    spare: Option<Vec<(ServiceId, u32)>>,
 }
 
 /// Reports the limit that a target states: the target, its incarnation, thousandths of a request a second,
@@ -198,6 +237,14 @@
             .map(|(service, counts)| (service.clone(), counts.requests, counts.extra))
             .collect();
         sends.sort_unstable();
+        let spare = snapshot.spare_sends.as_ref().map(|spare| {
+            let mut spare: Vec<_> = spare
+                .iter()
+                .map(|(service, count)| (service.clone(), *count))
+                .collect();
+            spare.sort_unstable();
+            spare
+        });
         Self {
             vm,
             zone: snapshot.zone.clone(),
@@ -215,6 +262,7 @@
             parts: Vec::new(),
             progressed_parts: Vec::new(),
             limits: Vec::new(),
+            spare,
         }
     }
 
@@ -328,6 +376,7 @@
             is_cut_off: self.cut_off,
             loads: loads.map(load).collect(),
             sends: sends.map(count).collect(),
+            spare_sends: self.spare.map(|spare| spare.into_iter().collect()),
         }
     }
 }
--- a/crates/almondcroft-gateway/src/gossip/message/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/tests.rs
@@ -21,6 +21,7 @@
         at: Timestamp::ZERO,
         loads: loads.collect(),
         sends: HashMap::from([("menus".into(), counts)]),
+        spare_sends: Some(HashMap::from([("menus".into(), 4)])),
     }
 }
 
@@ -137,6 +138,27 @@
     }
 }
 
+/// Guards against loans that VMs of this and of later versions do not understand.
+#[test]
+fn decode_loans() {
+    let texts = [
+        r#"{"loan-request":{"nonce":5,"service":"menus","resumption":true}}"#,
+        r#"{"loan":{"nonce":5,"granted":true}}"#,
+        r#"{"loan-end":{"nonce":5,"used":false}}"#,
+    ];
+    for text in texts {
+        let decoded = Datagram::decode(text.as_bytes()).unwrap();
+        assert_eq!(String::from_utf8(decoded.encode()).unwrap(), text);
+    }
+}
+
+/// Guards against VMs of the version before that are taken for ones with a share of the retry budget.
+#[test]
+fn into_snapshot_of_the_version_before_lends_nothing() {
+    let message = decode(EARLIER_MESSAGES[0].as_bytes()).unwrap();
+    assert_eq!(message.into_snapshot(Timestamp::ZERO).spare_sends, None);
+}
+
 /// Checks that an object has all fields of another one, with the same values.
 fn assert_contains(written: &serde_json::Value, earlier: &serde_json::Value) {
     match earlier.as_object() {
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -10,7 +10,7 @@
 use crate::logging::millis;
 use crate::pool::{self, Purpose};
 use crate::runtime::{sleep, spawn, within};
-use crate::state::{Gateway, lock};
+use crate::state::{ExtraPermit, Gateway, lock};
 use crate::target_connect::Destination;
 use almondcroft_core::gateway::{Choice, ExtraSend, Fleet};
 use almondcroft_core::{RequestId, Timestamp};
@@ -56,13 +56,13 @@
 
 /// The destination of a migrated generation, and the handle of the copy from which it resumes.
 ///
-/// The retry budget has been charged for one resumption.
-#[derive(Debug, Clone)]
+/// One resumption has been taken from the retry budget.
 pub(crate) struct Migrated {
     pub(crate) target: Choice,
     pub(crate) handle: SmolStr,
     /// Whether the source has stopped; unknown if the response to the last copy was lost.
     pub(crate) has_stopped: bool,
+    pub(crate) permit: Option<ExtraPermit>,
 }
 
 /// Why a generation is migrated.
@@ -242,10 +242,13 @@
             }
         }
         let stop_started_at = clock::now();
-        if let Err(reason) = self.prepare_stop(started_at).await {
-            self.log_copy("kept", reason, Some(&target), stop_started_at);
-            return MigrationAttempt::Failed;
-        }
+        let permit = match self.prepare_stop(started_at).await {
+            Ok(permit) => Some(permit),
+            Err(reason) => {
+                self.log_copy("kept", reason, Some(&target), stop_started_at);
+                return MigrationAttempt::Failed;
+            }
+        };
         let stop_started_at = clock::now();
         let stopped = self.copy(target.address, true).await;
         self.log_copy(
@@ -262,6 +265,7 @@
                         target,
                         handle,
                         has_stopped: false,
+                        permit,
                     })
                 });
         };
@@ -270,6 +274,7 @@
                 target,
                 handle,
                 has_stopped: true,
+                permit,
             }),
             // Without a handle the generation was not stopped.
             (503 | 409, None) => self.record_no_room(&target),
@@ -286,10 +291,10 @@
             && self.events.load(Ordering::Relaxed) != self.events_before
     }
 
-    /// Charges the retry budget for the resumption of the generation, before it is stopped.
+    /// Takes the resumption of the generation from the retry budget, before it is stopped.
     ///
     /// Returns why it must go on at its source: a generation that was stopped and may not be resumed is lost.
-    async fn prepare_stop(&self, started_at: Timestamp) -> Result<(), &'static str> {
+    async fn prepare_stop(&self, started_at: Timestamp) -> Result<ExtraPermit, &'static str> {
         if self.reason == MigrationReason::Silence {
             let permitted_pause = self.call.route.gap_objective.unwrap_or_default();
             sleep(permitted_pause + EVENT_MARGIN).await;
@@ -301,11 +306,11 @@
             let now = clock::now();
             let request = self.call.external_id();
             let service = &self.call.service;
-            if self
+            let taken = self
                 .gateway
-                .take_retry(ExtraSend::Resumption, service, request, now)
-            {
-                return Ok(());
+                .take_retry(ExtraSend::Resumption, service, request);
+            if let Some(permit) = taken.await {
+                return Ok(permit);
             }
             if self.reason == MigrationReason::Silence || now > started_at + STOP_DEADLINE {
                 return Err("no-budget");
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -6,9 +6,9 @@
 use crate::dispatch::{RequestLog, demand, send_meta};
 use crate::exchange::{Exchange, SendError};
 use crate::runtime::within;
-use crate::state::lock;
+use crate::state::{ExtraPermit, lock};
 use crate::target_run::TargetRun;
-use almondcroft_core::gateway::{Choice, ExtraSend, Placement};
+use almondcroft_core::gateway::{Choice, Placement};
 use almondcroft_core::{Timestamp, Verdict};
 use almondcroft_proto::http1::EventSplitter;
 
@@ -21,19 +21,13 @@
         while self.call.is_resumable() && self.run_count < self.call.route.max_attempts {
             self.avoid.push(self.choice.target.clone());
             let now = clock::now();
-            let permitted = self.gateway.take_retry(
-                ExtraSend::Resumption,
-                &self.call.service,
-                self.call.external_id(),
-                now,
-            );
-            if !permitted {
+            let Some(permit) = self.take_resumption().await else {
                 return false;
-            }
+            };
             let Some(choice) = self.place_again(now).await else {
                 return false;
             };
-            if self.restart_at(choice, request_log).await {
+            if self.restart_at(choice, permit, request_log).await {
                 self.gateway.metrics.count_migration("restarted");
                 return true;
             }
@@ -60,7 +54,12 @@
     }
 
     /// Continues the stream at a target; returns whether it does.
-    async fn restart_at(&mut self, choice: Choice, request_log: &mut RequestLog) -> bool {
+    async fn restart_at(
+        &mut self,
+        choice: Choice,
+        permit: ExtraPermit,
+        request_log: &mut RequestLog,
+    ) -> bool {
         self.choice = choice;
         let target = self.choice.target.clone();
         let Ok(run) = self.run.readmit(self.call, &target) else {
@@ -79,6 +78,7 @@
             self.choice.address,
             &send,
             send.time_left,
+            Some(permit),
         );
         match opened.await {
             Ok(exchange) if exchange.head.status == 200 && exchange.meta.stamped => {
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -8,7 +8,7 @@
 use crate::logging::millis;
 use crate::migration::{self, Migrated, MigrationReason};
 use crate::runtime::within;
-use crate::state::lock;
+use crate::state::{ExtraPermit, lock};
 use crate::target_connect;
 use almondcroft_core::gateway::{Choice, ExtraSend};
 use almondcroft_core::{TargetId, Verdict};
@@ -46,12 +46,7 @@
         }
         let backup_copy = self.backup_copy();
         let switched = match backup_copy {
-            Some((choice, copy)) => {
-                self.take_resumption()
-                    && self
-                        .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
-                        .await
-            }
+            Some(option) => self.switch_to(option, request_log).await,
             None => false,
         };
         if switched {
@@ -90,16 +85,26 @@
         request_log.log_silence(&self.choice.target, reached);
         if reached {
             self.start_migration(MigrationReason::Silence);
-        } else if let Some((choice, copy)) = self.backup_copy()
-            && self.take_resumption()
-            && self
-                .resume(&choice, copy, SWITCH_TIMEOUT, request_log)
-                .await
+        } else if let Some(option) = self.backup_copy()
+            && self.switch_to(option, request_log).await
         {
             self.gateway.metrics.count_migration("switched");
         }
     }
 
+    /// Resumes the generation from its backup while its target may still run it; returns whether it succeeded.
+    async fn switch_to(
+        &mut self,
+        option: (Choice, CopyLocation),
+        request_log: &mut RequestLog,
+    ) -> bool {
+        let Some(permit) = self.take_resumption().await else {
+            return false;
+        };
+        self.resume(option, permit, SWITCH_TIMEOUT, request_log)
+            .await
+    }
+
     /// Records the result of a migration.
     ///
     /// If it has failed, the generation is migrated once more if its target started to leave meanwhile.
@@ -137,7 +142,7 @@
             self.migrated = within(MIGRATION_TIMEOUT, result).await.flatten();
         }
         let copied = self.copied.take();
-        let migrated = self.migrated.take().or(copied);
+        let mut migrated = self.migrated.take().or(copied);
         if migrated.is_none() {
             request_log.log_fault(&self.choice.target, reason, Verdict::MayHaveRun);
             let hard = !self.exchange.is_tunneled();
@@ -150,14 +155,21 @@
                 request_log.event_count,
             );
         }
-        // The migration has charged the retry budget for one resumption.
-        let mut is_charged = migrated.is_some();
-        for (choice, copy) in self.resume_options(migrated) {
-            if !std::mem::take(&mut is_charged) && !self.take_resumption() {
+        // The migration has taken one resumption; a borrowed one may have run out.
+        let mut taken = migrated
+            .as_mut()
+            .and_then(|migrated| migrated.permit.take());
+        for option in self.resume_options(migrated) {
+            let valid = taken.take().filter(|permit| permit.is_valid(clock::now()));
+            let permit = match valid {
+                Some(permit) => Some(permit),
+                None => self.take_resumption().await,
+            };
+            let Some(permit) = permit else {
                 return false;
-            }
+            };
             if self
-                .resume(&choice, copy, RESUME_TIMEOUT, request_log)
+                .resume(option, permit, RESUME_TIMEOUT, request_log)
                 .await
             {
                 self.gateway.metrics.count_migration("resumed");
@@ -186,14 +198,13 @@
         options
     }
 
-    /// Charges the retry budget for a resumption; returns whether it permits one.
-    fn take_resumption(&self) -> bool {
-        self.gateway.take_retry(
-            ExtraSend::Resumption,
-            &self.call.service,
-            self.call.external_id(),
-            clock::now(),
-        )
+    /// Takes a resumption from the retry budget, if it permits one.
+    pub(super) async fn take_resumption(&self) -> Option<ExtraPermit> {
+        let (service, request) = (&self.call.service, self.call.external_id());
+        let taken = self
+            .gateway
+            .take_retry(ExtraSend::Resumption, service, request);
+        taken.await
     }
 
     /// Resumes the generation at a target from a copy; returns whether it succeeded.
@@ -201,12 +212,13 @@
     /// The current stream is replaced only if the target resumes.
     pub(super) async fn resume(
         &mut self,
-        choice: &Choice,
-        copy: CopyLocation,
+        (choice, copy): (Choice, CopyLocation),
+        permit: ExtraPermit,
         timeout: Duration,
         request_log: &mut RequestLog,
     ) -> bool {
         let now = clock::now();
+        let choice = &choice;
         let Ok(run) = self.run.readmit(self.call, &choice.target) else {
             request_log.log_fault(&choice.target, "part-quarantined", Verdict::NotRun);
             return false;
@@ -223,7 +235,15 @@
         };
         request_log.log_send(choice, backup.as_ref(), now);
         let timeout = timeout.min(send.time_left);
-        let opened = Exchange::open(self.gateway, self.call, choice.address, &send, timeout).await;
+        let opened = Exchange::open(
+            self.gateway,
+            self.call,
+            choice.address,
+            &send,
+            timeout,
+            Some(permit),
+        );
+        let opened = opened.await;
         let exchange = match opened {
             Ok(exchange) if exchange.head.status == 200 && exchange.meta.stamped => exchange,
             Ok(exchange) => {
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -156,7 +156,7 @@
     pub retry_slack: f64,
     /// Window of the retry budget, in seconds.
     pub retry_window_s: f64,
-    /// Number of VMs that are assumed to share the retry budget while fewer are known.
+    /// Number of VMs that are assumed to share the retry budget while fewer are known; all VMs must assume the same.
     pub vms: u32,
 }
 
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -6,18 +6,20 @@
 mod store_view;
 mod targets;
 
+pub(crate) use retries::ExtraPermit;
+
 use crate::adapter::{Dialect, Registry, VmEntry};
 use crate::clock;
-use crate::gossip::UnfinishedPages;
+use crate::gossip::{LoanDesk, UnfinishedPages};
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::peer_view::ConfigDocument;
 use crate::pool::ConnectionPool;
 use crate::settings::{BackupRequests, Bounds, GatewaySettings};
 use almondcroft_core::gateway::{
-    AllowedRegions, ConfigFreshness, Demand, Directory, Evacuations, Fleet, FleetOptions,
-    FleetRetryBudget, GatewayConfig, HedgePolicy, PeerSnapshot, PendingQueries, PlacedRequest,
-    Placement, StoreEra, TargetPaths, TunnelPeer,
+    AllowedRegions, BudgetShare, ConfigFreshness, Demand, Directory, Evacuations, Fleet,
+    FleetOptions, FleetRetryBudget, GatewayConfig, HedgePolicy, PeerSnapshot, PendingQueries,
+    PlacedRequest, Placement, StoreEra, TargetPaths, TunnelPeer,
 };
 use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
@@ -65,6 +67,8 @@
     backup_requests: Mutex<Option<BackupRequests>>,
     hedge_policies: Mutex<HashMap<ServiceId, HedgePolicy>>,
     retry_budgets: Mutex<HashMap<ServiceId, FleetRetryBudget>>,
+    pub(crate) budget_share: Mutex<BudgetShare>,
+    pub(crate) loans: LoanDesk,
     next_request_id: AtomicU64,
     gossip_signal: (Sender<()>, Receiver<()>),
     departures: Mutex<VecDeque<(Timestamp, Departure)>>,
@@ -84,6 +88,11 @@
         let fleet = Fleet::new(settings.vm.clone(), FleetOptions::default());
         let mut fleet = fleet.zone(settings.zone.clone());
         fleet.set_cold_bounds(settings.bounds.cold());
+        let started_at = clock::now();
+        let mut budget_share = BudgetShare::new(settings.bounds.vms, started_at);
+        if settings.peers.is_none() {
+            budget_share.record_registration(true, started_at);
+        }
         Arc::new(Self {
             dialect,
             registry,
@@ -112,6 +121,8 @@
             backup_requests: Mutex::new(settings.backup_requests.clone()),
             hedge_policies: Mutex::default(),
             retry_budgets: Mutex::default(),
+            budget_share: Mutex::new(budget_share),
+            loans: LoanDesk::default(),
             next_request_id: AtomicU64::new(1),
             gossip_signal: bounded(1),
             departures: Mutex::default(),
@@ -132,6 +143,7 @@
         *lock(&self.bounds) = bounds;
         lock(&self.config_freshness).set_max_age(bounds.revoke());
         lock(&self.fleet).set_cold_bounds(bounds.cold());
+        lock(&self.budget_share).set_assumed(bounds.vms);
         for budget in lock(&self.retry_budgets).values_mut() {
             budget.set_budget(
                 bounds.retry_ratio,
@@ -285,6 +297,7 @@
             draining_since: self.lifecycle.draining_since(),
             is_cut_off: lock(&self.target_paths).is_cut_off(now),
             sends: self.sends(now),
+            spare_sends: Some(self.spare_sends(now)),
             ..lock(&self.fleet).local_snapshot(now)
         }
     }
