fix(gateway): a stream that may outlast the grace time is not accepted once the balancer has switched

Callers lost streams that a stopping VM had accepted up to 5.5 s after SIGTERM: their engines were slower than expected, so they were cut at the end of the grace time, after the balancer had long sent new callers elsewhere.

Cause: what can still complete was estimated from the tokens and a decode time, and an engine may take longer. A request without an answer gets a 504 at the end, but a stream that has started can only be cut.

Change: from 2.5 s after SIGTERM a stream is accepted only if its deadline comes before the end. Others are refused at once and run elsewhere. The unit tests of admits_during_shutdown get the time left as an argument, which lies before the end there, and keep their expectations.

--- a/crates/almondcroft-core/src/gateway/shutdown.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown.rs
@@ -31,28 +31,37 @@
 /// switched to other VMs, and its maximum length (`max_output`, in tokens) afterwards.
 /// `token_time` is the decode time per token on an engine that does little else, if it is known.
 ///
+/// An engine may be slower than any estimate, and a stream that has started cannot be answered otherwise at the end.
+/// Once the load balancer has switched, a stream is therefore admitted only if its deadline, which is `stream_left`
+/// away, comes before the end. `stream_left` is `None` for other responses.
+///
 /// ```
 /// use almondcroft_core::gateway::{Need, admits_during_shutdown};
 /// use std::time::Duration;
 ///
 /// let (grace, second) = (Duration::from_secs(8), Duration::from_secs(1));
 /// let long = Need { prompt: 3_000, output: 900, prefilled: false };
-/// assert!(!admits_during_shutdown(long, 2_200, None, second, grace));
-/// assert!(admits_during_shutdown(Need::default(), 0, None, second * 5, grace));
+/// assert!(!admits_during_shutdown(long, 2_200, None, Some(second * 39), second, grace));
+/// assert!(admits_during_shutdown(Need::default(), 0, None, None, second * 5, grace));
 /// ```
 #[must_use]
 pub fn admits_during_shutdown(
     need: Need,
     max_output: u32,
     token_time: Option<Duration>,
+    stream_left: Option<Duration>,
     elapsed: Duration,
     grace: Duration,
 ) -> bool {
     let left = grace.saturating_sub(elapsed + COMPLETION_MARGIN);
-    let tokens = if elapsed < BALANCER_DELAY {
-        need.output
-    } else {
+    let has_switched = elapsed >= BALANCER_DELAY;
+    if has_switched && stream_left.is_some_and(|time| time > left) {
+        return false;
+    }
+    let tokens = if has_switched {
         max_output
+    } else {
+        need.output
     };
     let token_time = token_time.map_or(DEFAULT_TOKEN_TIME, |time| time.mul_f64(BUSY_FACTOR));
     let start_time = MAX_SOUND_SILENCE.max(PREFILL_TOKEN_TIME * need.prefill_tokens());
--- a/crates/almondcroft-core/src/gateway/shutdown/tests.rs
+++ b/crates/almondcroft-core/src/gateway/shutdown/tests.rs
@@ -2,6 +2,9 @@
 
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Time left to a stream, before the end in all of these cases.
+const DEADLINE: Option<Duration> = Some(Duration::from_millis(800));
+
 fn need(output: u32) -> Need {
     Need {
         prompt: 3_000,
@@ -16,6 +19,7 @@
         need(12),
         43,
         None,
+        DEADLINE,
         Duration::from_secs(1),
         GRACE
     ));
@@ -23,6 +27,7 @@
         need(12),
         43,
         None,
+        DEADLINE,
         Duration::from_secs(5),
         GRACE
     ));
@@ -36,6 +41,7 @@
         need(200),
         2_216,
         None,
+        DEADLINE,
         Duration::from_secs(6),
         GRACE
     ));
@@ -43,6 +49,7 @@
         need(200),
         2_216,
         None,
+        DEADLINE,
         Duration::from_secs(3),
         GRACE
     ));
@@ -50,6 +57,7 @@
         need(200),
         2_216,
         None,
+        DEADLINE,
         Duration::ZERO,
         GRACE
     ));
@@ -61,6 +69,7 @@
         Need::default(),
         0,
         None,
+        DEADLINE,
         Duration::from_secs(7),
         GRACE
     ));
@@ -68,7 +77,8 @@
 
 #[test]
 fn admits_during_shutdown_by_token_time() {
-    let admits = |time| admits_during_shutdown(need(600), 2_216, time, Duration::ZERO, GRACE);
+    let admits =
+        |time| admits_during_shutdown(need(600), 2_216, time, DEADLINE, Duration::ZERO, GRACE);
     assert!(!admits(None));
     assert!(admits(Some(Duration::from_millis(7))));
     assert!(!admits(Some(Duration::from_millis(12))));
@@ -82,8 +92,14 @@
         for (output, token_time) in [(0, 0), (12, 14), (43, 14), (200, 7)] {
             let token_time = Duration::from_millis(token_time);
             let ends_at = elapsed + SILENCE + token_time * output;
-            let admitted =
-                admits_during_shutdown(need(output), output, Some(token_time), elapsed, GRACE);
+            let admitted = admits_during_shutdown(
+                need(output),
+                output,
+                Some(token_time),
+                DEADLINE,
+                elapsed,
+                GRACE,
+            );
             assert!(
                 !admitted || ends_at < PROCESS_END,
                 "{output} tokens, {elapsed:?} after SIGTERM"
@@ -99,7 +115,31 @@
         prompt: 30_000,
         ..need(12)
     };
-    let admits = |need| admits_during_shutdown(need, 12, None, Duration::from_millis(5_300), GRACE);
+    let admits = |need| {
+        admits_during_shutdown(
+            need,
+            12,
+            None,
+            DEADLINE,
+            Duration::from_millis(5_300),
+            GRACE,
+        )
+    };
     assert!(admits(need(12)));
     assert!(!admits(long));
 }
+
+/// Guards against a stream that an engine slower than expected has not completed at the end.
+#[test]
+fn admits_during_shutdown_no_stream_whose_deadline_is_after_the_end() {
+    let admits = |left, elapsed| {
+        let left = Some(Duration::from_millis(left));
+        let elapsed = Duration::from_millis(elapsed);
+        admits_during_shutdown(need(12), 12, None, left, elapsed, GRACE)
+    };
+    assert!(admits(6_000, 2_400));
+    assert!(!admits(6_000, 2_500));
+    assert!(admits(5_000, 2_500));
+    assert!(!admits(2_600, 5_100));
+    assert!(admits(2_400, 5_100));
+}
--- a/crates/almondcroft-gateway/src/dispatch/admit.rs
+++ b/crates/almondcroft-gateway/src/dispatch/admit.rs
@@ -110,12 +110,14 @@
 
 /// Returns the time after which a caller may retry if the VM shuts down and cannot complete the request any more.
 pub(super) fn shutdown_refusal(gateway: &Gateway, call: &Call) -> Option<Duration> {
-    let elapsed = gateway.lifecycle.draining_for(clock::now())?;
+    let now = clock::now();
+    let elapsed = gateway.lifecycle.draining_for(now)?;
     let max_output = call.meta.generation.as_ref().map_or(0, |g| g.max_output);
     let grace = gateway.bounds().grace();
     let token_time = lock(&gateway.fleet).token_time(&call.service);
-    let admits =
-        admits_during_shutdown(expected_need(call), max_output, token_time, elapsed, grace);
+    let stream_left = call.is_stream().then(|| call.time_left(now));
+    let need = expected_need(call);
+    let admits = admits_during_shutdown(need, max_output, token_time, stream_left, elapsed, grace);
     (!admits).then(|| gateway.shutdown_retry(elapsed))
 }
 
