test(daemon): requests accepted late in a drain end before it

In almondcroftd it can't happen: a request whose deadline is after the end of the drain is refused at once. The test sends orders, lookups and streams through the whole drain to silent targets; each is answered whole and none is ended by the stop.

--- a/crates/almondcroft-standin/tests/shutdown.rs
+++ b/crates/almondcroft-standin/tests/shutdown.rs
@@ -215,11 +215,24 @@
         self.read()
     }
 
+    /// Returns whether the daemon has closed the connection.
+    fn is_closed(&self) -> bool {
+        self.0.set_nonblocking(true).unwrap();
+        let closed = self.0.peek(&mut [0]).is_ok_and(|count| count == 0);
+        self.0.set_nonblocking(false).unwrap();
+        closed
+    }
+
     /// Sends a request whose body may be incomplete.
     fn send(&mut self, method: &str, path: &str, body: &str, length: usize) {
+        self.send_with("", method, path, body, length);
+    }
+
+    /// Sends a request with further header lines.
+    fn send_with(&mut self, lines: &str, method: &str, path: &str, body: &str, length: usize) {
         let key = uuid::Uuid::now_v7();
         let text = format!(
-            "{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\
+            "{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n{lines}\
              Idempotency-Key: {key}\r\nContent-Length: {length}\r\n\r\n{body}"
         );
         let _ = self.0.write_all(text.as_bytes());
@@ -405,6 +418,58 @@
     });
 }
 
+/// Guards against requests that are accepted late in a drain and cut off at its end, as their targets are slow.
+#[test]
+fn requests_accepted_late_in_the_drain_end_before_it() {
+    const SEND_TIMES_MS: [u64; 6] = [200, 700, 1_200, 1_700, 2_200, 2_700];
+    block_on(async {
+        let mut site = Site::start(300, 2_700).await;
+        let callers = site.kept_callers(SEND_TIMES_MS.len() * 4);
+        site.set_silent(true);
+        site.entry.signal("TERM").unwrap();
+        let stopped_at = Instant::now();
+        let threads = callers.into_iter().enumerate().map(|(number, mut caller)| {
+            thread::spawn(move || {
+                let sent_after = Duration::from_millis(SEND_TIMES_MS[number / 4]);
+                thread::sleep((stopped_at + sent_after).saturating_duration_since(Instant::now()));
+                let (path, body) = match number % 4 {
+                    0 => (ORDER, "{}".to_owned()),
+                    1 => (LOOKUP, "{}".to_owned()),
+                    2 => (STREAM, generation(true, 40)),
+                    _ => (STREAM, generation(false, 40)),
+                };
+                if caller.is_closed() {
+                    return (number, None);
+                }
+                caller.send_with(
+                    "Almondcroft-Deadline-Ms: 700\r\n",
+                    "POST",
+                    path,
+                    &body,
+                    body.len(),
+                );
+                (number, Some(caller.read()))
+            })
+        });
+        let threads: Vec<_> = threads.collect();
+        let mut sent = 0;
+        for (number, reply) in threads.into_iter().map(|thread| thread.join().unwrap()) {
+            // Without requests the daemon stops before its drain is over.
+            let Some(reply) = reply else { continue };
+            sent += 1;
+            let reply = reply.unwrap_or_else(|| panic!("{number}: closed without an answer"));
+            assert!(reply.is_whole, "{number}: {reply:?}");
+            assert!(
+                !(reply.has("stopping") && reply.has("may-have-run")),
+                "{number}: cut off by the stop: {reply:?}"
+            );
+        }
+        assert!(sent >= 8, "{sent} requests were sent");
+        assert_eq!(site.entry.wait().unwrap(), Some(0));
+        site.set_silent(false);
+    });
+}
+
 #[test]
 fn sigterm_waits_for_callers_that_read_slowly() {
     block_on(async {
