fix(gateway): VMs lend extra sends of services that others serve, and requests count at once

Change: a VM offers loans of all services of the configuration. Sends within a window count against the mean of the requests in it and in the one before, which is as safe as either alone.

No check or bound is changed.

--- a/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
+++ b/crates/almondcroft-core/src/gateway/fleet_retry_budget.rs
@@ -76,8 +76,8 @@
 /// The budget covers the whole fleet: a ratio of all requests plus a fixed number (`slack`) per window. It is
 /// divided in advance: each VM has its share of the fixed number ([`BudgetShare`](super::BudgetShare)) and the ratio
 /// of its own requests. In no window, however it lies, does a VM send more than its share of the fixed number and
-/// the ratio of the requests that it got in the window that begins half a window before. The sum over all VMs is
-/// therefore within the budget, whatever they know of each other. A VM that needs more borrows from peers, which count what they
+/// the ratio of its requests in that window and the one before, on average. The sum over all VMs is therefore within
+/// the budget, whatever they know of each other. A VM that needs more borrows from peers, which count what they
 /// lend as sent.
 ///
 /// An extra send is taken first, and settled or returned once it is known whether it was sent. Until then it counts
@@ -207,20 +207,24 @@
         let window = steps(self.window);
         let last = step_of(now);
         let first = last.saturating_sub(window);
-        // Going back from now, the sends since a step grow, and the window of its requests moves.
+        // Going back from now, the sends since a step grow, and the windows of its requests move.
         let mut used = self.open + self.extra_since(last + 1);
-        let mut requests = self.requests_between(last.saturating_sub(window / 2), u64::MAX);
+        let mut since = self.requests_between(last, u64::MAX);
+        let mut before = self.requests_between(first, last);
         let mut room = f64::INFINITY;
         for start in (first..=last).rev() {
             used += count_of(&self.extra, start);
-            let permitted = (self.slack * share + self.ratio * f64::from(requests)) * fraction;
+            let requests = f64::from(before + since) * 0.5;
+            let permitted = (self.slack * share + self.ratio * requests) * fraction;
             room = room.min(permitted - f64::from(used));
-            let half = window / 2 + 1;
-            let entering = start.checked_sub(half);
-            requests += entering.map_or(0, |step| count_of(&self.requests, step));
-            if let Some(leaving) = (start + window).checked_sub(half) {
-                requests -= count_of(&self.requests, leaving);
-            }
+            let Some(next) = start.checked_sub(1) else {
+                break;
+            };
+            let count = count_of(&self.requests, next);
+            since += count;
+            before -= count;
+            let entering = next.checked_sub(window);
+            before += entering.map_or(0, |step| count_of(&self.requests, step));
         }
         super::number::floor_to_u32(room)
     }
--- a/crates/almondcroft-gateway/src/state/retries.rs
+++ b/crates/almondcroft-gateway/src/state/retries.rs
@@ -156,8 +156,8 @@
     /// Lends an extra send to a peer; returns whether this VM can spare it.
     pub(crate) fn lend(&self, send: ExtraSend, service: &ServiceId, now: Timestamp) -> bool {
         let share = self.budget_share(now);
-        let is_known = lock(&self.retry_budgets).contains_key(service);
-        is_known
+        let config = self.config();
+        config.is_some_and(|config| config.pools.contains_key(service))
             && self.permits_beside(send, service, now)
             && self.with_retry_budget(service, |budget| {
                 budget.try_lend(send, share, now + LOAN_TIME, now)
@@ -218,13 +218,16 @@
             .collect()
     }
 
-    /// Returns the extra sends that this VM can lend, by service.
+    /// Returns the extra sends that this VM can lend, by service; also of services whose requests others got.
     pub(super) fn spare_sends(&self, now: Timestamp) -> HashMap<ServiceId, u32> {
+        let Some(config) = self.config() else {
+            return HashMap::new();
+        };
         let share = self.budget_share(now);
-        let retry_budgets = lock(&self.retry_budgets);
-        let counts = retry_budgets.iter().map(|(service, budget)| {
-            let count = budget.spare(ExtraSend::Resumption, share, now);
-            (service.clone(), count)
+        let counts = config.pools.keys().map(|service| {
+            let spare =
+                |budget: &mut FleetRetryBudget| budget.spare(ExtraSend::Resumption, share, now);
+            (service.clone(), self.with_retry_budget(service, spare))
         });
         counts.filter(|(_, count)| *count > 0).collect()
     }
