--- a/crates/almondcroft-gateway/src/state/retries.rs
+++ b/crates/almondcroft-gateway/src/state/retries.rs
@@ -225,9 +225,10 @@
         };
         let share = self.budget_share(now);
         let counts = config.pools.keys().map(|service| {
-            let spare =
-                |budget: &mut FleetRetryBudget| budget.spare(ExtraSend::Resumption, share, now);
-            (service.clone(), self.with_retry_budget(service, spare))
+            let count = self.with_retry_budget(service, |budget| {
+                budget.spare(ExtraSend::Resumption, share, now)
+            });
+            (service.clone(), count)
         });
         counts.filter(|(_, count)| *count > 0).collect()
     }
