fix(core): limits that targets state are dealt to the registered VMs, heard or not

Targets that state how many they can turn away had to turn 74 away in a second for 5.

Cause: the shares were dealt to the VMs that were heard. A VM forgets the others after 10 s without a message, and a process that starts has heard none, so each took the shares of all.

Change: shares of a rate are dealt by the list of registered VMs, as those of cold targets are; slots of targets that turn away too much too, as long as a VM hears no other one. The share of a VM that is gone is unused while it is in the list.

Tests: submit_within_a_limit_while_vms_hear_nothing_for_long, submit_within_a_limit_while_vms_end_and_start and burst_stays_below_the_refusal_limit_while_vms_hear_nothing_for_long failed before and pass. The same question for cold targets, second runs, trials of requests and refusals at restarts: their tests pass on the code before.

--- a/crates/almondcroft-core/src/gateway/fleet/cold_targets.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/cold_targets.rs
@@ -5,7 +5,7 @@
 //! limit that a target states, as token buckets of one token to a few VMs.
 
 use super::target_state::TargetState;
-use super::{Fleet, split_mix, stable_hash};
+use super::{Fleet, stable_hash};
 use crate::gateway::ColdStart;
 use crate::gateway::number::floor_to_usize;
 use crate::{TargetId, Timestamp, VmId, ZoneId};
@@ -113,11 +113,7 @@
         let shares = shares.min(self.registered_vms.len() + 1);
         let tokens = f64::from(u32::try_from(shares).unwrap_or(u32::MAX));
         let rate = (permitted * USED_FRACTION - tokens).max(permitted * MIN_RATE_FRACTION);
-        let target = stable_hash(&state.entry.id);
-        let rank = |vm: u64| split_mix(vm, target);
-        let own = rank(stable_hash(&self.vm));
-        let before = self.registered_vms.iter().filter(|vm| rank(**vm) < own);
-        Some(if before.count() < shares {
+        Some(if self.registered_position(&state.entry.id) < shares {
             rate / tokens
         } else {
             0.0
--- a/crates/almondcroft-core/src/gateway/fleet/limits.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/limits.rs
@@ -1,9 +1,10 @@
 //! Limits that targets state on the requests a second that they take from all VMs together.
 //!
 //! They answer a target in need among sound ones, which get what it does not take. A few VMs, selected
-//! alike at all of them, get equal shares of a limit as token buckets; the others send nothing there. So
-//! the limit holds without messages for each request, also while VMs do not hear of each other, and a
-//! share stays large enough to be of use in a fleet of hundreds. VMs tell each other what a target stated.
+//! alike from the list of registered VMs, get equal shares of a limit as token buckets; the others send nothing
+//! there. So the limit holds without messages for each request, also while VMs do not hear of each other or
+//! have just started, and a share stays large enough to be of use in a fleet of hundreds. VMs tell each other
+//! what a target stated.
 
 use super::limit_statement::{LastStatement, LimitStatement};
 use super::rate_limiter::RateLimiter;
@@ -149,7 +150,11 @@
     /// Returns this VM's share of a limit, in requests a second; zero for most VMs of a large fleet.
     fn limit_share(&self, target: &TargetId, limit: f64) -> f64 {
         let wanted = floor_to_usize(limit).saturating_add(EXTRA_SHARES);
-        let (shares, own_shares) = self.deal(target, |vm_count| vm_count.min(wanted));
+        let (shares, own_shares) = if self.registered_vms.is_empty() {
+            self.deal(target, |vm_count| vm_count.min(wanted))
+        } else {
+            self.deal_to_registered(target, |vm_count| vm_count.min(wanted))
+        };
         if own_shares == 0 {
             return 0.0;
         }
@@ -157,14 +162,43 @@
         limit / f64::from(shares.max(1))
     }
 
-    /// Deals shares of a target to all known VMs; returns how many there are, and how many this VM has.
+    /// Deals shares of a target to all registered VMs, whether they are heard or not; returns how many there are, and
+    /// how many this VM has.
     ///
-    /// They are dealt to the zones in turn, and within a zone to the VMs in the order of their hashes.
+    /// VMs that do not hear each other, or have just started, do not use the same ones.
+    pub(super) fn deal_to_registered(
+        &self,
+        target: &TargetId,
+        count: impl FnOnce(usize) -> usize,
+    ) -> (usize, usize) {
+        let vm_count = self.registered_vms.len() + 1;
+        let shares = count(vm_count);
+        let position = self.registered_position(target);
+        let own = shares / vm_count + usize::from(position < shares % vm_count);
+        (shares, own)
+    }
+
+    /// Returns how many registered VMs come before this one in the order for a target.
+    pub(super) fn registered_position(&self, target: &TargetId) -> usize {
+        let target = stable_hash(target);
+        let rank = |vm: u64| split_mix(vm, target);
+        let own = rank(stable_hash(&self.vm));
+        let before = self.registered_vms.iter().filter(|vm| rank(**vm) < own);
+        before.count()
+    }
+
+    /// Deals shares of a target to all VMs that are heard; returns how many there are, and how many this VM has.
+    ///
+    /// They are dealt to the zones in turn, and within a zone to the VMs in the order of their hashes. A VM that hears no
+    /// other one, as after its start, deals to those that are registered.
     pub(super) fn deal(
         &self,
         target: &TargetId,
         count: impl FnOnce(usize) -> usize,
     ) -> (usize, usize) {
+        if self.peers.is_empty() && self.zones.is_empty() {
+            return self.deal_to_registered(target, count);
+        }
         let mut zones: BTreeMap<&ZoneId, usize> = BTreeMap::from([(&self.zone, 1)]);
         for peer in self.peers.values() {
             *zones.entry(&peer.zone).or_default() += 1;
--- a/crates/almondcroft-core/src/gateway/fleet/tests/limit.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/limit.rs
@@ -177,3 +177,54 @@
         prop_assert!(is_allowed(most, limit), "{most}");
     }
 }
+
+impl Vms {
+    /// Replaces a VM by a process that has heard nothing yet but what the list of VMs says.
+    fn restart(&mut self, index: usize) {
+        let names: Vec<VmId> = self.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
+        let mut started = fleet(&[]).zone(self.fleets[index].zone.clone());
+        started.vm = names[index].clone();
+        started.set_registered_vms(names.iter().filter(|name| **name != names[index]));
+        let mut target = entry("i-1", "orders", "z-0");
+        target.slots = 1_000;
+        started.upsert_target(target, self.now);
+        self.fleets[index] = started;
+    }
+
+    fn register_all(&mut self) {
+        let names: Vec<VmId> = self.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
+        for (fleet, own) in self.fleets.iter_mut().zip(&names) {
+            fleet.set_registered_vms(names.iter().filter(|name| *name != own));
+        }
+    }
+}
+
+/// Guards against a limit that is spent once more by each process that starts.
+#[test]
+fn submit_within_a_limit_while_vms_end_and_start() {
+    for count in [6, 24] {
+        let mut vms = Vms::new(count, 3);
+        vms.register_all();
+        vms.run(SECOND * 4, Some(3.6), true);
+        let from = vms.now;
+        for index in 0..40 {
+            vms.restart(index % count);
+            vms.run(SECOND / 2, Some(3.6), true);
+        }
+        let most = vms.most_sent(from);
+        assert!(is_allowed(most, 3.6), "{count} VMs: {most}");
+        assert!(most >= 5, "{count} VMs: {most}");
+    }
+}
+
+/// Guards against a limit that each VM takes for itself once it has not heard of the others for long.
+#[test]
+fn submit_within_a_limit_while_vms_hear_nothing_for_long() {
+    let mut vms = Vms::new(7, 3);
+    vms.register_all();
+    vms.run(SECOND * 4, Some(3.6), true);
+    let from = vms.now;
+    vms.run(SECOND * 30, Some(3.6), false);
+    let most = vms.most_sent(from);
+    assert!(is_allowed(most, 3.6), "{most}");
+}
--- a/crates/almondcroft-core/src/gateway/fleet/tests/places.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/places.rs
@@ -213,6 +213,22 @@
     assert!(count >= permitted * 10.0 * 0.7, "{count} in 10 s");
 }
 
+/// Guards against a rate that is spent once more by each process that starts.
+#[test]
+#[allow(clippy::cast_precision_loss, reason = "small counts")]
+fn submit_to_a_cold_target_while_vms_end_and_start() {
+    let mut vms = Vms::new(20, 1, 31.0, BOUNDS);
+    let names: Vec<VmId> = vms.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
+    vms.run(SECOND, true);
+    for index in 0..60 {
+        let index = index % names.len();
+        vms.fleets[index] = vms.start(&names[index], &names);
+        vms.run(SECOND / 10, true);
+    }
+    let permitted = vms.permitted();
+    assert!(vms.most_sent() as f64 <= permitted, "{}", vms.most_sent());
+}
+
 /// Guards against a target that restarted unseen and gets its full load at once.
 #[test]
 #[allow(clippy::cast_precision_loss, reason = "small counts")]
--- a/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
@@ -20,6 +20,10 @@
     refused: BTreeMap<TargetId, Vec<Timestamp>>,
     served: usize,
     now: Timestamp,
+    /// What each target states with its responses.
+    limit: Option<f64>,
+    targets: usize,
+    exchanges: bool,
 }
 
 impl Burst {
@@ -35,6 +39,9 @@
             fleet
         };
         Self {
+            limit,
+            targets,
+            exchanges: true,
             fleets: (0..vms).map(start).collect(),
             running: Vec::new(),
             refused: BTreeMap::new(),
@@ -43,6 +50,19 @@
         }
     }
 
+    /// Replaces a VM by a process that knows the list of VMs and nothing that targets stated.
+    fn restart(&mut self, index: usize) {
+        let names: Vec<VmId> = self.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
+        let mut started = fleet(&[]);
+        started.vm = names[index].clone();
+        started.set_registered_vms(names.iter().filter(|name| **name != names[index]));
+        for target in 0..self.targets {
+            started.upsert_target(entry(&format!("i-{target}"), "orders", "z-0"), self.now);
+        }
+        self.running.retain(|run| run.1 != index);
+        self.fleets[index] = started;
+    }
+
     fn exchange(&mut self) {
         exchange_snapshots(&mut self.fleets, self.now);
     }
@@ -52,7 +72,7 @@
         let steps = u32::try_from(time.as_millis() / STEP.as_millis()).unwrap();
         for step in 0..steps {
             self.now += STEP;
-            if step.is_multiple_of(EXCHANGE_STEPS) {
+            if self.exchanges && step.is_multiple_of(EXCHANGE_STEPS) {
                 self.exchange();
             }
             self.end_runs();
@@ -88,6 +108,7 @@
         }
         let refused = self.refused.entry(choice.target.clone()).or_default();
         refused.push(self.now);
+        self.fleets[vm].record_refusal_limit(&choice.target, self.limit, self.now);
         self.fleets[vm].record_refusal(&choice.target, self.now);
         for next in self.fleets[vm].finish(&placed.request, self.now) {
             self.arrive(vm, next);
@@ -97,8 +118,9 @@
     fn end_runs(&mut self) {
         let now = self.now;
         let ended: Vec<_> = self.running.extract_if(.., |run| run.0 <= now).collect();
-        for (_, vm, request, _) in ended {
+        for (_, vm, request, target) in ended {
             self.served += 1;
+            self.fleets[vm].record_refusal_limit(&target, self.limit, now);
             for next in self.fleets[vm].finish(&request, now) {
                 self.arrive(vm, next);
             }
@@ -137,6 +159,33 @@
     assert!(served >= capacity * 0.7, "{served} of {capacity}");
 }
 
+/// Guards against slots that each process that starts uses once more.
+#[test]
+fn burst_stays_below_the_refusal_limit_while_vms_end_and_start() {
+    let mut burst = Burst::new(7, 3, Some(5.0));
+    burst.run(SECOND, 150.0);
+    for index in 0..12 {
+        burst.restart(index % 7);
+        burst.run(SECOND / 4, 150.0);
+    }
+    assert!(burst.most_refused() <= 5, "{}", burst.most_refused());
+}
+
+/// Guards against slots that each VM takes for itself once it has not heard of the others for long.
+#[test]
+fn burst_stays_below_the_refusal_limit_while_vms_hear_nothing_for_long() {
+    let mut burst = Burst::new(7, 3, Some(5.0));
+    let names: Vec<VmId> = burst.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
+    for (fleet, own) in burst.fleets.iter_mut().zip(&names) {
+        fleet.set_registered_vms(names.iter().filter(|name| *name != own));
+    }
+    burst.run(SECOND, 30.0);
+    burst.exchanges = false;
+    burst.run(SECOND * 12, 30.0);
+    burst.run(SECOND * 2, 150.0);
+    assert!(burst.most_refused() <= 5, "{}", burst.most_refused());
+}
+
 #[test]
 fn every_vm_places_requests_on_targets_with_a_refusal_limit() {
     let mut burst = Burst::new(16, 1, Some(5.0));
--- a/crates/almondcroft-core/src/gateway/hedge_policy/tests.rs
+++ b/crates/almondcroft-core/src/gateway/hedge_policy/tests.rs
@@ -24,6 +24,18 @@
     assert_eq!(policy.delay(), Some(millis(5)));
 }
 
+/// Guards against second runs that each process that starts sends beyond the share of its requests.
+#[test]
+fn try_take_of_a_process_that_starts() {
+    let mut policy = HedgePolicy::new(LIMITS);
+    for _ in 0..19 {
+        policy.record_request();
+        assert!(!policy.try_take());
+    }
+    policy.record_request();
+    assert!(policy.try_take());
+}
+
 /// Draws a response time: 30 ms as usual, and 20 times as long for two in a hundred.
 fn draw(rng: &mut impl Rng) -> Duration {
     let usual = millis(rng.random_range(20..40));
--- a/crates/almondcroft-core/src/quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/tests.rs
@@ -92,6 +92,39 @@
     assert_eq!(trials, [2, 32, 92, 212]);
 }
 
+/// Guards against trials that each process that starts makes once more.
+#[test]
+fn trials_are_few_while_vms_end_and_start() {
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    for vm in &mut vms {
+        vm.merge(7, 2, START);
+    }
+    let mut trials = Vec::new();
+    for second in 0..600 {
+        let now = START + Duration::from_secs(second);
+        let restarted = usize::try_from(second / 5 % 2).unwrap();
+        if second % 5 == 4 {
+            vms[restarted] = Quarantine::default();
+        }
+        // A process that starts hears of the requests in quarantine before it serves callers.
+        for index in [0, 1] {
+            for (fingerprint, count, age) in vms[index].trials(now) {
+                vms[1 - index].merge_trials(fingerprint, count, age, now);
+            }
+            for (fingerprint, count) in vms[index].crash_counts(now) {
+                vms[1 - index].merge(fingerprint, count, now);
+            }
+        }
+        for vm in &mut vms {
+            if vm.begin_trial(7, now) {
+                trials.push(second);
+                vm.record_crash(7, now);
+            }
+        }
+    }
+    assert!(trials.len() <= 8, "{trials:?}");
+}
+
 #[test]
 fn retry_after_names_the_next_trial() {
     let mut quarantine = Quarantine::default();
