--- a/crates/almondcroft-core/src/gateway/fleet_retry_budget/tests/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet_retry_budget/tests/fleet.rs
@@ -9,6 +9,9 @@
 const RATIO: f64 = 0.2;
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two exchanges of counts.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time between two reads of the list of VMs.
 const LIST_INTERVAL: Duration = Duration::from_secs(8);
 
@@ -43,6 +46,10 @@
     vms: Vec<Vm>,
     /// Number of VMs in the list.
     listed: u32,
+    /// Number of VMs of the earlier version, which come first and do not end.
+    earlier: usize,
+    /// What the VMs have told each other last.
+    told: Vec<SendCounts>,
     requests: Vec<Timestamp>,
     arrivals: Vec<Timestamp>,
 }
@@ -56,6 +63,8 @@
             delay: 3.0,
             vms: Vec::new(),
             listed: u32::try_from(vms).unwrap(),
+            earlier: 0,
+            told: Vec::new(),
             requests: Vec::new(),
             arrivals: Vec::new(),
         };
@@ -91,8 +100,12 @@
         let mut now = SECOND;
         while now < SECOND + time {
             now += TICK;
+            if now.as_millis().is_multiple_of(GOSSIP_INTERVAL.as_millis()) {
+                let counts = self.vms.iter().map(|vm| vm.budget.counts(now));
+                self.told = counts.collect();
+            }
             for index in 0..self.vms.len() {
-                if self.rng.random_bool(self.faults.restart * tick) {
+                if index >= self.earlier && self.rng.random_bool(self.faults.restart * tick) {
                     self.vms[index] = self.start_vm(false, now);
                 }
                 if self.rng.random_bool(self.faults.pause * tick) {
@@ -150,16 +163,38 @@
         }
     }
 
+    /// Returns whether what the VMs have told leaves room for an extra send, beside VMs of the earlier version.
+    fn permits_beside(&self, index: usize, now: Timestamp) -> bool {
+        let others = self.told.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != index);
+        let vms = u32::try_from(self.vms.len()).unwrap();
+        let sends = FleetSends {
+            others: others.fold(SendCounts::default(), |sum, (_, counts)| sum.add(*counts)),
+            reachable_vms: vms,
+            total_vms: vms,
+        };
+        let budget = &self.vms[index].budget;
+        self.earlier == 0 || budget.permits_beside(ExtraSend::Resumption, sends, now)
+    }
+
     /// Takes an extra send of a VM, or borrows one, and sends it later.
     fn want(&mut self, index: usize, now: Timestamp) {
         let delay = Duration::from_secs_f64(self.rng.random_range(0.0..self.delay));
+        if !self.permits_beside(index, now) {
+            return;
+        }
+        let is_earlier = index < self.earlier;
         let vm = &mut self.vms[index];
-        let share = vm.share.fraction(WINDOW, now);
+        let share = if is_earlier {
+            f64::MAX
+        } else {
+            vm.share.fraction(WINDOW, now)
+        };
         if vm.budget.try_take(ExtraSend::Resumption, share, now) {
             vm.waiting.push((now + delay, None));
             return;
         }
-        let reachable: Vec<usize> = (0..self.vms.len())
+        let reachable: Vec<usize> = (self.earlier..self.vms.len())
             .filter(|other| *other != index && self.vms[*other].paused_until <= now)
             .filter(|other| self.is_cut_off(*other, now) == self.is_cut_off(index, now))
             .collect();
@@ -257,6 +292,19 @@
     }
 }
 
+/// Guards against VMs with shares that spend what those of the version before spend, too.
+#[test]
+fn fleet_with_an_earlier_version_keeps_the_budget() {
+    for earlier in 1..6 {
+        let mut simulation = Simulation::new(9, 6, 52.0, FAULTS[1]);
+        simulation.earlier = earlier;
+        simulation.delay = 0.1;
+        simulation.play(SECOND * 90, |_| 3.0, 1.5);
+        let most = simulation.highest_use(SECOND);
+        assert!(most <= 1.0, "{earlier} of 6: {most}");
+    }
+}
+
 /// The same with hundreds of VMs, each of which has a share of two.
 #[test]
 fn large_fleet_keeps_the_budget_in_every_window() {
