fix(gateway): a request whose runs both hang is sent to a third target

A repeatable request got 504 at its deadline, 2.5 s, though a third target was free: once a second run had been sent for a slow first one, both were waited for without an end. The same if one run broke off and the other hung.

Cause: only a request with a single run was given up for another target.

Change: two runs are given up like one, if the route's attempts, the retry budget and a target with room permit a third.

--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -304,14 +304,22 @@
         lock(&self.gateway.fleet).record_failure(target, hard, clock::now());
     }
 
-    /// Returns whether the request can be sent to another target while this one has not responded.
-    pub(super) async fn permit_other_target(&mut self, target: &TargetId) -> bool {
+    /// Returns whether the request can be sent to another target while those that run it have not responded.
+    pub(super) async fn permit_other_target(&mut self, running: &[TargetId]) -> bool {
         let mut demand = demand(self.gateway, &self.call, &self.avoid);
-        demand.avoid.push(target.clone());
-        self.call.may_repeat()
-            && self.run_count + 1 < self.call.route.max_attempts
+        demand.avoid.extend_from_slice(running);
+        let runs = u32::try_from(running.len()).unwrap_or(u32::MAX);
+        let Some(target) = running.first() else {
+            return false;
+        };
+        let permitted = self.call.may_repeat()
+            && self.run_count.saturating_add(runs) < self.call.route.max_attempts
             && lock(&self.gateway.fleet).has_room(&demand, clock::now())
-            && self.permit_retry(target).await
+            && self.permit_retry(target).await;
+        if permitted {
+            self.avoid.extend_from_slice(&running[1..]);
+        }
+        permitted
     }
 
     /// Returns whether a request that may have run can be sent again.
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -9,7 +9,7 @@
 use crate::state::{ExtraPermit, PlacementGuard, lock};
 use crate::target_run::TargetRun;
 use almondcroft_core::gateway::{Choice, HedgePolicy};
-use almondcroft_core::{RequestId, Timestamp, Verdict};
+use almondcroft_core::{RequestId, TargetId, Timestamp, Verdict};
 use futures_lite::future::or;
 use std::future::Future;
 use std::pin::{Pin, pin};
@@ -52,7 +52,8 @@
             second = self.start_hedge(&first);
         }
         let Some(mut second) = second else {
-            let opened = self.wait_or_give_up(&first, opening, give_up_after).await;
+            let target = [first.choice.target.clone()];
+            let opened = self.wait_or_give_up(&target, opening, give_up_after).await;
             return (first, opened);
         };
         let now = clock::now();
@@ -61,21 +62,33 @@
         let permit = second.permit.take();
         let hedging = Exchange::open(gateway, &call, address, &hedge, hedge.time_left, permit);
         let mut hedging = pin!(hedging);
+        let targets = [first.choice.target.clone(), second.choice.target.clone()];
         let first_end = async { (true, opening.as_mut().await) };
         let second_end = async { (false, hedging.as_mut().await) };
-        let (is_first, opened) = or(first_end, second_end).await;
+        let either = pin!(or(first_end, second_end));
+        let ended = self.wait_or_give_up(&targets, either, give_up_after).await;
+        let Some((is_first, opened)) = ended else {
+            self.record_given_up(&second.choice.target);
+            self.record_hedge(&first, &second, false, now);
+            return (first, None);
+        };
         let (is_first, opened, unused_not_run) = if is_final(&opened) {
             (is_first, opened, false)
         } else {
             let other = if is_first {
-                hedging.await
+                self.wait_or_give_up(&targets, hedging, give_up_after).await
             } else {
-                opening.await
+                self.wait_or_give_up(&targets, opening, give_up_after).await
             };
-            if prefers_second(&opened, &other) {
-                (!is_first, other, is_not_run(&opened))
-            } else {
-                (is_first, opened, is_not_run(&other))
+            match other {
+                Some(other) if prefers_second(&opened, &other) => {
+                    (!is_first, other, is_not_run(&opened))
+                }
+                Some(other) => (is_first, opened, is_not_run(&other)),
+                None => {
+                    self.record_given_up(&targets[usize::from(is_first)]);
+                    (is_first, opened, false)
+                }
             }
         };
         let (used, unused) = if is_first {
@@ -87,18 +100,18 @@
         (used, Some(opened))
     }
 
-    /// Waits for a response, or until another target may get the request.
-    async fn wait_or_give_up(
+    /// Waits for a response of targets that run the request, or until another target may get it.
+    async fn wait_or_give_up<Ended>(
         &mut self,
-        sent: &TargetSend,
-        mut opening: Pin<&mut impl Future<Output = Opened>>,
+        running: &[TargetId],
+        mut opening: Pin<&mut impl Future<Output = Ended>>,
         mut give_up_after: Duration,
-    ) -> Option<Opened> {
+    ) -> Option<Ended> {
         loop {
             if let Some(opened) = within(give_up_after, opening.as_mut()).await {
                 return Some(opened);
             }
-            if self.permit_other_target(&sent.choice.target).await {
+            if self.permit_other_target(running).await {
                 return None;
             }
             give_up_after *= 2;
