--- a/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/refusal_limit.rs
@@ -24,6 +24,8 @@
     limit: Option<f64>,
     targets: usize,
     exchanges: bool,
+    /// Number of groups of VMs that hear only each other.
+    sides: usize,
 }
 
 impl Burst {
@@ -42,6 +44,7 @@
             limit,
             targets,
             exchanges: true,
+            sides: 1,
             fleets: (0..vms).map(start).collect(),
             running: Vec::new(),
             refused: BTreeMap::new(),
@@ -64,7 +67,10 @@
     }
 
     fn exchange(&mut self) {
-        exchange_snapshots(&mut self.fleets, self.now);
+        let size = self.fleets.len().div_ceil(self.sides);
+        for side in self.fleets.chunks_mut(size) {
+            exchange_snapshots(side, self.now);
+        }
     }
 
     /// Submits a number of requests per VM and second, for a time.
@@ -174,11 +180,7 @@
 /// Guards against slots that each VM takes for itself once it has not heard of the others for long.
 #[test]
 fn burst_stays_below_the_refusal_limit_while_vms_hear_nothing_for_long() {
-    let mut burst = Burst::new(7, 3, Some(5.0));
-    let names: Vec<VmId> = burst.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
-    for (fleet, own) in burst.fleets.iter_mut().zip(&names) {
-        fleet.set_registered_vms(names.iter().filter(|name| *name != own));
-    }
+    let mut burst = registered_burst();
     burst.run(SECOND, 30.0);
     burst.exchanges = false;
     burst.run(SECOND * 12, 30.0);
@@ -186,6 +188,27 @@
     assert!(burst.most_refused() <= 5, "{}", burst.most_refused());
 }
 
+/// Guards against sides of a partition that each use all slots.
+#[test]
+fn burst_stays_below_the_refusal_limit_on_both_sides_of_a_partition() {
+    let mut burst = registered_burst();
+    burst.run(SECOND, 30.0);
+    burst.sides = 2;
+    burst.run(SECOND * 12, 30.0);
+    burst.run(SECOND * 2, 150.0);
+    assert!(burst.most_refused() <= 5, "{}", burst.most_refused());
+}
+
+/// Returns VMs that know the list of VMs.
+fn registered_burst() -> Burst {
+    let mut burst = Burst::new(7, 3, Some(5.0));
+    let names: Vec<VmId> = burst.fleets.iter().map(|fleet| fleet.vm.clone()).collect();
+    for (fleet, own) in burst.fleets.iter_mut().zip(&names) {
+        fleet.set_registered_vms(names.iter().filter(|name| *name != own));
+    }
+    burst
+}
+
 #[test]
 fn every_vm_places_requests_on_targets_with_a_refusal_limit() {
     let mut burst = Burst::new(16, 1, Some(5.0));
