--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,43 @@
+//! Stand-ins and scripts of the review's cases; `review-cases N FOLDER` plays case N.
+
+mod gateway;
+mod http;
+mod record;
+mod runner;
+mod store;
+mod uploads;
+mod watch;
+
+use record::Record;
+use std::process::exit;
+
+/// How a case ended.
+pub enum Outcome {
+    Held,
+    Broken,
+    NotRun,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-cases CASE FOLDER");
+        exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let record = std::sync::Arc::new(Record::create(&format!("{folder}/record.txt")));
+    record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
+    let outcome = match case.as_str() {
+        "uploads" => uploads::play(&record, trouble),
+        "watch" => watch::play(&record, trouble),
+        _ => Outcome::NotRun,
+    };
+    let (text, code) = match outcome {
+        Outcome::Held => ("the rule held", 0),
+        Outcome::Broken => ("the rule was broken", 1),
+        Outcome::NotRun => ("the case could not run", 2),
+    };
+    record.line(text);
+    println!("{case}: {text}");
+    exit(code);
+}
