--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,9 +1,13 @@
 //! Stand-ins and scripts of the review's cases; `review-cases N FOLDER` plays case N.
 
 mod gateway;
+mod engine;
 mod http;
+mod link;
+mod moved;
 mod record;
 mod runner;
+mod spoiled;
 mod store;
 mod uploads;
 mod watch;
@@ -29,6 +33,8 @@
     record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let outcome = match case.as_str() {
         "uploads" => uploads::play(&record, trouble),
+        "moved" => moved::play(&record, trouble),
+        "spoiled" => spoiled::play(&record, trouble),
         "watch" => watch::play(&record, trouble),
         _ => Outcome::NotRun,
     };
