--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$folder/../.." || exit 2
 program=review/standin/target/release/review-cases
 [ -x "$program" ] && [ -x target/release/almondcroft-platform ] || exit 2
-exec "$program" watch "$folder"
+exec "$program" spoiled "$folder"
--- /dev/null
+++ b/review/standin/src/spoiled.rs
@@ -0,0 +1,68 @@
+//! A stream is spoiled, and goes on at the engine with its backup while the engine before still works on it.
+
+use crate::Outcome;
+use crate::engine::{Engine, Manner, Work};
+use crate::gateway::{Gateway, Options};
+use crate::moved::{BOUNDS, CONFIG, read_stream};
+use crate::record::Record;
+use crate::store::Store;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Time for which two engines may work on a request at once (RULES.md).
+const PERMITTED: Duration = Duration::from_millis(400);
+
+pub fn play(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let store = Store::new(20);
+    let manner = Manner {
+        chunked: true,
+        spoils_after: trouble.then_some(60),
+        loses_answers: trouble,
+    };
+    let engines = ["i-one", "i-two"].map(|id| Engine::start(id, manner, record));
+    for engine in &engines {
+        store.put("servers", &engine.id, &engine.entry("menu-writer", engine.address, "ready"));
+    }
+    store.put("config", "main", CONFIG);
+    let link = store.link();
+    let gateway = Gateway::start(&Options {
+        name: "front-1",
+        store: link.address,
+        memory_mb: 110,
+        bounds: BOUNDS,
+        log: std::env::var("GATEWAY_LOG").ok().map(Into::into),
+    });
+    if !gateway.wait_ready(Duration::from_secs(10)) {
+        record.line("the gateway does not become ready");
+        return Outcome::NotRun;
+    }
+    let Some(_) = read_stream(gateway.listen, "menu-00", record) else {
+        return Outcome::NotRun;
+    };
+    thread::sleep(Duration::from_secs(1));
+    let mut work: Vec<Work> = Vec::new();
+    for engine in &engines {
+        work.extend(engine.work.lock().unwrap().clone());
+    }
+    work.sort_by_key(|work| work.from);
+    for work in &work {
+        record.line(&format!(
+            "engine {} worked on {} from {:.3} s to {:.3} s",
+            work.engine,
+            work.request,
+            work.from.as_secs_f64(),
+            work.until.as_secs_f64()
+        ));
+    }
+    let mut pairs = work.windows(2).map(|pair| (&pair[0], &pair[1]));
+    let overlap = pairs.any(|(before, next)| {
+        let end = before.until.min(next.until);
+        before.engine != next.engine && end.saturating_sub(next.from) > PERMITTED
+    });
+    match work.len() {
+        0 => Outcome::NotRun,
+        _ if overlap => Outcome::Broken,
+        _ => Outcome::Held,
+    }
+}
