--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Pieces of a whole stream.
 pub const PIECES: u64 = 300;
@@ -130,6 +130,7 @@
 
     /// Streams the pieces after `Last-Event-Id`; the answer has no length and ends with its connection.
     fn stream(&self, request: &Message, peer: &mut Peer) {
+        let arrived = Instant::now();
         let id = request.header("x-almondcroft-request-id").unwrap_or_default().to_owned();
         let expected = request.header("x-almondcroft-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
@@ -163,11 +164,20 @@
         );
         let mut send = |bytes: &[u8]| if is_lost { Ok(()) } else { peer.send(bytes) };
         let from = self.record.elapsed();
+        let allowed = request.header("x-almondcroft-deadline-ms").and_then(|text| text.parse().ok());
+        let allowed = Duration::from_millis(allowed.unwrap_or(60_000));
+        let mut is_late = false;
         let mut sent = send(head.as_bytes());
         let socket = peer.socket.try_clone().expect("socket");
         let _ = socket.set_read_timeout(Some(Duration::from_millis(1)));
         for number in after + 1..=PIECES {
-            thread::sleep(PIECE_TIME);
+            let left = (arrived + allowed).saturating_duration_since(Instant::now());
+            thread::sleep(PIECE_TIME.min(left));
+            if left <= PIECE_TIME {
+                // An engine stops work at the deadline that it was given.
+                is_late = true;
+                break;
+            }
             // An engine drops a request when its connection closes.
             if sent.is_ok() && matches!(socket.peek(&mut [0]), Ok(0)) {
                 sent = Err(std::io::ErrorKind::BrokenPipe.into());
@@ -203,7 +213,7 @@
             (run.made, run.stopped)
         };
         self.runs.lock().unwrap().remove(&id);
-        let end = if stopped { "stopped" } else if sent.is_err() { "left" } else { "whole" };
+        let end = if stopped { "stopped" } else if is_late { "at the deadline" } else if sent.is_err() { "left" } else { "whole" };
         self.record.line(&format!("engine {} closes the stream of {id} after piece {made}: {end}", self.id));
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod http;
 mod link;
+mod late;
 mod moved;
 mod record;
 mod runner;
@@ -35,6 +36,7 @@
         "uploads" => uploads::play(&record, trouble),
         "moved" => moved::play(&record, trouble),
         "spoiled" => spoiled::play(&record, trouble),
+        "late" => late::play(&record, trouble),
         "watch" => watch::play(&record, trouble),
         _ => Outcome::NotRun,
     };
