--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -107,38 +107,61 @@
 
     fn copy(&self, request: &Message, peer: &mut Peer) -> bool {
         let body = String::from_utf8_lossy(&request.body).into_owned();
-        let id = body.split("\"id\":\"").nth(1).and_then(|rest| rest.split('"').next());
+        let id = body
+            .split("\"id\":\"")
+            .nth(1)
+            .and_then(|rest| rest.split('"').next());
         let id = id.unwrap_or_default().to_owned();
         let last = body.contains("\"last\":true");
         let run = self.runs.lock().unwrap().get(&id).cloned();
         let Some(run) = run else {
-            self.record.line(&format!("engine {} knows no run {id}", self.id));
-            return peer.send(&encode("HTTP/1.1 404 Not Found", &[], b"{}")).is_ok();
+            self.record
+                .line(&format!("engine {} knows no run {id}", self.id));
+            return peer
+                .send(&encode("HTTP/1.1 404 Not Found", &[], b"{}"))
+                .is_ok();
         };
         let made = {
             let mut run = run.lock().unwrap();
             run.stopped |= last;
             run.made
         };
-        let what = if last { "stops, and copies the rest of" } else { "copies" };
-        self.record.line(&format!("engine {} {what} {id} after piece {made}", self.id));
+        let what = if last {
+            "stops, and copies the rest of"
+        } else {
+            "copies"
+        };
+        self.record.line(&format!(
+            "engine {} {what} {id} after piece {made}",
+            self.id
+        ));
         thread::sleep(COPY_TIME);
         let body = format!("{{\"handle\":\"h-{id}\",\"create_revision\":{made}}}");
-        peer.send(&encode("HTTP/1.1 200 OK", &[("Content-Type", "application/json")], body.as_bytes()))
-            .is_ok()
+        peer.send(&encode(
+            "HTTP/1.1 200 OK",
+            &[("Content-Type", "application/json")],
+            body.as_bytes(),
+        ))
+        .is_ok()
     }
 
     /// Streams the pieces after `Last-Event-Id`; the answer has no length and ends with its connection.
     fn stream(&self, request: &Message, peer: &mut Peer) {
         let arrived = Instant::now();
-        let id = request.header("x-almondcroft-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .header("x-almondcroft-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let expected = request.header("x-almondcroft-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             let headers = [("X-Almondcroft-Instance-Id", self.id.as_str())];
             let _ = peer.send(&encode("HTTP/1.1 421 Misdirected Request", &headers, b""));
             return;
         }
-        let after = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         self.record.line(&format!(
             "engine {} runs {id} after piece {after}, from {}",
             self.id,
@@ -148,7 +171,10 @@
             made: after,
             stopped: false,
         }));
-        self.runs.lock().unwrap().insert(id.clone(), Arc::clone(&run));
+        self.runs
+            .lock()
+            .unwrap()
+            .insert(id.clone(), Arc::clone(&run));
         let goes_on = request.header("kv-from").is_some();
         let is_lost = self.manner.loses_answers && goes_on;
         let spoils_after = self.manner.spoils_after.filter(|_| !goes_on);
@@ -164,7 +190,9 @@
         );
         let mut send = |bytes: &[u8]| if is_lost { Ok(()) } else { peer.send(bytes) };
         let from = self.record.elapsed();
-        let allowed = request.header("x-almondcroft-deadline-ms").and_then(|text| text.parse().ok());
+        let allowed = request
+            .header("x-almondcroft-deadline-ms")
+            .and_then(|text| text.parse().ok());
         let allowed = Duration::from_millis(allowed.unwrap_or(60_000));
         let mut is_late = false;
         let mut sent = send(head.as_bytes());
@@ -195,7 +223,10 @@
             let mut send = |bytes: &[u8]| if is_lost { Ok(()) } else { peer.send(bytes) };
             sent = send(bytes.as_bytes());
             if spoils_after == Some(number) {
-                self.record.line(&format!("engine {} sends bytes that are no chunk, and works on {id}", self.id));
+                self.record.line(&format!(
+                    "engine {} sends bytes that are no chunk, and works on {id}",
+                    self.id
+                ));
                 sent = send(b"spoiled\r\n");
             }
             if number == PIECES && self.manner.chunked {
@@ -213,7 +244,18 @@
             (run.made, run.stopped)
         };
         self.runs.lock().unwrap().remove(&id);
-        let end = if stopped { "stopped" } else if is_late { "at the deadline" } else if sent.is_err() { "left" } else { "whole" };
-        self.record.line(&format!("engine {} closes the stream of {id} after piece {made}: {end}", self.id));
+        let end = if stopped {
+            "stopped"
+        } else if is_late {
+            "at the deadline"
+        } else if sent.is_err() {
+            "left"
+        } else {
+            "whole"
+        };
+        self.record.line(&format!(
+            "engine {} closes the stream of {id} after piece {made}: {end}",
+            self.id
+        ));
     }
 }
--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -14,6 +14,7 @@
 pub struct Gateway {
     pub listen: SocketAddr,
     pub ready: SocketAddr,
+    pub ports: [u16; 4],
     pub pid: u32,
     child: Mutex<Child>,
     settings: PathBuf,
@@ -26,6 +27,8 @@
     /// The field "bounds" of the settings.
     pub bounds: &'a str,
     pub log: Option<PathBuf>,
+    /// Ports of a process that this one follows; else free ones.
+    pub ports: Option<[u16; 4]>,
 }
 
 /// Returns a free port for TCP and UDP.
@@ -42,14 +45,20 @@
 impl Gateway {
     pub fn start(options: &Options) -> Self {
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        let (listen, ready) = (address(free_port()), address(free_port()));
-        let (peers, metrics) = (address(free_port()), address(free_port()));
+        let ports = options
+            .ports
+            .unwrap_or_else(|| [(); 4].map(|()| free_port()));
+        let [listen, ready, peers, metrics] = ports.map(address);
         let settings = format!(
             "{{\"vm\":\"{}\",\"zone\":\"z-a\",\"region\":\"z\",\"zones\":{{\"z-a\":\"z\"}},\
              \"listen\":\"{listen}\",\"ready\":\"{ready}\",\"peers\":\"{peers}\",\
-             \"metrics\":\"{metrics}\",\"store\":\"{}\",\"bootstrap\":true,\"memory_mb\":{},\
+             \"metrics\":\"{metrics}\",\"store\":\"{}\",\"bootstrap\":{},\"memory_mb\":{},\
              \"bounds\":{}}}",
-            options.name, options.store, options.memory_mb, options.bounds
+            options.name,
+            options.store,
+            options.ports.is_none(),
+            options.memory_mb,
+            options.bounds
         );
         let file = format!("review-{}-{}.json", std::process::id(), options.name);
         let path = std::env::temp_dir().join(file);
@@ -71,6 +80,7 @@
         Self {
             listen,
             ready,
+            ports,
             pid: child.id(),
             child: Mutex::new(child),
             settings: path,
@@ -94,17 +104,13 @@
             let socket = TcpStream::connect(self.ready).ok()?;
             socket.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
             let mut peer = Peer::new(socket);
-            peer.send(&encode("GET /readyz HTTP/1.1", &[("Host", "x")], b"")).ok()?;
+            peer.send(&encode("GET /readyz HTTP/1.1", &[("Host", "x")], b""))
+                .ok()?;
             Some(peer.message().ok()??.status())
         };
         ask() == Some(200)
     }
 
-    pub fn signal(&self, name: &str) {
-        let id = self.pid.to_string();
-        let _ = Command::new("kill").args([name, &id]).status();
-    }
-
     pub fn kill(&self) {
         let mut child = self.child.lock().unwrap();
         let _ = child.kill();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,11 +1,11 @@
 //! Stand-ins and scripts of the review's cases; `review-cases N FOLDER` plays case N.
 
-mod gateway;
 mod engine;
+mod gateway;
 mod http;
 mod link;
-mod late;
 mod moved;
+mod poison;
 mod record;
 mod runner;
 mod spoiled;
@@ -31,12 +31,15 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let record = std::sync::Arc::new(Record::create(&format!("{folder}/record.txt")));
-    record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
+    record.line(&format!(
+        "case {case}, disruption {}",
+        if trouble { "on" } else { "off" }
+    ));
     let outcome = match case.as_str() {
         "uploads" => uploads::play(&record, trouble),
         "moved" => moved::play(&record, trouble),
         "spoiled" => spoiled::play(&record, trouble),
-        "late" => late::play(&record, trouble),
+        "poison" => poison::play(&record, trouble),
         "watch" => watch::play(&record, trouble),
         _ => Outcome::NotRun,
     };
--- a/review/standin/src/moved.rs
+++ b/review/standin/src/moved.rs
@@ -49,7 +49,11 @@
     let reset = trouble.then(|| link::Reset::new(is_last_copy, RESET_AFTER));
     let to_old = link::start(engines[0].address, reset, record);
     let to_new = link::start(engines[1].address, None, record);
-    store.put("servers", "i-old", &engines[0].entry("menu-writer", to_old, "ready"));
+    store.put(
+        "servers",
+        "i-old",
+        &engines[0].entry("menu-writer", to_old, "ready"),
+    );
     store.put("config", "main", CONFIG);
     let links: Vec<_> = (0..3).map(|_| store.link()).collect();
     let gateways: Vec<Gateway> = (0..3)
@@ -59,11 +63,17 @@
                 store: links[index].address,
                 memory_mb: 110,
                 bounds: BOUNDS,
-                log: std::env::var("GATEWAY_LOG").ok().map(|log| format!("{log}-{index}").into()),
+                log: std::env::var("GATEWAY_LOG")
+                    .ok()
+                    .map(|log| format!("{log}-{index}").into()),
+                ports: None,
             })
         })
         .collect();
-    if !gateways.iter().all(|gateway| gateway.wait_ready(Duration::from_secs(10))) {
+    if !gateways
+        .iter()
+        .all(|gateway| gateway.wait_ready(Duration::from_secs(10)))
+    {
         record.line("the gateways do not become ready");
         return Outcome::NotRun;
     }
@@ -75,10 +85,18 @@
         .collect();
     // `release`: the new engine starts first, then the old one drains.
     thread::sleep(Duration::from_millis(2_500));
-    store.put("servers", "i-new", &engines[1].entry("menu-writer", to_new, "ready"));
+    store.put(
+        "servers",
+        "i-new",
+        &engines[1].entry("menu-writer", to_new, "ready"),
+    );
     record.line("engine i-new is ready");
     thread::sleep(Duration::from_millis(1_000));
-    store.put("servers", "i-old", &engines[0].entry("menu-writer", to_old, "draining"));
+    store.put(
+        "servers",
+        "i-old",
+        &engines[0].entry("menu-writer", to_old, "draining"),
+    );
     record.line("engine i-old drains");
     let (mut whole, mut cut, mut false_ends) = (0, 0, 0);
     for client in clients {
@@ -97,12 +115,18 @@
     record.line(&format!(
         "{STREAMS} streams: {whole} whole, {cut} broken off, {false_ends} ended as complete without their last pieces"
     ));
-    if false_ends > 0 { Outcome::Broken } else { Outcome::Held }
+    if false_ends > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 pub fn read_stream(listen: SocketAddr, id: &str, record: &Record) -> Option<Got> {
     let socket = TcpStream::connect(listen).ok()?;
-    socket.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
+    socket
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .ok()?;
     let mut peer = Peer::new(socket);
     let headers = [
         ("Host", "menus.example"),
@@ -114,7 +138,8 @@
         ("X-Almondcroft-Credential", "key-1"),
     ];
     record.line(&format!("client sends {id}"));
-    peer.send(&encode("POST /menus/week HTTP/1.1", &headers, b"")).ok()?;
+    peer.send(&encode("POST /menus/week HTTP/1.1", &headers, b""))
+        .ok()?;
     let head = peer.head().ok()??;
     let mut got = Got {
         pieces: Vec::new(),
@@ -141,7 +166,11 @@
         "client got {} pieces of {id}, the last is {:?}; the answer {}",
         got.pieces.len(),
         got.pieces.last(),
-        if got.complete { "ends as complete" } else { "is broken off" }
+        if got.complete {
+            "ends as complete"
+        } else {
+            "is broken off"
+        }
     ));
     Some(got)
 }
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -63,14 +63,17 @@
     }
 
     fn answer(&self, request: &Message) -> Vec<u8> {
-        let id = request.header("x-almondcroft-request-id").unwrap_or_default();
+        let id = request
+            .header("x-almondcroft-request-id")
+            .unwrap_or_default();
         let expected = request.header("x-almondcroft-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             let headers = [("X-Almondcroft-Instance-Id", self.id.as_str())];
             return encode("HTTP/1.1 421 Misdirected Request", &headers, b"");
         }
         *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
-        self.record.line(&format!("runner {} runs {id} {}", self.id, request.line));
+        self.record
+            .line(&format!("runner {} runs {id} {}", self.id, request.line));
         thread::sleep(self.work);
         let stamp = format!("stamp-{}-{id}", self.id);
         let headers = [
@@ -78,6 +81,10 @@
             ("X-Almondcroft-Response-Stamp", stamp.as_str()),
             ("X-Almondcroft-Instance-Id", self.id.as_str()),
         ];
-        encode("HTTP/1.1 200 OK", &headers, format!("ran at {}", self.id).as_bytes())
+        encode(
+            "HTTP/1.1 200 OK",
+            &headers,
+            format!("ran at {}", self.id).as_bytes(),
+        )
     }
 }
--- a/review/standin/src/spoiled.rs
+++ b/review/standin/src/spoiled.rs
@@ -22,7 +22,11 @@
     };
     let engines = ["i-one", "i-two"].map(|id| Engine::start(id, manner, record));
     for engine in &engines {
-        store.put("servers", &engine.id, &engine.entry("menu-writer", engine.address, "ready"));
+        store.put(
+            "servers",
+            &engine.id,
+            &engine.entry("menu-writer", engine.address, "ready"),
+        );
     }
     store.put("config", "main", CONFIG);
     let link = store.link();
@@ -32,6 +36,7 @@
         memory_mb: 110,
         bounds: BOUNDS,
         log: std::env::var("GATEWAY_LOG").ok().map(Into::into),
+        ports: None,
     });
     if !gateway.wait_ready(Duration::from_secs(10)) {
         record.line("the gateway does not become ready");
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -129,7 +129,10 @@
                         let (status, body) = store.answer(&request, &flag);
                         let line = format!("HTTP/1.1 {status} Status");
                         let headers = [("Content-Type", "application/json")];
-                        if peer.send(&encode(&line, &headers, body.as_bytes())).is_err() {
+                        if peer
+                            .send(&encode(&line, &headers, body.as_bytes()))
+                            .is_err()
+                        {
                             return;
                         }
                     }
@@ -143,13 +146,18 @@
         if rejects.load(Ordering::SeqCst) {
             return (503, "{}".into());
         }
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
         let mut parts = path.trim_start_matches("/api/objects/").splitn(2, '/');
         let kind = parts.next().unwrap_or_default().to_owned();
         let name = parts.next().map(str::to_owned);
         let parameter = |key: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| *name == key).map(|(_, value)| value.to_owned())
+            pairs
+                .find(|(name, _)| *name == key)
+                .map(|(_, value)| value.to_owned())
         };
         let number = |key: &str| parameter(key).and_then(|text| text.parse::<u64>().ok());
         let body = String::from_utf8_lossy(&request.body).into_owned();
@@ -175,7 +183,10 @@
                 self.put(&kind, &name, &member(&body, "spec").unwrap_or("{}".into()));
                 (200, "{}".into())
             }
-            ("DELETE", Some(name)) => (if self.remove(&kind, &name) { 200 } else { 404 }, "{}".into()),
+            ("DELETE", Some(name)) => (
+                if self.remove(&kind, &name) { 200 } else { 404 },
+                "{}".into(),
+            ),
             _ => (404, "{}".into()),
         }
     }
@@ -206,7 +217,10 @@
             let new = contents.changes.iter();
             let new = new.filter(|change| change.kind == kind && change.revision > since);
             let event = |change: &Change| {
-                format!("{{\"removed\":{},\"object\":{}}}", change.removed, change.text)
+                format!(
+                    "{{\"removed\":{},\"object\":{}}}",
+                    change.removed, change.text
+                )
             };
             let events: Vec<String> = new.map(event).collect();
             let now = Instant::now();
@@ -233,7 +247,10 @@
     }
 
     fn forget(&mut self, history: Duration) {
-        let old = self.changes.iter().take_while(|change| change.at.elapsed() > history);
+        let old = self
+            .changes
+            .iter()
+            .take_while(|change| change.at.elapsed() > history);
         let count = old.count();
         if count > 0 {
             self.floor = self.changes[count - 1].revision;
--- a/review/standin/src/uploads.rs
+++ b/review/standin/src/uploads.rs
@@ -7,8 +7,8 @@
 use crate::runner::Runner;
 use crate::store::Store;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -70,6 +70,7 @@
         memory_mb: MEMORY_MB,
         bounds: BOUNDS,
         log: None,
+        ports: None,
     });
     if !gateway.wait_ready(Duration::from_secs(10)) {
         record.line("the gateway does not become ready");
@@ -84,7 +85,8 @@
     });
     let kept: Vec<_> = (0..KEPT)
         .map(|_| {
-            let (counts, record, runners) = (Arc::clone(&counts), Arc::clone(record), runners.clone());
+            let (counts, record, runners) =
+                (Arc::clone(&counts), Arc::clone(record), runners.clone());
             let listen = gateway.listen;
             thread::spawn(move || keep_sending(listen, &counts, &record, &runners))
         })
@@ -116,7 +118,9 @@
         let resident = gateway.resident_kb();
         peak = peak.max(resident);
         if resident > u64::from(MEMORY_MB) * 1024 {
-            record.line(&format!("the platform kills the gateway: {resident} kB resident, {MEMORY_MB} MB allowed"));
+            record.line(&format!(
+                "the platform kills the gateway: {resident} kB resident, {MEMORY_MB} MB allowed"
+            ));
             gateway.kill();
             killed = true;
         }
@@ -128,7 +132,10 @@
         let _ = client.join();
     }
     let ended = gateway.has_ended();
-    let (answered, lost) = (counts.answered.load(Ordering::SeqCst), counts.lost.load(Ordering::SeqCst));
+    let (answered, lost) = (
+        counts.answered.load(Ordering::SeqCst),
+        counts.lost.load(Ordering::SeqCst),
+    );
     record.line(&format!(
         "peak {peak} kB; killed for its memory: {killed}; ended: {ended}; uploads answered: {}; kept connections: \
          {answered} requests answered, {lost} passed on to a runner and closed without an answer",
@@ -137,7 +144,11 @@
     if answered == 0 {
         return Outcome::NotRun;
     }
-    if killed && lost > PERMITTED { Outcome::Broken } else { Outcome::Held }
+    if killed && lost > PERMITTED {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 fn head(id: &str) -> String {
@@ -169,8 +180,12 @@
             end => {
                 let has_run = runners.iter().any(|runner| runner.has_run(&id));
                 counts.lost.fetch_add(u32::from(has_run), Ordering::SeqCst);
-                let end = end.err().map_or("closed".to_owned(), |error| error.to_string());
-                record.line(&format!("client got no answer for {id} ({end}); it has run: {has_run}"));
+                let end = end
+                    .err()
+                    .map_or("closed".to_owned(), |error| error.to_string());
+                record.line(&format!(
+                    "client got no answer for {id} ({end}); it has run: {has_run}"
+                ));
                 return;
             }
         }
@@ -187,7 +202,10 @@
     let _ = socket.set_read_timeout(Some(Duration::from_secs(5)));
     let _ = socket.set_write_timeout(Some(Duration::from_secs(5)));
     let mut peer = Peer::new(socket);
-    record.line(&format!("client starts {id}: {} bytes in chunks", CHUNK * CHUNKS));
+    record.line(&format!(
+        "client starts {id}: {} bytes in chunks",
+        CHUNK * CHUNKS
+    ));
     let mut sent = peer.send(format!("{}Transfer-Encoding: chunked\r\n\r\n", head(&id)).as_bytes());
     let mut chunk = format!("{CHUNK:x}\r\n").into_bytes();
     chunk.extend(std::iter::repeat_n(b'a', CHUNK));
@@ -204,7 +222,10 @@
     match peer.message() {
         Ok(Some(answer)) => {
             counts.uploads.fetch_add(1, Ordering::SeqCst);
-            record.line(&format!("client got {} for {id} after {took} ms", answer.status()));
+            record.line(&format!(
+                "client got {} for {id} after {took} ms",
+                answer.status()
+            ));
         }
         _ => record.line(&format!("client got no answer for {id} after {took} ms")),
     }
--- a/review/standin/src/watch.rs
+++ b/review/standin/src/watch.rs
@@ -80,7 +80,8 @@
     if key {
         headers.push(("X-Almondcroft-Credential", "key-1"));
     }
-    peer.send(&encode(&format!("GET {path} HTTP/1.1"), &headers, b"")).ok()?;
+    peer.send(&encode(&format!("GET {path} HTTP/1.1"), &headers, b""))
+        .ok()?;
     let answer = peer.message().ok()??;
     let body = String::from_utf8_lossy(&answer.body).into_owned();
     Some((answer.status(), body))
@@ -103,10 +104,14 @@
                 memory_mb: 160,
                 bounds: BOUNDS,
                 log: None,
+                ports: None,
             })
         })
         .collect();
-    if !gateways.iter().all(|gateway| gateway.wait_ready(Duration::from_secs(15))) {
+    if !gateways
+        .iter()
+        .all(|gateway| gateway.wait_ready(Duration::from_secs(15)))
+    {
         record.line("the gateways do not become ready");
         return Outcome::NotRun;
     }
@@ -127,7 +132,11 @@
     let rejected_at = Instant::now();
     thread::sleep(Duration::from_secs(1));
     for number in 1..=STORM {
-        let service = if number == STORM { "terms-app" } else { "chairbook-app" };
+        let service = if number == STORM {
+            "terms-app"
+        } else {
+            "chairbook-app"
+        };
         write(10 + 3 * number, service);
         thread::sleep(STORM_GAP);
     }
@@ -149,7 +158,10 @@
             let answer = ask(gateway.listen, &id, "/terms/today", false);
             let (is_old, is_new) = (old.has_run(&id), new.has_run(&id));
             let (status, body) = answer.unwrap_or((0, "no answer".into()));
-            record.line(&format!("client asks front-{} for {id} /terms/today: {status} {body}", index + 1));
+            record.line(&format!(
+                "client asks front-{} for {id} /terms/today: {status} {body}",
+                index + 1
+            ));
             counts[index].0 += u32::from(is_old);
             counts[index].1 += u32::from(is_new);
             let id = format!("keyed-{number:04}");
@@ -173,8 +185,10 @@
         let id = format!("later-{}", waited.as_millis());
         let _ = ask(gateways[0].listen, &id, "/terms/today", false);
         if new.has_run(&id) {
-            record.line(&format!("front-1 uses the last version {:.1} s after the store has served it again",
-                served_at.elapsed().as_secs_f64()));
+            record.line(&format!(
+                "front-1 uses the last version {:.1} s after the store has served it again",
+                served_at.elapsed().as_secs_f64()
+            ));
             break;
         }
         thread::sleep(Duration::from_millis(200));
