--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and scripts of the review's cases; `review-cases N FOLDER` plays case N.
+//! Stand-ins and scripts of the review's cases; `review-cases CASE RECORD` plays a case.
 
 mod engine;
 mod gateway;
@@ -25,12 +25,12 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-cases CASE FOLDER");
+    let [_, case, path] = arguments.as_slice() else {
+        eprintln!("usage: review-cases CASE RECORD");
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-    let record = std::sync::Arc::new(Record::create(&format!("{folder}/record.txt")));
+    let record = std::sync::Arc::new(Record::create(path));
     record.line(&format!(
         "case {case}, disruption {}",
         if trouble { "on" } else { "off" }
