--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -4,12 +4,20 @@
 use crate::record::Record;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Pieces of a whole stream.
+/// Pieces of a whole long stream, and of a short one.
 pub const PIECES: u64 = 300;
+pub const SHORT_PIECES: u64 = 3;
+
+/// Maximum output of a short stream, in tokens.
+const SHORT_OUTPUT: u64 = 12;
+
+/// Answers that an engine gives for one that it spoils or loses; at most x = 0.02 of them are spoiled.
+pub const ANSWERS_BEFORE: u32 = 50;
 
 /// Time between two pieces.
 const PIECE_TIME: Duration = Duration::from_millis(28);
@@ -48,6 +56,10 @@
     pub id: String,
     pub address: SocketAddr,
     pub work: Mutex<Vec<Work>>,
+    /// Where the backup of each request that runs is kept.
+    pub backups: Mutex<HashMap<String, String>>,
+    /// Number of answers that were given in whole.
+    pub answered: AtomicU32,
     manner: Manner,
     runs: Mutex<HashMap<String, Arc<Mutex<Run>>>>,
     record: Arc<Record>,
@@ -60,6 +72,8 @@
             id: id.to_owned(),
             address: listener.local_addr().expect("engine"),
             work: Mutex::default(),
+            backups: Mutex::default(),
+            answered: AtomicU32::new(0),
             manner,
             runs: Mutex::default(),
             record: Arc::clone(record),
@@ -175,9 +189,20 @@
             .lock()
             .unwrap()
             .insert(id.clone(), Arc::clone(&run));
+        let counts = request
+            .header("x-almondcroft-token-counts")
+            .unwrap_or_default();
+        let output = counts.split(',').nth(1).and_then(|text| text.parse().ok());
+        let is_short = output.unwrap_or(0) <= SHORT_OUTPUT;
+        let pieces = if is_short { SHORT_PIECES } else { PIECES };
+        if let Some(backup) = request.header("x-almondcroft-kv-backup") {
+            let mut backups = self.backups.lock().unwrap();
+            backups.insert(id.clone(), backup.to_owned());
+        }
         let goes_on = request.header("kv-from").is_some();
-        let is_lost = self.manner.loses_answers && goes_on;
-        let spoils_after = self.manner.spoils_after.filter(|_| !goes_on);
+        let is_due = self.answered.load(Ordering::SeqCst) >= ANSWERS_BEFORE && !is_short;
+        let is_lost = self.manner.loses_answers && goes_on && is_due;
+        let spoils_after = self.manner.spoils_after.filter(|_| !goes_on && is_due);
         let framing = if self.manner.chunked {
             "Transfer-Encoding: chunked"
         } else {
@@ -198,7 +223,7 @@
         let mut sent = send(head.as_bytes());
         let socket = peer.socket.try_clone().expect("socket");
         let _ = socket.set_read_timeout(Some(Duration::from_millis(1)));
-        for number in after + 1..=PIECES {
+        for number in after + 1..=pieces {
             let left = (arrived + allowed).saturating_duration_since(Instant::now());
             thread::sleep(PIECE_TIME.min(left));
             if left <= PIECE_TIME {
@@ -229,10 +254,14 @@
                 ));
                 sent = send(b"spoiled\r\n");
             }
-            if number == PIECES && self.manner.chunked {
+            if number == pieces && self.manner.chunked {
                 sent = send(b"0\r\n\r\n");
             }
         }
+        self.backups.lock().unwrap().remove(&id);
+        if run.lock().unwrap().made == pieces && sent.is_ok() {
+            self.answered.fetch_add(1, Ordering::SeqCst);
+        }
         self.work.lock().unwrap().push(Work {
             engine: self.id.clone(),
             request: id.clone(),
--- a/review/standin/src/link.rs
+++ b/review/standin/src/link.rs
@@ -39,14 +39,14 @@
 }
 
 /// Starts a link to an address.
-pub fn start(to: SocketAddr, reset: Option<Reset>, record: &Arc<Record>) -> SocketAddr {
+pub fn start(to: SocketAddr, reset: Option<Arc<Reset>>, record: &Arc<Record>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("link");
     let address = listener.local_addr().expect("link");
-    let (reset, record) = (Arc::new(reset), Arc::clone(record));
+    let record = Arc::clone(record);
     thread::spawn(move || {
         for socket in listener.incoming().flatten() {
-            let (reset, record) = (Arc::clone(&reset), Arc::clone(&record));
-            thread::spawn(move || carry(socket, to, reset.as_ref().as_ref(), &record));
+            let (reset, record) = (reset.clone(), Arc::clone(&record));
+            thread::spawn(move || carry(socket, to, reset.as_deref(), &record));
         }
     });
     address
--- a/review/standin/src/moved.rs
+++ b/review/standin/src/moved.rs
@@ -12,7 +12,16 @@
 use std::thread;
 use std::time::Duration;
 
-const STREAMS: usize = 6;
+const STREAMS: usize = 20;
+
+/// The machines: one of them is `share` 0.1.
+const MACHINES: usize = 10;
+
+/// The engines at the start: two of them are replaced, a share of 0.4.
+const ENGINES: usize = 5;
+
+/// Maximum output of a long stream, in tokens.
+pub const OUTPUT: u32 = 2_400;
 
 pub const BOUNDS: &str = "{\"revoke_ms\":5000,\"drain_ms\":2500,\"grace_s\":8,\"retry_ratio\":0.2,\
     \"retry_slack\":52,\"retry_window_s\":10}";
@@ -45,21 +54,29 @@
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Outcome {
     let store = Store::new(20);
-    let engines = ["i-old", "i-new"].map(|id| Engine::start(id, Manner::default(), record));
-    let reset = trouble.then(|| link::Reset::new(is_last_copy, RESET_AFTER));
-    let to_old = link::start(engines[0].address, reset, record);
-    let to_new = link::start(engines[1].address, None, record);
-    store.put(
-        "servers",
-        "i-old",
-        &engines[0].entry("menu-writer", to_old, "ready"),
-    );
+    let names = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"];
+    let engines = names.map(|id| Engine::start(id, Manner::default(), record));
+    let reset = trouble.then(|| Arc::new(link::Reset::new(is_last_copy, RESET_AFTER)));
+    let ways: Vec<SocketAddr> = engines
+        .iter()
+        .map(|engine| link::start(engine.address, reset.clone(), record))
+        .collect();
+    let write = |index: usize, state: &str| {
+        let engine = &engines[index];
+        store.put(
+            "servers",
+            &engine.id,
+            &engine.entry("menu-writer", ways[index], state),
+        );
+        record.line(&format!("engine {} is {state}", engine.id));
+    };
+    (0..ENGINES).for_each(|index| write(index, "ready"));
     store.put("config", "main", CONFIG);
-    let links: Vec<_> = (0..3).map(|_| store.link()).collect();
-    let gateways: Vec<Gateway> = (0..3)
+    let links: Vec<_> = (0..MACHINES).map(|_| store.link()).collect();
+    let gateways: Vec<Gateway> = (0..MACHINES)
         .map(|index| {
             Gateway::start(&Options {
-                name: ["front-1", "front-2", "front-3"][index],
+                name: &format!("front-{}", index + 1),
                 store: links[index].address,
                 memory_mb: 110,
                 bounds: BOUNDS,
@@ -80,24 +97,37 @@
     let clients: Vec<_> = (0..STREAMS)
         .map(|number| {
             let (listen, record) = (gateways[0].listen, Arc::clone(record));
-            thread::spawn(move || read_stream(listen, &format!("menu-{number:02}"), &record))
+            thread::sleep(Duration::from_millis(20));
+            thread::spawn(move || {
+                read_stream(listen, &format!("menu-{number:02}"), OUTPUT, &record)
+            })
         })
         .collect();
-    // `release`: the new engine starts first, then the old one drains.
-    thread::sleep(Duration::from_millis(2_500));
-    store.put(
-        "servers",
-        "i-new",
-        &engines[1].entry("menu-writer", to_new, "ready"),
-    );
-    record.line("engine i-new is ready");
-    thread::sleep(Duration::from_millis(1_000));
-    store.put(
-        "servers",
-        "i-old",
-        &engines[0].entry("menu-writer", to_old, "draining"),
-    );
-    record.line("engine i-old drains");
+    thread::sleep(Duration::from_millis(1_200));
+    // Which engines are replaced is the platform's choice: here the two that share most backups.
+    let shared = |first: usize, second: usize| {
+        let backups = engines[second].backups.lock().unwrap();
+        let holder = ways[first].to_string();
+        backups.values().filter(|backup| **backup == holder).count()
+    };
+    let pairs = (0..ENGINES).flat_map(|first| (0..ENGINES).map(move |second| (first, second)));
+    let pairs = pairs.filter(|(first, second)| first != second);
+    let Some((first, second)) = pairs.max_by_key(|(first, second)| shared(*first, *second)) else {
+        return Outcome::NotRun;
+    };
+    record.line(&format!(
+        "{} and {} are replaced; {} streams at the second have their backup at the first",
+        engines[first].id,
+        engines[second].id,
+        shared(first, second)
+    ));
+    // `release`: one at a time, the new engine starts first, then the old one drains.
+    for (old, new) in [(first, ENGINES), (second, ENGINES + 1)] {
+        write(new, "ready");
+        thread::sleep(Duration::from_millis(500));
+        write(old, "draining");
+        thread::sleep(Duration::from_millis(500));
+    }
     let (mut whole, mut cut, mut false_ends) = (0, 0, 0);
     for client in clients {
         let Ok(Some(got)) = client.join() else {
@@ -122,17 +152,18 @@
     }
 }
 
-pub fn read_stream(listen: SocketAddr, id: &str, record: &Record) -> Option<Got> {
+pub fn read_stream(listen: SocketAddr, id: &str, output: u32, record: &Record) -> Option<Got> {
     let socket = TcpStream::connect(listen).ok()?;
     socket
         .set_read_timeout(Some(Duration::from_secs(20)))
         .ok()?;
     let mut peer = Peer::new(socket);
+    let counts = format!("1460,{output}");
     let headers = [
         ("Host", "menus.example"),
         ("X-Almondcroft-Request-Id", id),
         ("X-Almondcroft-Model", "m"),
-        ("X-Almondcroft-Token-Counts", "1460,2400"),
+        ("X-Almondcroft-Token-Counts", counts.as_str()),
         ("X-Almondcroft-Prompt-Prefix", "5c1e07a2:800,91bd3f06:660"),
         ("X-Almondcroft-Deadline-Ms", "39000"),
         ("X-Almondcroft-Credential", "key-1"),
--- a/review/standin/src/spoiled.rs
+++ b/review/standin/src/spoiled.rs
@@ -1,18 +1,25 @@
 //! A stream is spoiled, and goes on at the engine with its backup while the engine before still works on it.
 
 use crate::Outcome;
-use crate::engine::{Engine, Manner, Work};
+use crate::engine::{ANSWERS_BEFORE, Engine, Manner, Work};
 use crate::gateway::{Gateway, Options};
-use crate::moved::{BOUNDS, CONFIG, read_stream};
+use crate::moved::{BOUNDS, CONFIG, OUTPUT, read_stream};
 use crate::record::Record;
 use crate::store::Store;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
 /// Time for which two engines may work on a request at once (RULES.md).
 const PERMITTED: Duration = Duration::from_millis(400);
 
+/// Maximum output of the short streams, in tokens.
+const SHORT_OUTPUT: u32 = 12;
+
+/// Time from the start by which the short streams must have come to an end.
+const SHORT_TIME: Duration = Duration::from_secs(60);
+
 pub fn play(record: &Arc<Record>, trouble: bool) -> Outcome {
     let store = Store::new(20);
     let manner = Manner {
@@ -20,7 +27,7 @@
         spoils_after: trouble.then_some(60),
         loses_answers: trouble,
     };
-    let engines = ["i-one", "i-two"].map(|id| Engine::start(id, manner, record));
+    let engines = ["i-one", "i-two", "i-three"].map(|id| Engine::start(id, manner, record));
     for engine in &engines {
         store.put(
             "servers",
@@ -42,7 +49,36 @@
         record.line("the gateway does not become ready");
         return Outcome::NotRun;
     }
-    let Some(_) = read_stream(gateway.listen, "menu-00", record) else {
+    // Short streams first: an engine spoils or loses one answer in fifty at most.
+    let count = AtomicU32::new(0);
+    let has_few = || {
+        let counts = engines
+            .iter()
+            .map(|engine| engine.answered.load(Ordering::SeqCst));
+        counts.min().unwrap_or(0) < ANSWERS_BEFORE
+    };
+    thread::scope(|scope| {
+        for _ in 0..12 {
+            scope.spawn(|| {
+                while has_few() && record.elapsed() < SHORT_TIME {
+                    let id = format!("diet-{:03}", count.fetch_add(1, Ordering::SeqCst));
+                    read_stream(gateway.listen, &id, SHORT_OUTPUT, record);
+                }
+            });
+        }
+    });
+    for engine in &engines {
+        let answered = engine.answered.load(Ordering::SeqCst);
+        record.line(&format!(
+            "engine {} has given {answered} whole answers",
+            engine.id
+        ));
+        engine.work.lock().unwrap().clear();
+    }
+    if has_few() {
+        return Outcome::NotRun;
+    }
+    let Some(_) = read_stream(gateway.listen, "menu-00", OUTPUT, record) else {
         return Outcome::NotRun;
     };
     thread::sleep(Duration::from_secs(1));
