--- a/review/standin/src/moved.rs
+++ b/review/standin/src/moved.rs
@@ -17,6 +17,9 @@
 /// The machines: one of them is `share` 0.1.
 const MACHINES: usize = 10;
 
+/// Time from the start of the machines to that of the traffic.
+const LEAD: Duration = Duration::from_secs(16);
+
 /// The engines at the start: two of them are replaced, a share of 0.4.
 const ENGINES: usize = 5;
 
@@ -94,6 +97,8 @@
         record.line("the gateways do not become ready");
         return Outcome::NotRun;
     }
+    // A fleet of this size shares out its budget of repeats within 14 s of its start.
+    thread::sleep(LEAD);
     let clients: Vec<_> = (0..STREAMS)
         .map(|number| {
             let (listen, record) = (gateways[0].listen, Arc::clone(record));
