--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -31,12 +32,16 @@
     pub ports: Option<[u16; 4]>,
 }
 
-/// Returns a free port for TCP and UDP.
-pub fn free_port() -> u16 {
+/// Returns a free port for TCP and UDP, below those that the system gives to outgoing connections.
+fn free_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("port");
-        let port = listener.local_addr().expect("port").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        let number = std::process::id()
+            .wrapping_mul(401)
+            .wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst));
+        let port = 10_000 + u16::try_from(number % 20_000).unwrap_or(0);
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if is_free && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
             return port;
         }
     }
