--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -1,6 +1,8 @@
 //! The gateway as a process of its own, started with the command of the deploy file.
 
 use crate::http::{Peer, encode};
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -47,6 +49,15 @@
     }
 }
 
+/// Notes a process for review/play.sh, which ends it if the case is interrupted.
+fn note_pid(pid: u32) {
+    let Ok(path) = std::env::var("REVIEW_PIDS") else {
+        return;
+    };
+    let file = OpenOptions::new().append(true).open(path);
+    let _ = file.and_then(|mut file| writeln!(file, "{pid}"));
+}
+
 impl Gateway {
     pub fn start(options: &Options) -> Self {
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
@@ -82,6 +93,7 @@
                 eprintln!("{PROGRAM} does not start: {error}");
                 std::process::exit(2);
             });
+        note_pid(child.id());
         Self {
             listen,
             ready,
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -29,6 +29,9 @@
         eprintln!("usage: review-cases CASE RECORD");
         exit(2);
     };
+    if std::env::var("REVIEW_PIDS").is_ok() {
+        std::thread::spawn(end_late);
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let record = std::sync::Arc::new(Record::create(path));
     record.line(&format!(
@@ -52,3 +55,12 @@
     println!("{case}: {text}");
     exit(code);
 }
+
+/// Has review/play.sh end a case that hangs, and what it has started.
+fn end_late() {
+    std::thread::sleep(std::time::Duration::from_secs(110));
+    let parent = std::os::unix::process::parent_id().to_string();
+    let _ = std::process::Command::new("kill")
+        .args(["-TERM", &parent])
+        .status();
+}
