fix(migration): an end after an unproven stop is not the end of a stream

Cause: the response to the call that stops a generation was lost. The migration then counted as over and the generation as running, so the close with which the engine ends a stopped stream passed for the end of the generation. The same held for a response with an unreadable handle, a 500, and a 503 without a handle; their copies were freed as well.

Fix: a migration ends with what is known of its source. Unless a response shows that the source was not stopped, the end of a stream without a length counts as broken off and the generation goes on from its copy; the call to stop is repeated, so that most cases become clear. This does not depend on why the response is missing.

--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -54,17 +54,50 @@
 /// Maximum size of a response to a copy call, in bytes.
 const MAX_RESPONSE_BODY: usize = 64 * 1024;
 
+/// Maximum number of calls to stop a generation; another one is sent if no response shows whether it has stopped.
+const MAX_STOP_CALLS: u32 = 3;
+
 /// The destination of a migrated generation, and the handle of the copy from which it resumes.
 ///
 /// One resumption has been taken from the retry budget.
 pub(crate) struct Migrated {
     pub(crate) target: Choice,
     pub(crate) handle: SmolStr,
-    /// Whether the source has stopped; unknown if the response to the last copy was lost.
-    pub(crate) has_stopped: bool,
     pub(crate) permit: Option<ExtraPermit>,
 }
 
+/// What is known of a generation at the source of its migration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SourceState {
+    /// It was not stopped: the source was not asked to, or stated that it did not.
+    Running,
+    /// It may have been stopped: the source was asked to, and no response shows whether it did.
+    Unknown,
+    /// The source has stopped it.
+    Stopped,
+}
+
+/// How a migration ended.
+pub(crate) struct MigrationEnd {
+    pub(crate) source: SourceState,
+    /// The copy to resume from if the source has stopped, or once its stream breaks off.
+    pub(crate) copy: Option<Migrated>,
+}
+
+impl MigrationEnd {
+    /// The generation goes on at its source, and there is no copy of it.
+    const FAILED: Self = Self {
+        source: SourceState::Running,
+        copy: None,
+    };
+
+    /// Nothing is known of the source.
+    pub(crate) const UNKNOWN: Self = Self {
+        source: SourceState::Unknown,
+        copy: None,
+    };
+}
+
 /// Why a generation is migrated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum MigrationReason {
@@ -95,7 +128,7 @@
     source: &Choice,
     reason: MigrationReason,
     events: &Arc<AtomicU64>,
-) -> Option<Receiver<Option<Migrated>>> {
+) -> Option<Receiver<MigrationEnd>> {
     let config = gateway.config()?;
     let engine = config.pools.get(&call.service)?.engine.as_ref()?;
     if !engine.supports_migration {
@@ -121,14 +154,53 @@
 
 /// The result of an attempt to migrate a generation to one target.
 enum MigrationAttempt {
-    /// The source has stopped, or may have.
-    Migrated(Migrated),
+    /// The source has stopped or may have, or there is a copy to resume from.
+    Ended(MigrationEnd),
     /// The destination has no room.
     NoRoom,
     /// The source does not know the generation, is gone or goes on, or the generation could not be resumed.
     Failed,
 }
 
+/// The response to a copy call.
+enum CopyResponse {
+    /// No connection to the target opened, so the call was not sent.
+    NotSent,
+    /// The call was sent, and no response to it arrived, or one that cannot be read.
+    Lost,
+    /// The target responded with this status and body.
+    Answered(u16, Vec<u8>),
+}
+
+impl CopyResponse {
+    /// Returns the form used in logs.
+    const fn outcome(&self) -> &'static str {
+        match self {
+            Self::NotSent => "unreachable",
+            Self::Lost => "lost",
+            Self::Answered(200, _) => "copied",
+            Self::Answered(404, _) => "no-run",
+            Self::Answered(409, _) => "busy",
+            Self::Answered(503, _) => "no-room",
+            Self::Answered(..) => "failed",
+        }
+    }
+}
+
+/// What came of the calls to stop a generation.
+enum StopResult {
+    /// The source has stopped it; the handle of the complete copy.
+    Stopped(SmolStr),
+    /// The source may have stopped it.
+    Unknown,
+    /// The source was not reached.
+    Unreached,
+    /// The source is busy with another call for the generation, which goes on.
+    Busy,
+    /// The source does not run the generation any more.
+    NoRun,
+}
+
 struct Migration {
     gateway: Arc<Gateway>,
     call: Arc<Call>,
@@ -141,7 +213,7 @@
 }
 
 impl Migration {
-    async fn run(&self) -> Option<Migrated> {
+    async fn run(&self) -> MigrationEnd {
         let started_at = clock::now();
         self.wait_while(|fleet, now| fleet.copy_wait(&self.request, started_at, now))
             .await;
@@ -160,8 +232,8 @@
             let backup = lock(&self.gateway.fleet).backup_target(&self.request);
             let mut copied = None;
             let result = self.migrate_to(target, started_at, &mut copied).await;
-            if let MigrationAttempt::Migrated(migrated) = result {
-                return Some(migrated);
+            if let MigrationAttempt::Ended(end) = result {
+                return end;
             }
             lock(&self.gateway.fleet).set_backup(&self.request, backup.as_ref());
             if let Some(handle) = copied {
@@ -172,7 +244,7 @@
             }
         }
         self.release_link();
-        None
+        MigrationEnd::FAILED
     }
 
     /// Asks the fleet how long to wait, and waits, until it says not at all.
@@ -214,14 +286,9 @@
         loop {
             let copy_started_at = clock::now();
             let copied = self.copy(target.address, false).await;
-            self.log_copy(
-                "ahead",
-                copy_outcome(copied.as_ref()),
-                Some(&target),
-                copy_started_at,
-            );
+            self.log_copy("ahead", copied.outcome(), Some(&target), copy_started_at);
             match copied {
-                Some((200, body)) => {
+                CopyResponse::Answered(200, body) => {
                     self.release_link();
                     *copy_handle = self
                         .gateway
@@ -229,8 +296,8 @@
                         .read_copy_handle(&body)
                         .or(copy_handle.take());
                 }
-                Some((503 | 409, _)) => return self.record_no_room(&target),
-                Some(_) | None => return MigrationAttempt::Failed,
+                CopyResponse::Answered(503 | 409, _) => return self.record_no_room(&target),
+                _ => return MigrationAttempt::Failed,
             }
             let elapsed = clock::now().saturating_sub(copy_started_at);
             self.wait_while(|fleet, now| fleet.stop_wait(&self.request, started_at, now))
@@ -243,42 +310,70 @@
         }
         let stop_started_at = clock::now();
         let permit = match self.prepare_stop(started_at).await {
-            Ok(permit) => Some(permit),
+            Ok(permit) => permit,
             Err(reason) => {
                 self.log_copy("kept", reason, Some(&target), stop_started_at);
                 return MigrationAttempt::Failed;
             }
         };
-        let stop_started_at = clock::now();
-        let stopped = self.copy(target.address, true).await;
-        self.log_copy(
-            "last",
-            copy_outcome(stopped.as_ref()),
-            Some(&target),
-            stop_started_at,
-        );
-        let Some((status, body)) = stopped else {
-            return copy_handle
-                .take()
-                .map_or(MigrationAttempt::Failed, |handle| {
-                    MigrationAttempt::Migrated(Migrated {
-                        target,
-                        handle,
-                        has_stopped: false,
-                        permit,
-                    })
-                });
+        let (source, handle) = match self.stop_source(&target).await {
+            StopResult::Stopped(handle) => (SourceState::Stopped, Some(handle)),
+            StopResult::Unknown => (SourceState::Unknown, copy_handle.take()),
+            StopResult::Unreached => (SourceState::Running, copy_handle.take()),
+            StopResult::Busy => return self.record_no_room(&target),
+            StopResult::NoRun => return MigrationAttempt::Failed,
         };
-        match (status, self.gateway.dialect.read_copy_handle(&body)) {
-            (200 | 503, Some(handle)) => MigrationAttempt::Migrated(Migrated {
-                target,
-                handle,
-                has_stopped: true,
-                permit,
-            }),
-            // Without a handle the generation was not stopped.
-            (503 | 409, None) => self.record_no_room(&target),
-            _ => MigrationAttempt::Failed,
+        let copy = handle.map(|handle| Migrated {
+            target,
+            handle,
+            permit: Some(permit),
+        });
+        MigrationAttempt::Ended(MigrationEnd { source, copy })
+    }
+
+    /// Asks the source to stop the generation and to copy the rest, until a response shows whether it has.
+    ///
+    /// The source closes the stream of a generation that it stops in the same way as that of one that has ended. So a
+    /// call that it may have received counts until a response shows that it has stopped; a refusal of a later call does
+    /// not show that the first one had no effect.
+    async fn stop_source(&self, target: &Choice) -> StopResult {
+        let (first_sent_at, mut may_have_stopped) = (clock::now(), false);
+        for _ in 0..MAX_STOP_CALLS {
+            let sent_at = clock::now();
+            let response = self.copy(target.address, true).await;
+            self.log_copy("last", response.outcome(), Some(target), sent_at);
+            let is_busy = matches!(response, CopyResponse::Answered(409, _));
+            match self.read_stop(&response) {
+                StopResult::Stopped(handle) => return StopResult::Stopped(handle),
+                StopResult::Unknown => may_have_stopped = true,
+                StopResult::NoRun if may_have_stopped => break,
+                _ if may_have_stopped => {}
+                result => return result,
+            }
+            if clock::now() > first_sent_at + COPY_TIMEOUT {
+                break;
+            }
+            if is_busy {
+                // It may be busy with the first call.
+                sleep(RETRY_DELAY).await;
+            }
+        }
+        StopResult::Unknown
+    }
+
+    /// Reads the response to a call to stop the generation.
+    ///
+    /// A source that has no room for the rest of the copy has stopped all the same, and names the handle.
+    fn read_stop(&self, response: &CopyResponse) -> StopResult {
+        match response {
+            CopyResponse::NotSent => StopResult::Unreached,
+            CopyResponse::Answered(404, _) => StopResult::NoRun,
+            CopyResponse::Answered(409, _) => StopResult::Busy,
+            CopyResponse::Answered(200 | 503, body) => {
+                let handle = self.gateway.dialect.read_copy_handle(body);
+                handle.map_or(StopResult::Unknown, StopResult::Stopped)
+            }
+            CopyResponse::Answered(..) | CopyResponse::Lost => StopResult::Unknown,
         }
     }
 
@@ -323,12 +418,11 @@
     async fn free_copy(&self, handle: &str) {
         let freed_at = clock::now();
         let call = self.gateway.dialect.free_copy_call(handle);
-        let response = within(FREE_TIMEOUT, self.send_copy_call(&call, true)).await;
-        let outcome = match response.flatten() {
-            Some((200..300, _)) => "freed",
-            Some((404, _)) => "unknown",
-            Some(_) => "failed",
-            None => "unreachable",
+        let outcome = match self.send_copy_call(&call, FREE_TIMEOUT, true).await {
+            CopyResponse::Answered(200..300, _) => "freed",
+            CopyResponse::Answered(404, _) => "unknown",
+            CopyResponse::Answered(..) => "failed",
+            response => response.outcome(),
         };
         self.log_copy("free", outcome, None, freed_at);
     }
@@ -342,15 +436,18 @@
         MigrationAttempt::NoRoom
     }
 
-    async fn copy(&self, to: SocketAddr, last: bool) -> Option<(u16, Vec<u8>)> {
+    async fn copy(&self, to: SocketAddr, last: bool) -> CopyResponse {
         let external_id = self.call.external_id();
         let call = self.gateway.dialect.copy_call(external_id, to, last);
-        within(COPY_TIMEOUT, self.send_copy_call(&call, last))
-            .await
-            .flatten()
+        self.send_copy_call(&call, COPY_TIMEOUT, last).await
     }
 
-    async fn send_copy_call(&self, call: &ControlCall, last: bool) -> Option<(u16, Vec<u8>)> {
+    async fn send_copy_call(
+        &self,
+        call: &ControlCall,
+        timeout: Duration,
+        last: bool,
+    ) -> CopyResponse {
         let address = self.source.address;
         let regions = self.gateway.allowed_regions(&self.call);
         let destination = Destination {
@@ -358,11 +455,14 @@
             target: &self.source.target,
             address,
             request: self.call.external_id(),
-            time_left: COPY_TIMEOUT,
+            time_left: timeout,
         };
         let purpose = Purpose::UnidentifiedCall;
+        let started_at = clock::now();
         let connected = pool::connect(&self.gateway, destination, purpose, CONNECT_TIMEOUT);
-        let (mut connection, _) = connected.await.ok()?;
+        let Ok((mut connection, _)) = connected.await else {
+            return CopyResponse::NotSent;
+        };
         if !last {
             // The next copy follows at once, and must not wait for its connection.
             pool::preconnect(&self.gateway, address, &self.call.service, purpose);
@@ -374,7 +474,10 @@
             call,
             MAX_RESPONSE_BODY,
         );
-        let (head, body) = response.await.ok()?;
+        let time_left = timeout.saturating_sub(clock::now().saturating_sub(started_at));
+        let Some(Ok((head, body))) = within(time_left, response).await else {
+            return CopyResponse::Lost;
+        };
         let meta = self.gateway.dialect.read_response(&head);
         if meta.leaving {
             self.gateway
@@ -389,7 +492,7 @@
                 meta.keep_alive,
             );
         }
-        Some((head.status, body))
+        CopyResponse::Answered(head.status, body)
     }
 
     fn log_copy(
@@ -407,14 +510,3 @@
             beside = target.map_or(0, |choice| choice.request_count), took_ms = millis(elapsed); "");
     }
 }
-
-const fn copy_outcome(response: Option<&(u16, Vec<u8>)>) -> &'static str {
-    match response {
-        Some((200, _)) => "copied",
-        Some((404, _)) => "no-run",
-        Some((409, _)) => "busy",
-        Some((503, _)) => "no-room",
-        Some(_) => "failed",
-        None => "unreachable",
-    }
-}
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use crate::connection::ConnectionError;
 use crate::dispatch::RequestLog;
 use crate::exchange::Exchange;
-use crate::migration::Migrated;
+use crate::migration::{Migrated, MigrationEnd};
 use crate::runtime::sleep;
 use crate::state::{Gateway, PlacementGuard, lock};
 use crate::target_run::TargetRun;
@@ -50,8 +50,8 @@
     LeaveNotice,
     /// The delay after the leave notice is over.
     Leave,
-    /// The source of a migration has stopped, or the migration failed.
-    MigrationEnded(Option<Migrated>),
+    /// A migration has ended.
+    MigrationEnded(MigrationEnd),
     /// The deadline, or the time for the remainder of the stream, has passed.
     TimedOut,
 }
@@ -95,11 +95,14 @@
     leave_notice: Receiver<()>,
     /// Time at which to move the generation off the leaving target.
     leave_at: Option<Timestamp>,
-    migration: Option<Receiver<Option<Migrated>>>,
+    migration: Option<Receiver<MigrationEnd>>,
     /// Whether the target started to leave during the migration.
     missed_notice: bool,
+    /// The copy to resume from, as the source has stopped.
     migrated: Option<Migrated>,
-    /// A copy to resume from if the stream breaks off, as its source may have been stopped.
+    /// Whether the source was asked to stop, and no response shows whether it did.
+    may_have_stopped: bool,
+    /// A copy to resume from if the stream breaks off.
     copied: Option<Migrated>,
 }
 
@@ -135,6 +138,7 @@
             migration: None,
             missed_notice: false,
             migrated: None,
+            may_have_stopped: false,
             copied: None,
         }
     }
@@ -181,6 +185,7 @@
                     defect
                 }
                 Step::Broken(error) => Some(error.kind()),
+                Step::Silent if self.may_have_stopped && self.has_copy() => Some("stopped"),
                 Step::Silent => {
                     self.progress_at = clock::now();
                     self.probe_target(request_log).await;
@@ -195,9 +200,9 @@
                     self.leave_target(request_log).await;
                     None
                 }
-                Step::MigrationEnded(migrated) => {
+                Step::MigrationEnded(end) => {
                     self.migration = None;
-                    self.record_migration_end(migrated);
+                    self.record_migration_end(end);
                     None
                 }
                 Step::TimedOut
@@ -238,7 +243,7 @@
             Some("partial-event")
         } else if !self.is_close_delimited() {
             None
-        } else if self.is_migrating() {
+        } else if self.is_migrating() || self.may_have_stopped {
             Some("ended")
         } else if !self.has_events {
             Some("empty")
@@ -282,7 +287,9 @@
         };
         let migration_end = async {
             match &self.migration {
-                Some(result) => Step::MigrationEnded(result.recv().await.ok().flatten()),
+                Some(end) => {
+                    Step::MigrationEnded(end.recv().await.unwrap_or(MigrationEnd::UNKNOWN))
+                }
                 None => std::future::pending().await,
             }
         };
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -123,13 +123,20 @@
         }
     }
 
-    /// Reads on from the stream of another target.
-    pub(super) fn begin(&mut self, exchange: Exchange, run: TargetRun) {
+    /// Replaces the stream by that of another run, of which nothing has been read.
+    pub(super) fn replace_stream(&mut self, exchange: Exchange, run: TargetRun) {
         self.exchange = exchange;
         self.run = run;
         self.progress_at = clock::now();
         self.splitter = EventSplitter::default();
         self.has_events = false;
+        self.may_have_stopped = false;
+        self.copied = None;
+    }
+
+    /// Reads on from the stream of another target.
+    pub(super) fn begin(&mut self, exchange: Exchange, run: TargetRun) {
+        self.replace_stream(exchange, run);
         self.backup = None;
         let now = clock::now();
         let placements = lock(&self.gateway.fleet).record_response_start(&self.placement_id, now);
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -1,18 +1,17 @@
 //! Moves a stream to an engine that holds a copy of its KV cache.
 
-use super::Relay;
+use super::{REMAINDER_TIMEOUT, Relay};
 use crate::adapter::{Continuation, SendMeta};
 use crate::clock;
 use crate::dispatch::{RequestLog, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
-use crate::migration::{self, Migrated, MigrationReason};
+use crate::migration::{self, Migrated, MigrationEnd, MigrationReason, SourceState};
 use crate::runtime::within;
 use crate::state::{ExtraPermit, lock};
 use crate::target_connect;
 use almondcroft_core::gateway::{Choice, ExtraSend};
 use almondcroft_core::{TargetId, Verdict};
-use almondcroft_proto::http1::EventSplitter;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -105,17 +104,41 @@
             .await
     }
 
-    /// Records the result of a migration.
+    /// Records the end of a migration.
     ///
-    /// If it has failed, the generation is migrated once more if its target started to leave meanwhile.
-    pub(super) fn record_migration_end(&mut self, migrated: Option<Migrated>) {
+    /// A generation that may go on at its source is migrated once more if the source started to leave meanwhile, or was
+    /// not reached by a call to stop it.
+    pub(super) fn record_migration_end(&mut self, end: MigrationEnd) {
         let missed_notice = std::mem::take(&mut self.missed_notice);
-        match migrated {
-            Some(migrated) if migrated.has_stopped => self.migrated = Some(migrated),
-            Some(copied) => self.copied = Some(copied),
-            None if missed_notice => self.start_migration(MigrationReason::Leave),
-            None => {}
+        let was_unclear = end.source == SourceState::Unknown || end.copy.is_some();
+        self.record_source(end);
+        if self.migrated.is_some() {
+            return;
+        }
+        if missed_notice {
+            self.start_migration(MigrationReason::Leave);
+        } else if was_unclear && lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
+            // The end of a stream that was stopped arrives by then.
+            self.leave_at = Some(clock::now() + REMAINDER_TIMEOUT);
+        }
+    }
+
+    /// Records what a migration has shown of the source, and the copy that it has made.
+    fn record_source(&mut self, end: MigrationEnd) {
+        match end.source {
+            SourceState::Stopped => {
+                self.migrated = end.copy;
+                return;
+            }
+            SourceState::Unknown => self.may_have_stopped = true,
+            SourceState::Running => {}
         }
+        self.copied = end.copy.or_else(|| self.copied.take());
+    }
+
+    /// Returns whether there is a copy from which the generation can be resumed.
+    pub(super) fn has_copy(&self) -> bool {
+        self.copied.is_some() || self.backup_copy().is_some()
     }
 
     pub(super) fn start_migration(&mut self, reason: MigrationReason) {
@@ -137,9 +160,10 @@
         request_log: &mut RequestLog,
         reason: &str,
     ) -> bool {
-        if let Some(result) = self.migration.take() {
-            let result = async { result.recv().await.ok().flatten() };
-            self.migrated = within(MIGRATION_TIMEOUT, result).await.flatten();
+        if let Some(end) = self.migration.take()
+            && let Some(Ok(end)) = within(MIGRATION_TIMEOUT, end.recv()).await
+        {
+            self.record_source(end);
         }
         let copied = self.copied.take();
         let mut migrated = self.migrated.take().or(copied);
@@ -279,11 +303,7 @@
         );
         drop(fleet);
         self.gateway.deliver(placements);
-        self.exchange = exchange;
-        self.run = run;
-        self.progress_at = clock::now();
-        self.splitter = EventSplitter::default();
-        self.has_events = false;
+        self.replace_stream(exchange, run);
         self.choice = choice.clone();
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
