fix(relay): a stream that broke off is closed before its generation goes on elsewhere

Cause: the connection of the broken stream stayed open until another engine had answered. An engine works on as long as its connection is open; after bytes that are no chunk, or an event that is too long, it does not know that nobody reads.

The paths that send a request again (12 cases) and the switch to a backup hold on the code before.

Fix: the stream is closed before any other engine gets the request, once a migration that may still stop the source has ended. It does not depend on what was wrong with the stream.

--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -62,7 +62,9 @@
     pub(crate) decoder: BodyDecoder,
     address: SocketAddr,
     service: ServiceId,
-    connection: Connection,
+    /// `None` once it was closed.
+    connection: Option<Connection>,
+    is_tunneled: bool,
     fully_sent: bool,
 }
 
@@ -136,7 +138,8 @@
             decoder,
             address,
             service: call.service.clone(),
-            connection,
+            connection: Some(connection),
+            is_tunneled,
             fully_sent: fully_sent.into_inner(),
         })
     }
@@ -176,12 +179,18 @@
 
     /// Returns whether the connection leads through another VM.
     pub(crate) const fn is_tunneled(&self) -> bool {
-        self.connection.is_tunnel()
+        self.is_tunneled
     }
 
     /// Reads the next part of the body; returns `false` once the body is complete.
     pub(crate) async fn read(&mut self, out: &mut Vec<u8>) -> Result<bool, ConnectionError> {
-        self.connection.read_body(&mut self.decoder, out).await
+        let connection = self.connection.as_mut().ok_or(ConnectionError::Closed)?;
+        connection.read_body(&mut self.decoder, out).await
+    }
+
+    /// Closes the connection, which cancels the run at its target; only the head of the response remains.
+    pub(crate) fn close(&mut self) {
+        self.connection = None;
     }
 
     /// Returns whether the target states that it did not run the request.
@@ -191,15 +200,18 @@
 
     /// Returns the connection to the pool if the exchange is complete and the target keeps it open.
     pub(crate) fn finish(mut self, gateway: &Gateway) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
         if let Some(id) = self.meta.id.as_deref().filter(|_| self.is_refusal()) {
-            self.connection.record_refusal(id);
+            connection.record_refusal(id);
         }
         if self.fully_sent && self.decoder.is_done() && self.head.keeps_alive() {
             pool::release(
                 gateway,
                 self.address,
                 &self.service,
-                self.connection,
+                connection,
                 self.meta.keep_alive,
             );
         }
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -16,7 +16,7 @@
     /// Continues the stream after its last event at targets that read the prompt anew, as long as the attempts of
     /// the route and the retry budget permit; returns whether one does.
     ///
-    /// The broken stream is closed, so its target does not go on with it.
+    /// The broken stream has been closed, so its target does not go on with it.
     pub(super) async fn restart_stream(&mut self, request_log: &mut RequestLog) -> bool {
         while self.call.is_resumable() && self.run_count < self.call.route.max_attempts {
             self.avoid.push(self.choice.target.clone());
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -155,6 +155,8 @@
     }
 
     /// Resumes the generation after the stream broke off; returns whether it succeeded.
+    ///
+    /// The stream is closed first, so that its target does not work on beside the next one.
     pub(super) async fn recover_stream(
         &mut self,
         request_log: &mut RequestLog,
@@ -165,6 +167,8 @@
         {
             self.record_source(end);
         }
+        // An engine works on as long as the connection is open, whatever is wrong with its stream.
+        self.exchange.close();
         let copied = self.copied.take();
         let mut migrated = self.migrated.take().or(copied);
         if migrated.is_none() {
@@ -233,7 +237,7 @@
 
     /// Resumes the generation at a target from a copy; returns whether it succeeded.
     ///
-    /// The current stream is replaced only if the target resumes.
+    /// The stream before is replaced only if the target resumes.
     pub(super) async fn resume(
         &mut self,
         (choice, copy): (Choice, CopyLocation),
