fix(hedge): a stream gets no second run beside its first one

Callers: with backup_requests, two engines work on one slow generation that may be resumed.

Cause: a second run was given to every request that may be repeated, and streams that may be resumed count as such. The second run ends when one of the two responds, or when both are given up at half of the time left.

Fix: only plain requests get a second run, and only they are counted for its share and delay.

--- a/crates/almondcroft-gateway/src/call.rs
+++ b/crates/almondcroft-gateway/src/call.rs
@@ -70,6 +70,11 @@
         self.route.may_repeat()
     }
 
+    /// Returns whether two targets may run the request at once; a generation must not run at two engines.
+    pub(crate) fn may_run_twice_at_once(&self) -> bool {
+        self.may_repeat() && !self.is_stream()
+    }
+
     /// Returns whether the response is a stream that may be resumed.
     pub(crate) fn is_resumable(&self) -> bool {
         self.route.is_resumable()
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -138,7 +138,7 @@
     async fn run(&mut self) -> bool {
         self.gateway
             .record_request(&self.call.service, clock::now());
-        if self.call.may_repeat() {
+        if self.call.may_run_twice_at_once() {
             self.gateway
                 .with_hedge_policy(&self.call.service, HedgePolicy::record_request);
         }
--- a/crates/almondcroft-gateway/src/dispatch/hedge.rs
+++ b/crates/almondcroft-gateway/src/dispatch/hedge.rs
@@ -121,7 +121,7 @@
     /// Returns the time after which the request counts as slow; `None` if it gets no second run.
     fn hedge_delay(&self) -> Option<Duration> {
         let permitted =
-            self.call.may_repeat() && self.run_count + 2 <= self.call.route.max_attempts;
+            self.call.may_run_twice_at_once() && self.run_count + 2 <= self.call.route.max_attempts;
         if !permitted {
             return None;
         }
@@ -188,7 +188,7 @@
 
     /// Records the time from a send until its response began.
     pub(super) fn record_response_time(&self, sent_at: Timestamp) {
-        if self.call.may_repeat() {
+        if self.call.may_run_twice_at_once() {
             let elapsed = clock::now().saturating_sub(sent_at);
             let service = &self.call.service;
             self.gateway
