fix(relay): a stream that its engine stops at the deadline is not complete

The deadline that the gateway sends is a request to stop; it was rounded down to milliseconds, so that the engine's end of the connection arrived before the gateway's own timer, and passed for the end of the generation.

Evidence: unframed_stream_that_ends_at_its_deadline_never_looks_complete failed before.

--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -85,6 +85,9 @@
             match within(time_left, exchange.read(&mut body)).await {
                 Some(Ok(true)) if body.len() <= MAX_BUFFERED_BODY => {}
                 Some(Ok(true)) => return self.stream_response(exchange, body).await,
+                Some(Ok(false)) if exchange.is_past_end(self.call.time_left(clock::now())) => {
+                    return Attempt::MayHaveRun("timeout");
+                }
                 Some(Ok(false)) => break,
                 Some(Err(error)) => {
                     self.record_failure(&choice.target, !exchange.is_tunneled());
@@ -137,6 +140,7 @@
             }
             match within(time_left, exchange.read(&mut buffer)).await {
                 Some(Ok(true)) => sent = self.writer.send_part(&buffer).await.is_ok(),
+                Some(Ok(false)) if exchange.is_past_end(self.call.time_left(clock::now())) => break,
                 Some(Ok(false)) => {
                     self.request_log.log_close_delimited(&exchange.decoder, 0);
                     let complete = self.writer.finish_response().await.is_ok();
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -188,6 +188,12 @@
         connection.read_body(&mut self.decoder, out).await
     }
 
+    /// Returns whether the end of a response without a length came when no time was left, so that its target may have
+    /// stopped it at the deadline.
+    pub(crate) fn is_past_end(&self, time_left: Duration) -> bool {
+        self.decoder.is_close_delimited() && time_left.is_zero()
+    }
+
     /// Closes the connection, which cancels the run at its target; only the head of the response remains.
     pub(crate) fn close(&mut self) {
         self.connection = None;
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -271,6 +271,9 @@
         let read = async {
             match self.exchange.read(&mut self.buffer).await {
                 Ok(true) => Step::BytesRead,
+                Ok(false) if self.exchange.is_past_end(self.call.time_left(clock::now())) => {
+                    Step::TimedOut
+                }
                 Ok(false) => Step::Complete,
                 Err(error) => Step::Broken(error),
             }
