fix(response): collected responses share a memory budget

Callers: 200 plain responses without end at once, whose callers read slowly or not at all, take a process to 71 to 93 MB resident (88 MB is all that the smallest VM has); the requests of others would end with it.

Cause: each response was collected up to 256 KiB before any of it was forwarded, and held once more, encoded, while it was sent. Nothing bounded the sum.

Fix: collected responses count against an eighth of the memory, twice their size, until they are sent. A response for which the budget has no room is forwarded as it arrives, as one of over 256 KiB always was; it can then not be repeated elsewhere if it breaks off.

--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -19,9 +19,9 @@
 use crate::target_run::{TargetRun, crash_id};
 use almondcroft_core::gateway::{Choice, Demand, ExtraSend, HedgePolicy, Need, Placement};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
-use almondcroft_proto::http1::ResponseHead;
 use futures_lite::future::or;
 use hedge::TargetSend;
+use response::CollectedResponse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,7 +60,7 @@
 /// The result of one send.
 enum Attempt {
     /// The target responded; the body is complete.
-    Response(ResponseHead, Vec<u8>),
+    Response(CollectedResponse),
     /// The response was forwarded as it arrived; `true` if it was complete.
     Relayed(bool),
     /// The target did not run the request.
@@ -142,7 +142,7 @@
             self.gateway
                 .with_hedge_policy(&self.call.service, HedgePolicy::record_request);
         }
-        let mut last_response: Option<(ResponseHead, Vec<u8>)> = None;
+        let mut last_response = None;
         loop {
             let (placement_guard, choice) = match self.acquire_target().await {
                 Ok(acquired) => acquired,
@@ -174,12 +174,12 @@
             self.is_in_flight = false;
             match attempt {
                 Attempt::Relayed(complete) => return complete,
-                Attempt::Response(head, body) => {
+                Attempt::Response(response) => {
                     self.run_count += 1;
-                    if head.status < 500 || !self.permit_repeat(&target).await {
-                        return self.send_response(&head, &body).await;
+                    if response.head.status < 500 || !self.permit_repeat(&target).await {
+                        return self.send_response(&response).await;
                     }
-                    last_response = Some((head, body));
+                    last_response = Some(response);
                 }
                 Attempt::NotRun(reason) => {
                     if !self.permit_retry(&target).await {
@@ -364,13 +364,9 @@
     }
 
     /// Responds with the last response of a target or, if there is none, with the gateway's reply.
-    async fn finish(
-        &mut self,
-        last_response: Option<(ResponseHead, Vec<u8>)>,
-        reply: Reply,
-    ) -> bool {
-        if let Some((head, body)) = last_response {
-            return self.send_response(&head, &body).await;
+    async fn finish(&mut self, last_response: Option<CollectedResponse>, reply: Reply) -> bool {
+        if let Some(response) = last_response {
+            return self.send_response(&response).await;
         }
         // A reply must not claim that the request did not run if a target may have run it.
         let reply = if self.run_count > 0 && reply.verdict == Verdict::NotRun {
@@ -384,8 +380,9 @@
         sent.is_ok()
     }
 
-    async fn send_response(&mut self, head: &ResponseHead, body: &[u8]) -> bool {
+    async fn send_response(&mut self, response: &CollectedResponse) -> bool {
         self.request_log.record_progress();
+        let (head, body) = (&response.head, &response.body);
         let sent = self.writer.send_response(head, body).await;
         self.request_log.log_end(
             head.status,
--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -4,15 +4,28 @@
 use super::{Attempt, Dispatch, check_crash};
 use crate::clock;
 use crate::exchange::{Exchange, SendError};
+use crate::lifecycle::Guard;
 use crate::relay::{Relay, RelayEnd};
 use crate::runtime::within;
 use crate::state::lock;
 use almondcroft_core::gateway::{Choice, MAX_SOUND_SILENCE};
 use almondcroft_core::{TargetId, Timestamp, Verdict};
+use almondcroft_proto::http1::ResponseHead;
 
 /// Maximum size of a response body that is read whole before it is forwarded, in bytes.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
 
+/// Number of copies of a collected body that are held while it is sent to a slow caller: itself, and encoded.
+const BODY_COPIES: usize = 2;
+
+/// A complete response of a target.
+pub(super) struct CollectedResponse {
+    pub(super) head: ResponseHead,
+    pub(super) body: Vec<u8>,
+    /// Counts the body against the memory budget while it is held.
+    _guard: Guard,
+}
+
 impl Dispatch<'_> {
     pub(super) async fn handle_response(
         &mut self,
@@ -72,7 +85,8 @@
         self.buffer_response(&choice, exchange, sent_at).await
     }
 
-    /// Reads a response to its end before any of it is forwarded, unless it is too long.
+    /// Reads a response to its end before any of it is forwarded, unless it is too long or the memory budget for such
+    /// responses is used up.
     pub(super) async fn buffer_response(
         &mut self,
         choice: &Choice,
@@ -80,11 +94,15 @@
         sent_at: Timestamp,
     ) -> Attempt {
         let mut body = Vec::new();
+        let mut guard = self.gateway.lifecycle.enter_response();
+        let budget = self.gateway.settings.body_budget();
         loop {
             let time_left = self.call.time_left(clock::now());
             match within(time_left, exchange.read(&mut body)).await {
-                Some(Ok(true)) if body.len() <= MAX_BUFFERED_BODY => {}
-                Some(Ok(true)) => return self.stream_response(exchange, body).await,
+                Some(Ok(true))
+                    if body.len() <= MAX_BUFFERED_BODY
+                        && guard.try_grow(BODY_COPIES * body.len(), budget) => {}
+                Some(Ok(true)) => return self.stream_response(exchange, body, guard).await,
                 Some(Ok(false)) if exchange.is_past_end(self.call.time_left(clock::now())) => {
                     return Attempt::MayHaveRun("timeout");
                 }
@@ -115,7 +133,11 @@
         }
         let head = exchange.head.clone();
         exchange.finish(self.gateway);
-        Attempt::Response(head, body)
+        Attempt::Response(CollectedResponse {
+            head,
+            body,
+            _guard: guard,
+        })
     }
 
     /// Forwards a long response as it arrives.
@@ -123,12 +145,14 @@
         &mut self,
         mut exchange: Exchange,
         first_part: Vec<u8>,
+        guard: Guard,
     ) -> Attempt {
         let mut sent = self
             .writer
             .start_response(&exchange.head, &first_part)
             .await
             .is_ok();
+        drop((first_part, guard));
         self.request_log.record_progress();
         let mut buffer = Vec::new();
         while sent {
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -13,6 +13,7 @@
     requests: AtomicUsize,
     connections: AtomicUsize,
     body_bytes: AtomicUsize,
+    response_bytes: AtomicUsize,
     tunnels: AtomicUsize,
     end: EndSignal,
 }
@@ -98,11 +99,17 @@
         (held + bytes <= budget).then(|| Guard::new(self, Counter::BodyBytes, bytes))
     }
 
+    /// Counts the bytes that a collected response takes, none so far, until the guard is dropped.
+    pub(crate) fn enter_response(self: &Arc<Self>) -> Guard {
+        Guard::new(self, Counter::ResponseBytes, 0)
+    }
+
     const fn counter(&self, counter: Counter) -> &AtomicUsize {
         match counter {
             Counter::Requests => &self.requests,
             Counter::Connections => &self.connections,
             Counter::BodyBytes => &self.body_bytes,
+            Counter::ResponseBytes => &self.response_bytes,
             Counter::Tunnels => &self.tunnels,
         }
     }
@@ -113,6 +120,7 @@
     Requests,
     Connections,
     BodyBytes,
+    ResponseBytes,
     Tunnels,
 }
 
@@ -135,6 +143,18 @@
             amount,
         }
     }
+
+    /// Counts a larger amount, unless the sum of all guards would exceed a limit; returns whether it does.
+    pub(crate) fn try_grow(&mut self, amount: usize, limit: usize) -> bool {
+        let added = amount.saturating_sub(self.amount);
+        let counter = self.lifecycle.counter(self.counter);
+        let permitted = counter.load(Ordering::SeqCst) + added <= limit;
+        if permitted {
+            counter.fetch_add(added, Ordering::SeqCst);
+            self.amount += added;
+        }
+        permitted
+    }
 }
 
 impl Drop for Guard {
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -300,7 +300,8 @@
         region.cloned().unwrap_or_else(|| SmolStr::new(zone))
     }
 
-    /// Returns the number of body bytes that may be buffered at once: an eighth of the memory.
+    /// Returns the number of bytes that request bodies, and as many that collected responses, may take at once: an
+    /// eighth of the memory.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
