fix(connection): receive buffers of connections to targets are bounded

Callers: 200 plain responses without end at once, whose callers read slowly or not at all, leave 73 to 116 MB received and unread, which counts against the memory of a VM (88 MB on the smallest).

Cause: the operating system grows the receive buffer of a connection that is read fast at first, up to tens of megabytes, and the gateway stops reading when a caller is slow.

Fix: connections that carry responses of targets, through tunnels too, have a receive buffer of 64 KiB, at least 1.6 MB/s between regions.

--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -30,6 +30,11 @@
 /// Time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Size of the receive buffer of a connection to a target, in bytes.
+///
+/// The operating system grows a buffer up to tens of megabytes, and what a caller is too slow to take stays there.
+const TARGET_RECEIVE_BUFFER: usize = 64 * 1024;
+
 /// Number of refusals after which a connection is not used again, as each is recorded as long as it is open.
 const MAX_REFUSALS: usize = 32;
 
@@ -228,6 +233,23 @@
         Ok(Self::new(socket)?)
     }
 
+    /// Opens a connection that carries responses of targets, and bounds what it receives before it is read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] if the connection cannot be opened in time.
+    pub(crate) async fn connect_to_target(
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, ConnectionError> {
+        let connection = Self::connect(address, timeout).await?;
+        let options = SockRef::from(connection.socket.get_ref());
+        if let Err(error) = options.set_recv_buffer_size(TARGET_RECEIVE_BUFFER) {
+            log::warn!(event = "receive-buffer-failed", error:% = error; "");
+        }
+        Ok(connection)
+    }
+
     /// Returns the sending half.
     #[must_use]
     pub(crate) fn sender(&self) -> Sender {
--- a/crates/almondcroft-gateway/src/pool.rs
+++ b/crates/almondcroft-gateway/src/pool.rs
@@ -191,7 +191,7 @@
     let (gateway, service) = (Arc::clone(gateway), service.clone());
     spawn(async move {
         // After a failure, the request that needs a connection opens one and reports its error.
-        if let Ok(connection) = Connection::connect(address, CONNECT_TIMEOUT).await {
+        if let Ok(connection) = Connection::connect_to_target(address, CONNECT_TIMEOUT).await {
             let (max_idle, now) = (gateway.idle_share(&service), clock::now());
             gateway.pool.put(address, connection, None, max_idle, now);
         }
--- a/crates/almondcroft-gateway/src/target_connect.rs
+++ b/crates/almondcroft-gateway/src/target_connect.rs
@@ -171,7 +171,7 @@
     Box::pin(async move {
         Outcome {
             via: None,
-            result: Connection::connect(address, timeout).await,
+            result: Connection::connect_to_target(address, timeout).await,
         }
     })
 }
--- a/crates/almondcroft-gateway/src/tunnel.rs
+++ b/crates/almondcroft-gateway/src/tunnel.rs
@@ -53,7 +53,7 @@
     timeout: Duration,
 ) -> Result<Connection, ConnectionError> {
     let opened = async {
-        let mut connection = Connection::connect(peer, PEER_CONNECT_TIMEOUT).await?;
+        let mut connection = Connection::connect_to_target(peer, PEER_CONNECT_TIMEOUT).await?;
         let body = serde_json::to_vec(request).map_err(std::io::Error::from)?;
         let mut headers = Headers::default();
         headers.push("host", peer.to_string().as_bytes());
--- a/crates/almondcroft-gateway/src/tunnel/server.rs
+++ b/crates/almondcroft-gateway/src/tunnel/server.rs
@@ -116,7 +116,7 @@
         }
         fleet.choice_for(&request.target).ok_or("no-target")?
     };
-    let target = Connection::connect(choice.address, CONNECT_TIMEOUT).await;
+    let target = Connection::connect_to_target(choice.address, CONNECT_TIMEOUT).await;
     let target = target.map_err(|_| "connect")?;
     lock(&gateway.target_paths).record_direct(&request.target, clock::now());
     Ok((choice, target))
