fix(daemon): bodies that a process collects share a limit

Callers: plain calls whose responses have no end take a VM of 256 MB beyond its memory; the requests of others would end with it.

Cause: each body is collected up to 16 MiB before the call fails, and nothing bounded the sum.

Fix: collected bodies count against 32 MiB; a call that goes beyond fails like one whose body is too long.

--- /dev/null
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -0,0 +1,292 @@
+//! Targets and stores that send bytes without end to the daemon.
+
+#![cfg(target_os = "linux")]
+
+use almondcroft_core::ledger::{Expected, ObjectStore};
+use almondcroft_standin::demo::{Caller, LocalDeployment, StreamEnd};
+use almondcroftd::http::Outbound;
+use almondcroftd::{HttpStore, block_on, sleep, spawn};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Memory of a VM, in bytes.
+const MEMORY: usize = 256 * 1024 * 1024;
+
+/// Number of calls at once, of each form.
+const RESPONSES: usize = 30;
+
+/// Time for which generations and load reports without end are played.
+const PLAY_TIME: Duration = Duration::from_secs(2);
+
+/// Time within which a connection is closed whose response is of no use.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+/// Held by each test, as memory is measured for the whole process.
+static EXCLUSIVE: Mutex<()> = Mutex::new(());
+
+fn exclusive() -> MutexGuard<'static, ()> {
+    EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+const LOAD: &str =
+    r#"{"age_ms":0,"running":0,"waiting":0,"kv_used":0,"kv_total":900000,"preemptions":0}"#;
+
+/// A server whose responses have no end.
+struct Endless {
+    url: String,
+    /// Number of responses that were started, and of those whose connections the other end closed.
+    started: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Endless {
+    /// Responds to all requests, or to all but polls of the load.
+    fn start(start: &str, rest: &str, polls: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = Self {
+            url: format!("http://{}", listener.local_addr().unwrap()),
+            started: Arc::default(),
+            closed: Arc::default(),
+            ended: Arc::default(),
+        };
+        let (started, closed) = (Arc::clone(&server.started), Arc::clone(&server.closed));
+        let ended = Arc::clone(&server.ended);
+        let (start, block) = (start.to_owned(), rest.repeat(64 * 1024 / rest.len()));
+        thread::spawn(move || {
+            for mut socket in listener.incoming().flatten() {
+                let (started, closed) = (Arc::clone(&started), Arc::clone(&closed));
+                let (start, block) = (start.clone(), block.clone());
+                let ended = Arc::clone(&ended);
+                thread::spawn(move || {
+                    while let Some(request) = read_head(&mut socket) {
+                        if !polls && request.starts_with("GET /load") {
+                            let length = LOAD.len();
+                            let head =
+                                format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                            let _ = socket.write_all((head + LOAD).as_bytes());
+                            continue;
+                        }
+                        if request.contains("100-continue") {
+                            let _ = socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        }
+                        started.fetch_add(1, Ordering::SeqCst);
+                        let mut sent = socket.write_all(start.as_bytes());
+                        while sent.is_ok() && !ended.load(Ordering::Relaxed) {
+                            sent = socket.write_all(block.as_bytes());
+                        }
+                        closed.fetch_add(usize::from(sent.is_err()), Ordering::SeqCst);
+                        return;
+                    }
+                });
+            }
+        });
+        server
+    }
+
+    /// Waits until all connections are closed; returns the number of those that stay open.
+    async fn open_connections(&self) -> usize {
+        let end = Instant::now() + CLOSE_TIME;
+        loop {
+            let started = self.started.load(Ordering::SeqCst);
+            let open = started - self.closed.load(Ordering::SeqCst).min(started);
+            if open == 0 || Instant::now() > end {
+                return open;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Endless {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+fn read_head(socket: &mut TcpStream) -> Option<String> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        socket.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.unwrap().trim().strip_suffix(" kB").unwrap();
+    kilobytes.trim().parse::<usize>().unwrap() * 1024
+}
+
+/// Records the largest resident memory until the flag is set.
+fn measure(ended: &Arc<AtomicBool>) -> thread::JoinHandle<usize> {
+    let ended = Arc::clone(ended);
+    thread::spawn(move || {
+        let mut peak = 0;
+        while !ended.load(Ordering::SeqCst) {
+            peak = peak.max(resident());
+            thread::sleep(Duration::from_millis(5));
+        }
+        peak
+    })
+}
+
+/// Forms of responses without end: their start, and what follows again and again.
+const FORMS: [(&str, &str); 9] = [
+    ("", "garbage "),
+    ("HTTP/1.1 200 OK\r\nX: ", "a"),
+    ("HTTP/1.1 200 OK\r\n", "X: a\r\n"),
+    ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+    (
+        "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
+        "body",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "4\r\nbody\r\n",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        "a",
+    ),
+    ("HTTP/1.1 200 OK\r\n\r\n", "body"),
+    (
+        "HTTP/1.1 500 Error\r\nContent-Length: 9999999999\r\n\r\n",
+        "body",
+    ),
+];
+
+/// What came of one form.
+struct Outcome {
+    started: usize,
+    open: usize,
+}
+
+/// Plays all forms at once; checks that each was played, that connections are closed, and the memory of all together.
+fn check(polls: bool, play: impl Fn(&Endless) -> usize + Sync) {
+    let _exclusive = exclusive();
+    let (ended, base) = (Arc::new(AtomicBool::new(false)), resident());
+    let measured = measure(&ended);
+    let outcomes: Vec<_> = thread::scope(|scope| {
+        let plays = FORMS.map(|(start, rest)| {
+            let play = &play;
+            scope.spawn(move || {
+                let server = Endless::start(start, rest, polls);
+                let open = play(&server);
+                let started = server.started.load(Ordering::SeqCst);
+                (start, rest, Outcome { started, open })
+            })
+        });
+        plays.map(|play| play.join().unwrap()).into()
+    });
+    ended.store(true, Ordering::SeqCst);
+    let added = measured.join().unwrap().saturating_sub(base);
+    let lines: Vec<_> = outcomes
+        .iter()
+        .map(|(start, rest, outcome)| {
+            let Outcome { started, open } = outcome;
+            format!("{start:?} {rest:?}: {started} started, {open} open")
+        })
+        .collect();
+    let lines = lines.join("\n");
+    eprintln!("{added} bytes\n{lines}");
+    let is_sound = |outcome: &Outcome| outcome.started > 0 && outcome.open == 0;
+    assert!(
+        outcomes.iter().all(|(_, _, outcome)| is_sound(outcome)),
+        "{lines}"
+    );
+    assert!(added <= MEMORY, "{added} bytes\n{lines}");
+}
+
+/// Starts a deployment whose only target of a kind is another one.
+async fn deploy(old: impl Fn(&LocalDeployment) -> String, new: &str) -> LocalDeployment {
+    let deployment = LocalDeployment::start(1, 1).await.unwrap();
+    let sheet = deployment.sheet().replace(&old(&deployment), new);
+    deployment.apply(&sheet).await.unwrap();
+    deployment
+}
+
+/// Guards against plain calls whose responses without end take the memory of the VM, or are read on after the call has
+/// failed.
+#[test]
+fn calls_with_responses_without_end_leave_the_memory_of_a_vm() {
+    check(false, |target| {
+        block_on(async {
+            let deployment = deploy(|deployment| deployment.orders.url(), &target.url).await;
+            let vm = deployment.vm_urls()[0].clone();
+            let calls: Vec<_> = (0..RESPONSES)
+                .map(|number| {
+                    let (vm, (sender, done)) = (vm.clone(), async_channel::bounded(1));
+                    spawn(async move {
+                        let body = format!("call-{number}");
+                        let reply = Caller::default().call(&vm, "lookups", None, &body).await;
+                        let _ = sender.send(reply.status).await;
+                    });
+                    done
+                })
+                .collect();
+            for call in calls {
+                let status = call.recv().await.unwrap();
+                assert!(status >= 500, "{status}");
+            }
+            target.open_connections().await
+        })
+    });
+}
+
+/// Guards against generations without end that take the memory of the VM, or are read on after they are of no use.
+#[test]
+fn generations_without_end_leave_the_memory_of_a_vm() {
+    check(false, |engine| {
+        block_on(async {
+            let deployment = deploy(|deployment| deployment.engines[0].url(), &engine.url).await;
+            let vm = deployment.vm_urls()[0].clone();
+            for number in 0..8 {
+                let vm = vm.clone();
+                spawn(async move {
+                    let prompt = format!("prompt {number}");
+                    let streamed = Caller::default().stream(&vm, &prompt, 4).await;
+                    assert!(streamed.end != StreamEnd::Done);
+                });
+            }
+            sleep(PLAY_TIME).await;
+            drop(deployment);
+            engine.open_connections().await
+        })
+    });
+}
+
+/// Guards against load reports without end that take the memory of the VM, or are read on after the poll has failed.
+#[test]
+fn load_reports_without_end_leave_the_memory_of_a_vm() {
+    check(true, |engine| {
+        block_on(async {
+            let deployment = deploy(|deployment| deployment.engines[0].url(), &engine.url).await;
+            sleep(PLAY_TIME).await;
+            drop(deployment);
+            engine.open_connections().await
+        })
+    });
+}
+
+/// Guards against responses of the store without end that are read on after the call has failed.
+#[test]
+fn store_calls_without_end_are_closed() {
+    check(true, |server| {
+        block_on(async {
+            let store = HttpStore::new(&server.url, Outbound::new());
+            let _ = store.put("a", b"{}".to_vec(), Expected::Absent).await;
+            let _ = store.get("a").await;
+            let _ = store.list("a").await;
+            let _ = store.watch("a", 1, Duration::from_millis(100)).await;
+            server.open_connections().await
+        })
+    });
+}
--- a/crates/almondcroftd/src/http.rs
+++ b/crates/almondcroftd/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP client, TLS and streamed response bodies.
 
 mod body;
+mod collected_body;
 mod filtered_transport;
 mod options;
 mod outbound;
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -1,5 +1,6 @@
 //! HTTP client for targets, peers and the platform.
 
+use super::collected_body::CollectedBody;
 use super::filtered_transport::FilteredTransport;
 use super::{ResponseBody, client_config};
 use crate::runtime::{sleep, within};
@@ -135,7 +136,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] if the body breaks off, does not end in time or is too long.
+    /// Returns a [`CallError`] if the body breaks off, does not end in time or is too long, or if all bodies that the
+    /// process collects are too long together.
     pub async fn read_body(
         conn: Conn,
         max_bytes: usize,
@@ -158,15 +160,19 @@
     ) -> Result<Vec<u8>, CallError> {
         let mut body = ResponseBody::new(conn);
         let read = async {
-            let mut bytes = Vec::new();
+            let mut bytes = CollectedBody::default();
             let mut buffer = vec![0; READ_BYTES];
             while bytes.len() <= max_bytes {
                 match body.read(&mut buffer).await? {
                     0 => break,
-                    count => bytes.extend_from_slice(&buffer[..count]),
+                    count if bytes.try_extend(&buffer[..count]) => {}
+                    _ => {
+                        log::warn!(event = "collected-bodies-full", bytes = bytes.len(); "");
+                        return Err(io::ErrorKind::OutOfMemory.into());
+                    }
                 }
             }
-            io::Result::Ok(bytes)
+            io::Result::Ok(bytes.finish())
         };
         match within(limit, read).await {
             Some(Ok(bytes)) if bytes.len() <= max_bytes => {
