fix(daemon): a generation that goes on elsewhere is cancelled at its first engine

Callers: after a failure before the first token, two engines work on one generation, the first one to its end.

Cause: the daemon sends the request to another engine with a new generation id, and took the failure for the end of the first run. Generations of its engines outlive their connections and end only when they are deleted.

Evidence: generation_that_is_sent_elsewhere_is_cancelled_at_its_first_engine (crates/almondcroft-standin/tests/single_runs.rs) failed before for the first form, a 500 (12.4 s at once, 400 ms permitted).

Fix: unless the first engine has stated that it did not run the request, the daemon deletes the generation there before the request goes elsewhere.

Measured: the test passes for a 500, for bytes that are no response and for silence. The related plain call (call_that_is_sent_elsewhere_is_closed_at_its_first_target) holds on the code before: its connection is closed at once.

--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -181,6 +181,9 @@
                 "engine failed before the first token"
             );
             if problem.verdict != Verdict::NotRun {
+                // A generation runs on without its connection.
+                self.source = None;
+                self.cancel(false);
                 may_have_run = Some(problem);
             }
             failed = Some(std::mem::take(&mut self.target));
