test(daemon): bytes without end that were not read count too

What the connections of the daemon have received and it has not read is added to its resident memory in endless.rs.

--- a/crates/almondcroft-standin/tests/endless.rs
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -25,6 +25,9 @@
 /// Time within which a connection is closed whose response is of no use.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 
+/// The ports of the servers.
+static PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 /// Held by each test, as memory is measured for the whole process.
 static EXCLUSIVE: Mutex<()> = Mutex::new(());
 
@@ -48,8 +51,10 @@
     /// Responds to all requests, or to all but polls of the load.
     fn start(start: &str, rest: &str, polls: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        PORTS.lock().unwrap().push(address.port());
         let server = Self {
-            url: format!("http://{}", listener.local_addr().unwrap()),
+            url: format!("http://{address}"),
             started: Arc::default(),
             closed: Arc::default(),
             ended: Arc::default(),
@@ -125,13 +130,28 @@
     kilobytes.trim().parse::<usize>().unwrap() * 1024
 }
 
-/// Records the largest resident memory until the flag is set.
+/// Returns the bytes that connections to the servers of this test have received and that were not read.
+fn unread() -> usize {
+    let ports = PORTS.lock().unwrap().clone();
+    let connections = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let queues = connections.lines().skip(1).filter_map(|line| {
+        let mut fields = line.split_whitespace().skip(2);
+        let remote = fields.next()?;
+        let queues = fields.nth(1)?;
+        let port = u16::from_str_radix(remote.split_once(':')?.1, 16).ok()?;
+        let received = usize::from_str_radix(queues.split_once(':')?.1, 16).ok()?;
+        ports.contains(&port).then_some(received)
+    });
+    queues.sum()
+}
+
+/// Records the largest memory, with bytes that were received and not read, until the flag is set.
 fn measure(ended: &Arc<AtomicBool>) -> thread::JoinHandle<usize> {
     let ended = Arc::clone(ended);
     thread::spawn(move || {
         let mut peak = 0;
         while !ended.load(Ordering::SeqCst) {
-            peak = peak.max(resident());
+            peak = peak.max(resident() + unread());
             thread::sleep(Duration::from_millis(5));
         }
         peak
