fix(migration): an unanswered call to stop counts on at the same target

Callers: a stream without a length that goes on at its first engine, as the destination refuses it, ends as complete when an earlier call to stop takes effect late.

Once a later call was answered, the unanswered one was forgotten with the stream that it was sent for. A migration for which nobody waited any more also went on to ask the source to stop.

Fix: a migration's end says whether a call was not answered, and the relay keeps that as long as the generation runs at the same target. A migration whose stream has ended sends no further call to stop.

--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -14,7 +14,7 @@
 use crate::target_connect::Destination;
 use almondcroft_core::gateway::{Choice, ExtraSend, Fleet};
 use almondcroft_core::{RequestId, Timestamp};
-use async_channel::{Receiver, bounded};
+use async_channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,20 +66,13 @@
     pub(crate) permit: Option<ExtraPermit>,
 }
 
-/// What is known of a generation at the source of its migration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum SourceState {
-    /// It was not stopped: the source was not asked to, or stated that it did not.
-    Running,
-    /// It may have been stopped: the source was asked to, and no response shows whether it did.
-    Unknown,
-    /// The source has stopped it.
-    Stopped,
-}
-
 /// How a migration ended.
 pub(crate) struct MigrationEnd {
-    pub(crate) source: SourceState,
+    /// Whether the source has stopped the generation.
+    pub(crate) has_stopped: bool,
+    /// Whether a call to stop the generation was sent that no response has answered, so that it may have stopped, or may
+    /// stop later.
+    pub(crate) has_unanswered_stop: bool,
     /// The copy to resume from if the source has stopped, or once its stream breaks off.
     pub(crate) copy: Option<Migrated>,
 }
@@ -87,14 +80,15 @@
 impl MigrationEnd {
     /// The generation goes on at its source, and there is no copy of it.
     const FAILED: Self = Self {
-        source: SourceState::Running,
+        has_stopped: false,
+        has_unanswered_stop: false,
         copy: None,
     };
 
     /// Nothing is known of the source.
     pub(crate) const UNKNOWN: Self = Self {
-        source: SourceState::Unknown,
-        copy: None,
+        has_unanswered_stop: true,
+        ..Self::FAILED
     };
 }
 
@@ -143,11 +137,12 @@
         reason,
         events: Arc::clone(events),
         events_before: events.load(Ordering::Relaxed),
+        end: sender,
     };
     spawn(async move {
-        let result = migration.run().await;
+        let end = migration.run().await;
         // The receiver is gone if the stream has ended meanwhile.
-        let _ = sender.try_send(result);
+        let _ = migration.end.try_send(end);
     });
     Some(receiver)
 }
@@ -210,6 +205,8 @@
     events: Arc<AtomicU64>,
     /// Number of events at the start of the migration.
     events_before: u64,
+    /// Takes the end of the migration; closed once nobody waits for it.
+    end: Sender<MigrationEnd>,
 }
 
 impl Migration {
@@ -316,10 +313,11 @@
                 return MigrationAttempt::Failed;
             }
         };
-        let (source, handle) = match self.stop_source(&target).await {
-            StopResult::Stopped(handle) => (SourceState::Stopped, Some(handle)),
-            StopResult::Unknown => (SourceState::Unknown, copy_handle.take()),
-            StopResult::Unreached => (SourceState::Running, copy_handle.take()),
+        let (result, has_unanswered_stop) = self.stop_source(&target).await;
+        let has_stopped = matches!(result, StopResult::Stopped(_));
+        let handle = match result {
+            StopResult::Stopped(handle) => Some(handle),
+            StopResult::Unknown | StopResult::Unreached => copy_handle.take(),
             StopResult::Busy => return self.record_no_room(&target),
             StopResult::NoRun => return MigrationAttempt::Failed,
         };
@@ -328,27 +326,37 @@
             handle,
             permit: Some(permit),
         });
-        MigrationAttempt::Ended(MigrationEnd { source, copy })
+        MigrationAttempt::Ended(MigrationEnd {
+            has_stopped,
+            has_unanswered_stop,
+            copy,
+        })
     }
 
-    /// Asks the source to stop the generation and to copy the rest, until a response shows whether it has.
+    /// Asks the source to stop the generation and to copy the rest, until a response shows whether it has; also returns
+    /// whether one of the calls was not answered.
     ///
     /// The source closes the stream of a generation that it stops in the same way as that of one that has ended. So a
     /// call that it may have received counts until a response shows that it has stopped; a refusal of a later call does
     /// not show that the first one had no effect.
-    async fn stop_source(&self, target: &Choice) -> StopResult {
-        let (first_sent_at, mut may_have_stopped) = (clock::now(), false);
+    async fn stop_source(&self, target: &Choice) -> (StopResult, bool) {
+        let (first_sent_at, mut is_unanswered) = (clock::now(), false);
         for _ in 0..MAX_STOP_CALLS {
+            if self.end.is_closed() {
+                // The stream has ended, and the generation may go on at the source by another way.
+                return (StopResult::NoRun, is_unanswered);
+            }
             let sent_at = clock::now();
             let response = self.copy(target.address, true).await;
             self.log_copy("last", response.outcome(), Some(target), sent_at);
             let is_busy = matches!(response, CopyResponse::Answered(409, _));
             match self.read_stop(&response) {
-                StopResult::Stopped(handle) => return StopResult::Stopped(handle),
-                StopResult::Unknown => may_have_stopped = true,
-                StopResult::NoRun if may_have_stopped => break,
-                _ if may_have_stopped => {}
-                result => return result,
+                StopResult::Unknown => is_unanswered = true,
+                StopResult::NoRun if is_unanswered => break,
+                result if !is_unanswered || matches!(result, StopResult::Stopped(_)) => {
+                    return (result, is_unanswered);
+                }
+                _ => {}
             }
             if clock::now() > first_sent_at + COPY_TIMEOUT {
                 break;
@@ -358,7 +366,7 @@
                 sleep(RETRY_DELAY).await;
             }
         }
-        StopResult::Unknown
+        (StopResult::Unknown, is_unanswered)
     }
 
     /// Reads the response to a call to stop the generation.
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -100,7 +100,7 @@
     missed_notice: bool,
     /// The copy to resume from, as the source has stopped.
     migrated: Option<Migrated>,
-    /// Whether the source was asked to stop, and no response shows whether it did.
+    /// Whether the target was asked to stop the generation by a call that was not answered.
     may_have_stopped: bool,
     /// A copy to resume from if the stream breaks off.
     copied: Option<Migrated>,
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::{RequestLog, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
-use crate::migration::{self, Migrated, MigrationEnd, MigrationReason, SourceState};
+use crate::migration::{self, Migrated, MigrationEnd, MigrationReason};
 use crate::runtime::within;
 use crate::state::{ExtraPermit, lock};
 use crate::target_connect;
@@ -110,7 +110,7 @@
     /// not reached by a call to stop it.
     pub(super) fn record_migration_end(&mut self, end: MigrationEnd) {
         let missed_notice = std::mem::take(&mut self.missed_notice);
-        let was_unclear = end.source == SourceState::Unknown || end.copy.is_some();
+        let was_unclear = end.has_unanswered_stop || end.copy.is_some();
         self.record_source(end);
         if self.migrated.is_some() {
             return;
@@ -125,15 +125,12 @@
 
     /// Records what a migration has shown of the source, and the copy that it has made.
     fn record_source(&mut self, end: MigrationEnd) {
-        match end.source {
-            SourceState::Stopped => {
-                self.migrated = end.copy;
-                return;
-            }
-            SourceState::Unknown => self.may_have_stopped = true,
-            SourceState::Running => {}
+        self.may_have_stopped |= end.has_unanswered_stop;
+        if end.has_stopped {
+            self.migrated = end.copy;
+        } else {
+            self.copied = end.copy.or_else(|| self.copied.take());
         }
-        self.copied = end.copy.or_else(|| self.copied.take());
     }
 
     /// Returns whether there is a copy from which the generation can be resumed.
@@ -307,7 +304,10 @@
         );
         drop(fleet);
         self.gateway.deliver(placements);
+        // A call to stop the generation that was not answered may take effect once it goes on at the same target.
+        let may_stop = self.may_have_stopped && self.choice.target == choice.target;
         self.replace_stream(exchange, run);
+        self.may_have_stopped = may_stop;
         self.choice = choice.clone();
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
