fix(caller): request bodies in chunks count against the memory as they arrive

Cause: a body in chunks counted as empty against the budget until it was complete.

Fix: the count grows with the body, and the request is refused at once when the budget has no more room.

--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -297,8 +297,10 @@
     }
     let budget = gateway.settings.body_budget();
     let out_of_memory = || ReceiveError::Rejected(Reply::refused("memory", MEMORY_RETRY));
-    let length_guard = gateway.lifecycle.reserve_body(length, budget);
-    let length_guard = length_guard.ok_or_else(out_of_memory)?;
+    let mut body_guard = gateway.lifecycle.enter_body();
+    if !body_guard.try_grow(length, budget) {
+        return Err(out_of_memory());
+    }
     if head.headers.has_token("expect", "100-continue") {
         let sent = connection
             .sender()
@@ -322,14 +324,16 @@
         if body.len() > limits.body_bytes {
             return Err(too_large());
         }
+        // A body in chunks states no length, so it is counted as it arrives.
+        if !body_guard.try_grow(body.len(), budget) {
+            return Err(out_of_memory());
+        }
     }
-    drop(length_guard);
-    let body_guard = gateway.lifecycle.reserve_body(body.len(), budget);
     Ok(ReceivedRequest {
         head,
         body,
         received_at,
-        body_guard: body_guard.ok_or_else(out_of_memory)?,
+        body_guard,
     })
 }
 
--- a/crates/almondcroft-gateway/src/lifecycle.rs
+++ b/crates/almondcroft-gateway/src/lifecycle.rs
@@ -93,10 +93,9 @@
         Guard::new(self, Counter::Connections, 1)
     }
 
-    /// Reserves the bytes of a body until the guard is dropped; `None` if the budget is exhausted.
-    pub(crate) fn reserve_body(self: &Arc<Self>, bytes: usize, budget: usize) -> Option<Guard> {
-        let held = self.body_bytes.load(Ordering::SeqCst);
-        (held + bytes <= budget).then(|| Guard::new(self, Counter::BodyBytes, bytes))
+    /// Counts the bytes of a request body, none so far, until the guard is dropped.
+    pub(crate) fn enter_body(self: &Arc<Self>) -> Guard {
+        Guard::new(self, Counter::BodyBytes, 0)
     }
 
     /// Counts the bytes that a collected response takes, none so far, until the guard is dropped.
