fix(sync): a watch with more changes than can be read leads to a list

Cause: the changes since the VM's position exceed the size of a response that it reads. The same watch was sent again and again.

Evidence: missed_large_configurations_are_followed (platform/tests/gateway.rs), seven configurations of 1 MB written while the store refuses calls, failed before (not in force after 2.5 s). The store's double keeps earlier versions for it.

Fix: a response that is too large leads to a list, which names each object once.

--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -1,11 +1,12 @@
 //! Calls to the platform's store over one persistent connection.
 
 use crate::adapter::ControlCall;
-use crate::connection::Connection;
+use crate::connection::{Connection, ConnectionError};
 use crate::exchange::round_trip;
 use crate::runtime::within;
 use crate::state::Gateway;
 use almondcroft_core::Era;
+use almondcroft_proto::http1::FrameError;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 pub(crate) enum StoreError {
     /// The store cannot be reached, or its response was lost.
     Unreachable(&'static str),
+    /// The response is too large to be read.
+    TooLarge,
     /// The store responded with this error status.
     Status(u16),
     /// The response cannot be read.
@@ -38,6 +41,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Unreachable(kind) => f.write_str(kind),
+            Self::TooLarge => f.write_str("too-large"),
             Self::Status(status) => write!(f, "status-{status}"),
             Self::Unreadable(reason) => f.write_str(reason),
             Self::Outdated => f.write_str("outdated-era"),
@@ -96,7 +100,12 @@
         .await;
         let (head, body) = response
             .ok_or(StoreError::Unreachable("timeout"))?
-            .map_err(|error| StoreError::Unreachable(error.kind()))?;
+            .map_err(|error| match error {
+                ConnectionError::Frame {
+                    source: FrameError::TooLarge,
+                } => StoreError::TooLarge,
+                error => StoreError::Unreachable(error.kind()),
+            })?;
         if head.keeps_alive() {
             self.connection = Some(connection);
         }
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -172,7 +172,8 @@
                         era = self.position.era, revision = self.position.revision; "");
                     return;
                 }
-                Err(error @ StoreError::Unreadable(_)) => {
+                // A list names each object once, while the changes since a position only grow.
+                Err(error @ (StoreError::Unreadable(_) | StoreError::TooLarge)) => {
                     self.back_off(&error).await;
                     return;
                 }
