fix(migration): a migration that ends without a copy keeps the backup in the accounts

Callers: none seen; found by reading. After a call to stop whose response names no handle, the fleet counted the destination as the holder of a copy, in place of the engine with the backup, until the request ended.

Cause: only failed attempts restored the backup; an end without a copy is no failed attempt any more.

Fix: the backup is restored for it as well. stopped_sources.rs and streams.rs pass.

--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -230,6 +230,9 @@
             let mut copied = None;
             let result = self.migrate_to(target, started_at, &mut copied).await;
             if let MigrationAttempt::Ended(end) = result {
+                if end.copy.is_none() {
+                    lock(&self.gateway.fleet).set_backup(&self.request, backup.as_ref());
+                }
                 return end;
             }
             lock(&self.gateway.fleet).set_backup(&self.request, backup.as_ref());
