fix(relay): a stream that ends before its engine is asked to stop it is whole

Callers: whole streams without a length are broken off after their last event, as they end while a move for a silence copies their generation.

Any end without a length counted as broken off while a migration ran, also if its engine worked again and had not been asked to stop.

Fix: during a migration the end counts as broken off if the engine leaves, has sent no event since the migration began, or was asked to stop before the end was read. A migration whose stream has ended sends no call to stop.

--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -18,7 +18,7 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Timeout of one copy; the copies of several generations queue on a link.
@@ -92,6 +92,26 @@
     };
 }
 
+/// A migration that has not ended.
+pub(crate) struct RunningMigration {
+    /// Receives its end.
+    pub(crate) end: Receiver<MigrationEnd>,
+    reason: MigrationReason,
+    /// Number of events at its start.
+    events_before: u64,
+    has_asked_to_stop: Arc<AtomicBool>,
+}
+
+impl RunningMigration {
+    /// Returns whether a stream that ends after a number of events may have been stopped, or cut off by an engine that
+    /// leaves or does not work any more.
+    pub(crate) fn may_have_cut(&self, events: u64) -> bool {
+        self.reason == MigrationReason::Leave
+            || events == self.events_before
+            || self.has_asked_to_stop.load(Ordering::SeqCst)
+    }
+}
+
 /// Why a generation is migrated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum MigrationReason {
@@ -122,7 +142,7 @@
     source: &Choice,
     reason: MigrationReason,
     events: &Arc<AtomicU64>,
-) -> Option<Receiver<MigrationEnd>> {
+) -> Option<RunningMigration> {
     let config = gateway.config()?;
     let engine = config.pools.get(&call.service)?.engine.as_ref()?;
     if !engine.supports_migration {
@@ -137,14 +157,21 @@
         reason,
         events: Arc::clone(events),
         events_before: events.load(Ordering::Relaxed),
+        has_asked_to_stop: Arc::default(),
         end: sender,
     };
+    let running = RunningMigration {
+        end: receiver,
+        reason,
+        events_before: migration.events_before,
+        has_asked_to_stop: Arc::clone(&migration.has_asked_to_stop),
+    };
     spawn(async move {
         let end = migration.run().await;
         // The receiver is gone if the stream has ended meanwhile.
         let _ = migration.end.try_send(end);
     });
-    Some(receiver)
+    Some(running)
 }
 
 /// The result of an attempt to migrate a generation to one target.
@@ -205,6 +232,8 @@
     events: Arc<AtomicU64>,
     /// Number of events at the start of the migration.
     events_before: u64,
+    /// Set before the first call to stop the generation is sent.
+    has_asked_to_stop: Arc<AtomicBool>,
     /// Takes the end of the migration; closed once nobody waits for it.
     end: Sender<MigrationEnd>,
 }
@@ -349,6 +378,7 @@
                 // The stream has ended, and the generation may go on at the source by another way.
                 return (StopResult::NoRun, is_unanswered);
             }
+            self.has_asked_to_stop.store(true, Ordering::SeqCst);
             let sent_at = clock::now();
             let response = self.copy(target.address, true).await;
             self.log_copy("last", response.outcome(), Some(target), sent_at);
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use crate::connection::ConnectionError;
 use crate::dispatch::RequestLog;
 use crate::exchange::Exchange;
-use crate::migration::{Migrated, MigrationEnd};
+use crate::migration::{Migrated, MigrationEnd, RunningMigration};
 use crate::runtime::sleep;
 use crate::state::{Gateway, PlacementGuard, lock};
 use crate::target_run::TargetRun;
@@ -95,7 +95,7 @@
     leave_notice: Receiver<()>,
     /// Time at which to move the generation off the leaving target.
     leave_at: Option<Timestamp>,
-    migration: Option<Receiver<MigrationEnd>>,
+    migration: Option<RunningMigration>,
     /// Whether the target started to leave during the migration.
     missed_notice: bool,
     /// The copy to resume from, as the source has stopped.
@@ -243,7 +243,7 @@
             Some("partial-event")
         } else if !self.is_close_delimited() {
             None
-        } else if self.is_migrating() || self.may_have_stopped {
+        } else if self.may_have_been_cut() {
             Some("ended")
         } else if !self.has_events {
             Some("empty")
@@ -252,6 +252,16 @@
         }
     }
 
+    /// Returns whether the target may have stopped or cut off the generation, so that the end of a connection is no end.
+    fn may_have_been_cut(&self) -> bool {
+        let events = self.events.load(Ordering::Relaxed);
+        let migration = self.migration.as_ref();
+        self.may_have_stopped
+            || self.migrated.is_some()
+            || self.missed_notice
+            || migration.is_some_and(|migration| migration.may_have_cut(events))
+    }
+
     /// Returns whether a migration is running or has stopped the source.
     const fn is_migrating(&self) -> bool {
         self.migration.is_some() || self.migrated.is_some()
@@ -290,8 +300,9 @@
         };
         let migration_end = async {
             match &self.migration {
-                Some(end) => {
-                    Step::MigrationEnded(end.recv().await.unwrap_or(MigrationEnd::UNKNOWN))
+                Some(migration) => {
+                    let end = migration.end.recv().await;
+                    Step::MigrationEnded(end.unwrap_or(MigrationEnd::UNKNOWN))
                 }
                 None => std::future::pending().await,
             }
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -159,8 +159,8 @@
         request_log: &mut RequestLog,
         reason: &str,
     ) -> bool {
-        if let Some(end) = self.migration.take()
-            && let Some(Ok(end)) = within(MIGRATION_TIMEOUT, end.recv()).await
+        if let Some(migration) = self.migration.take()
+            && let Some(Ok(end)) = within(MIGRATION_TIMEOUT, migration.end.recv()).await
         {
             self.record_source(end);
         }
