fix(relay): a missed leave notice ends with the stream that it was for

Callers: a whole stream without a length is broken off after its last event at the engine to which it was moved, if its first engine started to leave while a move for a silence was running.

Cause: with a missed notice makes the end of a stream doubtful, and it was kept when the stream was replaced.

Evidence: unframed_stream_that_was_moved_after_a_missed_notice_is_complete failed before (all five events, no end).

Fix: it is cleared with the other state of the stream.

--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -130,6 +130,7 @@
         self.progress_at = clock::now();
         self.splitter = EventSplitter::default();
         self.has_events = false;
+        self.missed_notice = false;
         self.may_have_stopped = false;
         self.copied = None;
     }
