fix(daemon): bytes that wait for a caller that does not read are bounded

Callers of other customers: their requests end with the process of a VM that is killed for its memory.

Cause: up to 32 chunks waited for each caller, whatever their size, and an event of an engine may have 256 KiB. What the daemon did not read meanwhile stayed in the receive buffer of its connection, which the operating system grows up to tens of megabytes.

--- a/crates/almondcroft-standin/src/engine/http.rs
+++ b/crates/almondcroft-standin/src/engine/http.rs
@@ -396,7 +396,7 @@
     async fn forward_events(&mut self, sender: &BodySender) {
         loop {
             if self.state.crashed.is_set() {
-                let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+                sender.reset(std::io::ErrorKind::ConnectionReset.into());
                 return;
             }
             match self.poll_output() {
--- a/crates/almondcroft-standin/src/request.rs
+++ b/crates/almondcroft-standin/src/request.rs
@@ -35,7 +35,7 @@
 /// Resets a connection without a complete response, as a process that crashes does.
 pub(crate) fn reset_connection(conn: Conn) -> Conn {
     let (sender, body) = stream_body();
-    let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+    sender.reset(std::io::ErrorKind::ConnectionReset.into());
     conn.with_status(500).with_body(body).halt()
 }
 
--- a/crates/almondcroft-standin/tests/endless.rs
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -3,11 +3,11 @@
 #![cfg(target_os = "linux")]
 
 use almondcroft_core::ledger::{Expected, ObjectStore};
-use almondcroft_standin::demo::{Caller, LocalDeployment, StreamEnd};
+use almondcroft_standin::demo::{Caller, LocalDeployment, StreamEnd, TOKEN};
 use almondcroftd::http::Outbound;
 use almondcroftd::{HttpStore, block_on, sleep, spawn};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -310,3 +310,112 @@
         })
     });
 }
+
+/// Starts an engine that sends valid events of 200 KiB without end, until its connection closes.
+fn endless_engine() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    PORTS.lock().unwrap().push(address.port());
+    let sent = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&sent);
+    thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let count = Arc::clone(&count);
+            thread::spawn(move || {
+                while let Some(head) = read_head(&mut socket) {
+                    let generation = read_generation(&head, &mut socket);
+                    if let Some(generation) = generation {
+                        send_events(&mut socket, &generation, &count);
+                        return;
+                    }
+                    let body = if head.starts_with("GET /load") {
+                        LOAD
+                    } else {
+                        ""
+                    };
+                    let length = body.len();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    let _ = socket.write_all((head + body).as_bytes());
+                }
+            });
+        }
+    });
+    (format!("http://{address}"), sent)
+}
+
+/// Reads the body of a request; returns the id of the generation that it starts.
+fn read_generation(head: &str, socket: &mut TcpStream) -> Option<String> {
+    let head = head.to_lowercase();
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "))?;
+    if head.contains("100-continue") {
+        socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").ok()?;
+    }
+    let mut body = vec![0; length.parse().ok()?];
+    socket.read_exact(&mut body).ok()?;
+    let body: serde_json::Value = serde_json::from_slice(&body).ok()?;
+    Some(body["request_id"].as_str()?.to_owned())
+}
+
+fn send_events(socket: &mut TcpStream, generation: &str, count: &AtomicUsize) {
+    let text = "x".repeat(200 * 1024);
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let mut sent = socket.write_all(head.as_bytes());
+    for number in 0_u64.. {
+        if sent.is_err() {
+            return;
+        }
+        let chunk = serde_json::json!({"id": generation, "choices": [{"text": text}]});
+        sent = socket.write_all(format!("id: {number}\ndata: {chunk}\n\n").as_bytes());
+        count.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Sends a completion request on a connection whose response is not read.
+fn request_completion(address: SocketAddr, number: usize, stream: bool) -> TcpStream {
+    let mut socket = TcpStream::connect(address).unwrap();
+    let body = serde_json::json!({
+        "model": "menus", "prompt": format!("prompt {number}"), "stream": stream, "max_tokens": 100,
+    });
+    let body = body.to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer {TOKEN}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all((head + body.as_str()).as_bytes()).unwrap();
+    socket
+}
+
+/// Plays generations whose valid events have no end; returns the memory that they add, and the connections of the callers.
+fn play_events(stream: bool) -> (usize, Vec<TcpStream>) {
+    let (ended, base) = (Arc::new(AtomicBool::new(false)), resident());
+    let measured = measure(&ended);
+    let (url, sent) = endless_engine();
+    let callers = block_on(async {
+        let deployment = deploy(|deployment| deployment.engines[0].url(), &url).await;
+        let vm = deployment.vm_urls()[0].clone();
+        let address = vm.strip_prefix("http://").unwrap().parse().unwrap();
+        let callers = (0..RESPONSES).map(|number| request_completion(address, number, stream));
+        let callers: Vec<_> = callers.collect();
+        sleep(PLAY_TIME * 2).await;
+        for caller in &callers {
+            caller.set_read_timeout(Some(PLAY_TIME)).unwrap();
+        }
+        drop(deployment);
+        callers
+    });
+    ended.store(true, Ordering::SeqCst);
+    let sent = sent.load(Ordering::SeqCst);
+    assert!(sent > RESPONSES, "{sent} events");
+    (measured.join().unwrap().saturating_sub(base), callers)
+}
+
+/// Guards against valid events without end that wait in memory for callers that do not read.
+#[test]
+fn events_without_end_to_callers_that_do_not_read_leave_the_memory_of_a_vm() {
+    let _exclusive = exclusive();
+    let (added, _callers) = play_events(true);
+    eprintln!("{added} bytes");
+    assert!(added <= MEMORY, "{added} bytes");
+}
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -5,6 +5,7 @@
 use super::{ResponseBody, client_config};
 use crate::runtime::{sleep, within};
 use almondcroft_core::Verdict;
+use socket2::SockRef;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -25,6 +26,11 @@
 /// Size of the read buffer, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Size of the receive buffer of a connection, in bytes.
+///
+/// The operating system grows a buffer up to tens of megabytes, and what a caller is too slow to take stays there.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// How a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallErrorKind {
@@ -275,9 +281,18 @@
 type Tcp = <ClientConfig as Connector>::Transport;
 
 impl SecureConnector {
+    /// Connects, and bounds what the connection receives before it is read.
+    async fn connect_tcp(&self, url: &Url) -> io::Result<Tcp> {
+        let stream = self.tcp.connect(url).await?.into_inner();
+        if let Err(error) = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            log::warn!(event = "receive-buffer-failed", error:% = error; "");
+        }
+        Ok(stream.into())
+    }
+
     async fn open(&self, url: &Url) -> io::Result<RustlsClientTransport<Tcp>> {
         if url.scheme() != "https" {
-            return Ok(self.tcp.connect(url).await?.into());
+            return Ok(self.connect_tcp(url).await?.into());
         }
         let tls = self.tls.clone().ok_or(io::ErrorKind::Unsupported)?;
         let host = url.host_str().unwrap_or_default().to_owned();
@@ -287,7 +302,7 @@
         if plain.set_scheme("http").is_err() || plain.set_port(port).is_err() {
             return Err(io::ErrorKind::InvalidInput.into());
         }
-        let tcp = self.tcp.connect(&plain).await?;
+        let tcp = self.connect_tcp(&plain).await?;
         let stream = TlsConnector::from(tls).connect(name, tcp).await?;
         Ok(stream.into())
     }
--- a/crates/almondcroftd/src/server.rs
+++ b/crates/almondcroftd/src/server.rs
@@ -70,6 +70,6 @@
 /// Resets the connection without a complete response.
 fn reset_connection(conn: Conn) -> Conn {
     let (sender, body) = stream_body();
-    let _ = sender.try_send(Err(io::ErrorKind::ConnectionReset.into()));
+    sender.reset(io::ErrorKind::ConnectionReset.into());
     conn.with_status(503).with_body(body).halt()
 }
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -307,7 +307,7 @@
 /// Sends bytes to the caller; returns whether they could be sent within the write time.
 async fn send(app: &App, sender: &BodySender, bytes: Vec<u8>) -> bool {
     if app.lifecycle.is_crashed() {
-        let _ = sender.try_send(Err(std::io::ErrorKind::ConnectionReset.into()));
+        sender.reset(std::io::ErrorKind::ConnectionReset.into());
         return false;
     }
     let sent = within(app.settings.limits.write_time, sender.send(Ok(bytes))).await;
