fix(daemon): the text of a collected generation is bounded

Callers of other customers: their requests end with the process of a VM that is killed for its memory.

Cause: a caller that asks for no stream gets the whole generation in one response, and its text was kept without a limit until the generation ended or its deadline passed. An engine whose valid events have no end filled the memory.

--- a/crates/almondcroft-standin/tests/endless.rs
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -419,3 +419,17 @@
     eprintln!("{added} bytes");
     assert!(added <= MEMORY, "{added} bytes");
 }
+
+/// Guards against a generation without end that is collected for its caller until the memory of the VM is full.
+#[test]
+fn collected_generations_without_end_leave_the_memory_of_a_vm() {
+    let _exclusive = exclusive();
+    let (added, callers) = play_events(false);
+    eprintln!("{added} bytes");
+    assert!(added <= MEMORY, "{added} bytes");
+    for mut caller in callers {
+        let mut status = [0; 12];
+        caller.read_exact(&mut status).unwrap();
+        assert_eq!(&status, b"HTTP/1.1 502", "a generation has no response");
+    }
+}
--- a/crates/almondcroftd/src/http.rs
+++ b/crates/almondcroftd/src/http.rs
@@ -10,6 +10,7 @@
 mod tls;
 
 pub use body::{BodySender, stream_body};
+pub(crate) use collected_body::CollectedBody;
 pub use options::{client_config, server_options};
 pub use outbound::{CallError, CallErrorKind, Outbound};
 pub use response_body::ResponseBody;
--- a/crates/almondcroftd/src/http/collected_body.rs
+++ b/crates/almondcroftd/src/http/collected_body.rs
@@ -11,11 +11,11 @@
 
 /// A body that is being collected, and counts against the limit of the process until it is complete or dropped.
 #[derive(Debug, Default)]
-pub(super) struct CollectedBody(Vec<u8>);
+pub(crate) struct CollectedBody(Vec<u8>);
 
 impl CollectedBody {
     /// Appends a part of the body; returns whether the limit of the process permits it.
-    pub(super) fn try_extend(&mut self, part: &[u8]) -> bool {
+    pub(crate) fn try_extend(&mut self, part: &[u8]) -> bool {
         let before = COLLECTED_BYTES.fetch_add(part.len(), Ordering::SeqCst);
         let permitted = before + part.len() <= MAX_COLLECTED_BYTES;
         if permitted {
@@ -26,12 +26,12 @@
         permitted
     }
 
-    pub(super) const fn len(&self) -> usize {
+    pub(crate) const fn len(&self) -> usize {
         self.0.len()
     }
 
     /// Returns the complete body.
-    pub(super) fn finish(mut self) -> Vec<u8> {
+    pub(crate) fn finish(mut self) -> Vec<u8> {
         COLLECTED_BYTES.fetch_sub(self.0.len(), Ordering::SeqCst);
         std::mem::take(&mut self.0)
     }
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -659,13 +659,15 @@
         let mut response = CollectedResponse::default();
         let mut event = Some(first);
         while let Some(current) = event {
-            response.push(&current.data);
+            if !response.try_push(&current.data) {
+                return Err(self.abort(502, "response-too-large"));
+            }
             event = self.next().await?;
         }
         // The last event carries the finish reason, not a token.
         let tokens = self.sequencer.next().saturating_sub(1);
         let service = &self.job.route.service;
-        Ok(response.to_json(&self.generation, service, self.job.chat, tokens))
+        Ok(response.into_json(&self.generation, service, self.job.chat, tokens))
     }
 
     fn problem(&self, status: u16, kind: &str, verdict: Verdict) -> Problem {
