fix(daemon): a call that cancels a generation is repeated until it has an effect

Callers: after a failure before the first token, two engines work on one generation, the first one to its end.

Cause: the call that deletes the generation at the first engine was sent once, on a connection of the pool, and nothing looked at its response. If the connection broke, the engine failed, or it had not read the request that starts the generation yet (404), the run went on. Class: the decision to go on elsewhere is taken for the end of the run before.

Fix: the call is repeated after 50, 100, 150 and 500 ms, each time over a new connection, until a response shows that it had an effect; 404 counts as one only for a generation that has been delivered in part. The last failure is logged (`cancel-failed`).

--- a/crates/almondcroft-standin/tests/single_runs.rs
+++ b/crates/almondcroft-standin/tests/single_runs.rs
@@ -41,10 +41,36 @@
     }
 }
 
+/// What comes of the first call that cancels a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FirstCancel {
+    /// It has its effect.
+    Effective,
+    /// Its connection is closed, and it has no effect.
+    Lost,
+    /// The engine fails.
+    Failed,
+    /// The engine has not read the request that starts the generation yet.
+    Early,
+}
+
+impl FirstCancel {
+    const fn response(self) -> Option<u16> {
+        match self {
+            Self::Effective => Some(204),
+            Self::Lost => None,
+            Self::Failed => Some(500),
+            Self::Early => Some(404),
+        }
+    }
+}
+
 /// The times at which the first target stopped its work, and the next one got the request.
 #[derive(Debug, Default)]
 struct Times {
     is_failed: bool,
+    /// Whether the first call that cancels a generation has come.
+    is_cancelled: bool,
     stopped: Option<Instant>,
     next: Option<Instant>,
 }
@@ -57,6 +83,10 @@
 
 impl Targets {
     fn start(defect: Defect) -> Self {
+        Self::with_first_cancel(defect, FirstCancel::Effective)
+    }
+
+    fn with_first_cancel(defect: Defect, first: FirstCancel) -> Self {
         let times = Arc::new(Mutex::new(Times::default()));
         let urls = (0..2).map(|_| {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -65,7 +95,7 @@
             thread::spawn(move || {
                 for socket in listener.incoming().flatten() {
                     let (times, has_failed) = (Arc::clone(&times), Arc::clone(&has_failed));
-                    thread::spawn(move || serve(socket, defect, &times, &has_failed));
+                    thread::spawn(move || serve(socket, (defect, first), &times, &has_failed));
                 }
             });
             url
@@ -90,7 +120,12 @@
 }
 
 /// Serves a connection; `has_failed` tells whether this target failed the request.
-fn serve(mut socket: TcpStream, defect: Defect, times: &Mutex<Times>, has_failed: &Mutex<bool>) {
+fn serve(
+    mut socket: TcpStream,
+    (defect, first): (Defect, FirstCancel),
+    times: &Mutex<Times>,
+    has_failed: &Mutex<bool>,
+) {
     while let Some((line, body)) = read_request(&mut socket) {
         let load =
             r#"{"age_ms":0,"running":0,"waiting":0,"kv_used":0,"kv_total":900000,"preemptions":0}"#;
@@ -99,6 +134,14 @@
             continue;
         }
         if line.starts_with("DELETE") {
+            let is_first = !std::mem::replace(&mut times.lock().unwrap().is_cancelled, true);
+            if is_first && first != FirstCancel::Effective {
+                let Some(status) = first.response() else {
+                    return;
+                };
+                let _ = socket.write_all(framed(status, "").as_bytes());
+                continue;
+            }
             times.lock().unwrap().stopped.get_or_insert(Instant::now());
             let _ = socket.write_all(framed(204, "").as_bytes());
             continue;
@@ -224,6 +267,23 @@
     }
 }
 
+/// Guards against a generation that runs on at its first engine because the call that cancels it has no effect.
+#[test]
+fn generation_whose_cancellation_fails_once_is_cancelled_all_the_same() {
+    for first in [FirstCancel::Lost, FirstCancel::Failed, FirstCancel::Early] {
+        let targets = Targets::with_first_cancel(Defect::Status500, first);
+        block_on(async {
+            let deployment = deploy(&targets, true).await;
+            let streamed = Caller::default()
+                .stream(&deployment.vm_urls()[0], "prompt", 2)
+                .await;
+            assert_eq!(streamed.end, StreamEnd::Done, "{first:?}");
+            let overlap = targets.overlap().await;
+            assert!(overlap <= PERMITTED, "{first:?}: {overlap:?} at once");
+        });
+    }
+}
+
 /// Guards against a call that its first target works on after the daemon has sent it to another one.
 #[test]
 fn call_that_is_sent_elsewhere_is_closed_at_its_first_target() {
--- a/crates/almondcroftd/src/relay.rs
+++ b/crates/almondcroftd/src/relay.rs
@@ -43,6 +43,16 @@
 /// Problem types after which another engine may be tried if no token was delivered.
 const RETRYABLE: [&str; 3] = ["engine-lost", "engine-refused", "engine-error"];
 
+/// Delays before a call that cancels a generation is repeated.
+///
+/// Two engines may work on one generation for 400 ms.
+const CANCEL_DELAYS: [Duration; 4] = [
+    Duration::from_millis(50),
+    Duration::from_millis(100),
+    Duration::from_millis(150),
+    Duration::from_millis(500),
+];
+
 /// Shortest time between two reconnects without a new token.
 const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(20);
 
@@ -79,6 +89,15 @@
     lifecycle.until_aborted(within(limit, future)).await?
 }
 
+/// Sends a call that cancels a generation; returns the status of its response, or zero.
+async fn cancel_once(outbound: &Outbound, url: &str) -> u16 {
+    let call = outbound.call_fresh(Method::Delete, url, &[], Vec::new(), OPEN_TIMEOUT);
+    let Ok(conn) = call.await else {
+        return 0;
+    };
+    conn.status().map_or(0, |status| status as u16)
+}
+
 /// Reasons why a generation cannot be resumed at its engine.
 enum ResumeError {
     /// The engine does not know the generation.
@@ -636,7 +655,7 @@
         if self.generation.is_empty() || self.app.lifecycle.is_crashed() {
             return;
         }
-        let app = Arc::clone(&self.app);
+        let (app, request) = (Arc::clone(&self.app), self.job.request.clone());
         let url = format!(
             "{}{GENERATIONS_PATH}{}?detached={wait}",
             self.url, self.generation
@@ -645,12 +664,17 @@
             if wait {
                 sleep(app.settings.limits.resume_grace).await;
             }
-            let call = app
-                .outbound
-                .call(Method::Delete, &url, &[], Vec::new(), OPEN_TIMEOUT);
-            if let Ok(conn) = call.await {
-                let _ = Outbound::read_body(conn, 1024, OPEN_TIMEOUT).await;
+            for delay in [Duration::ZERO].into_iter().chain(CANCEL_DELAYS) {
+                sleep(delay).await;
+                match cancel_once(&app.outbound, &url).await {
+                    200..=299 => return,
+                    // The engine has read the request of a generation that was delivered, and knows that it has ended
+                    // or goes on for a caller that has resumed it.
+                    404 | 409 if wait => return,
+                    _ => {}
+                }
             }
+            log::info!(event = "cancel-failed", request = request.as_str(), url = url.as_str(); "");
         });
     }
 
