--- a/crates/almondcroft-standin/tests/endless.rs
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -3,6 +3,7 @@
 #![cfg(target_os = "linux")]
 
 use almondcroft_core::ledger::{Expected, ObjectStore};
+use almondcroft_proto::vm_list::{VmEntry, VmState};
 use almondcroft_standin::demo::{Caller, LocalDeployment, StreamEnd, TOKEN};
 use almondcroftd::http::Outbound;
 use almondcroftd::{HttpStore, block_on, sleep, spawn};
@@ -296,6 +297,30 @@
     });
 }
 
+/// Guards against responses of another VM without end that take the memory of the VM, or are read on after the call has
+/// failed.
+#[test]
+fn calls_to_other_vms_without_end_leave_the_memory_of_a_vm() {
+    check(true, |other| {
+        block_on(async {
+            let deployment = LocalDeployment::start(1, 1).await.unwrap();
+            let entry = |id: &str, address: String| VmEntry {
+                id: id.into(),
+                address,
+                zone: "quito-a".into(),
+                state: VmState::Live,
+            };
+            deployment.vm_list_state.set(&[
+                entry("entry-0", deployment.vm_urls()[0].clone()),
+                entry("entry-1", other.url.clone()),
+            ]);
+            sleep(PLAY_TIME * 2).await;
+            drop(deployment);
+            other.open_connections().await
+        })
+    });
+}
+
 /// Guards against responses of the store without end that are read on after the call has failed.
 #[test]
 fn store_calls_without_end_are_closed() {
