fix(gateway): requests that crash targets stay refused when all VMs end

Cause: crashes and trials of a request are counted in memory. VMs that start learn them from their peers; if all end at once, nobody is left to ask, and the count of two crashes and four trials begins anew. The parts of prompts that are refused are kept in the registrations of the VMs for this case, the requests were not.

Fix: the two VMs that store the refused parts store the refused requests, too: fingerprint, crashes, trials, and the time of day of the last one; at most 256, those that crashed targets last. A VM that starts records them with their age, so that a trial is due when it would have been, and entries end after ten minutes however often VMs start. Nothing of it is in a request's way; the registration is written at most once a second, when the refusals change. A VM now knows its own registration, so only the selected VMs, and those that still hold something, write; before, each VM that had restored a part did.

--- a/crates/almondcroft-core/src/quarantine.rs
+++ b/crates/almondcroft-core/src/quarantine.rs
@@ -10,10 +10,12 @@
 mod prompt_quarantine;
 mod prompt_run;
 mod refused_part;
+mod refused_request;
 
 pub use part_evidence::PartEvidence;
 pub use prompt_quarantine::{CrashId, PartId, PromptQuarantine};
 pub use refused_part::RefusedPart;
+pub use refused_request::RefusedRequest;
 
 use crate::Timestamp;
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
@@ -33,6 +35,9 @@
 /// Maximum number of fingerprints shared with other VMs at once.
 const MAX_SHARED: usize = 16;
 
+/// Maximum number of requests in quarantine that are stored.
+const MAX_STORED: usize = 256;
+
 /// Time after the last crash or trial from which the first trial may start.
 ///
 /// It lets the other VMs report that targets survived the request.
@@ -161,6 +166,42 @@
         ages
     }
 
+    /// Returns the requests in quarantine, to be stored; at most `MAX_STORED`, those that crashed targets last.
+    #[must_use]
+    pub fn refused_requests(&self, now: Timestamp) -> Vec<RefusedRequest> {
+        let refused = self.crashes.iter().filter_map(|(fingerprint, record)| {
+            self.remaining(*fingerprint, now)?;
+            let last = record.last.max(record.last_trial.unwrap_or_default());
+            Some(RefusedRequest {
+                fingerprint: *fingerprint,
+                crashes: record.count,
+                trials: record.trials,
+                age: now.saturating_sub(last),
+            })
+        });
+        let mut refused: Vec<RefusedRequest> = refused.collect();
+        refused.sort_unstable_by_key(|request| (request.age, request.fingerprint));
+        refused.truncate(MAX_STORED);
+        refused.sort_unstable();
+        refused
+    }
+
+    /// Records requests that were stored by [`Self::refused_requests`] before all VMs ended.
+    pub fn restore(&mut self, stored: &[RefusedRequest], now: Timestamp) {
+        for request in stored.iter().filter(|stored| stored.age < QUARANTINE_TIME) {
+            self.evict(now);
+            let entry = self.crashes.entry(request.fingerprint);
+            let entry = entry.or_insert_with(|| CrashRecord::new(Timestamp::ZERO));
+            let last = now.saturating_sub(request.age);
+            entry.count = entry.count.max(request.crashes);
+            entry.last = entry.last.max(last);
+            if request.trials > entry.trials {
+                entry.trials = request.trials;
+                entry.last_trial = Some(last);
+            }
+        }
+    }
+
     /// Starts a trial of a request in quarantine if one is due: it may run once.
     ///
     /// Targets also crash for reasons of their own, and a request that many callers send is then in
--- a/crates/almondcroft-core/src/quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/tests.rs
@@ -145,3 +145,57 @@
     assert!(quarantine.remaining(7, START).is_some());
     assert!(!quarantine.begin_trial(7, START + Duration::from_mins(9)));
 }
+
+/// Guards against a count of crashes and trials that begins anew when all VMs end.
+#[test]
+fn restore_after_all_vms_ended() {
+    let mut ended = Quarantine::default();
+    ended.record_crash(7, START);
+    ended.record_crash(7, START);
+    let tried_at = START + FIRST_TRIAL_DELAY;
+    assert!(ended.begin_trial(7, tried_at));
+    ended.record_crash(7, tried_at);
+    let stored_at = tried_at + Duration::from_secs(5);
+    let stored = ended.refused_requests(stored_at);
+    assert_eq!(stored[0].age, Duration::from_secs(5));
+    let mut started = Quarantine::default();
+    started.restore(&stored, stored_at);
+    let next_trial = tried_at + TRIAL_DELAY;
+    assert!(started.remaining(7, stored_at).is_some());
+    assert!(!started.begin_trial(7, next_trial - Duration::from_millis(1)));
+    assert!(started.begin_trial(7, next_trial));
+    assert!(started.remaining(7, tried_at + QUARANTINE_TIME).is_none());
+}
+
+/// Guards against stored requests that are refused again by each process that starts.
+#[test]
+fn restore_of_an_old_request() {
+    let old = RefusedRequest {
+        fingerprint: 7,
+        crashes: u32::MAX,
+        trials: u32::MAX,
+        age: QUARANTINE_TIME,
+    };
+    let mut started = Quarantine::default();
+    started.restore(&[old], START + QUARANTINE_TIME * 2);
+    assert!(started.remaining(7, START + QUARANTINE_TIME * 2).is_none());
+}
+
+/// Guards against requests that are stored without a limit, or kept for longer than they are refused.
+#[test]
+fn refused_requests_of_a_thousand() {
+    let mut quarantine = Quarantine::default();
+    for fingerprint in 0..1_000 {
+        let now = START + Duration::from_millis(fingerprint);
+        quarantine.record_crash(fingerprint, now);
+        quarantine.record_crash(fingerprint, now);
+    }
+    let stored = quarantine.refused_requests(START + Duration::from_secs(1));
+    assert_eq!(stored.len(), MAX_STORED);
+    assert!(stored.iter().all(|request| request.fingerprint >= 744));
+    quarantine.record_survival(999, START + Duration::from_secs(1));
+    let stored = quarantine.refused_requests(START + Duration::from_secs(1));
+    assert!(stored.iter().all(|request| request.fingerprint != 999));
+    let later = START + QUARANTINE_TIME + Duration::from_secs(1);
+    assert!(quarantine.refused_requests(later).is_empty());
+}
--- a/crates/almondcroft-gateway/src/adapter.rs
+++ b/crates/almondcroft-gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 //! and keeps no state.
 
 use almondcroft_core::gateway::{EntryEvent, GatewayConfig};
-use almondcroft_core::quarantine::RefusedPart;
+use almondcroft_core::quarantine::{Fingerprint, RefusedPart};
 use almondcroft_core::{CustomerId, Era, ModelId, Revision, TargetId, Timestamp, ZoneId};
 use almondcroft_proto::http1::{Headers, RequestHead, ResponseHead};
 use smol_str::SmolStr;
@@ -199,6 +199,54 @@
     pub zone: ZoneId,
     /// The parts of prompts that it refuses, as far as it stores them.
     pub refused_parts: Vec<RefusedPart>,
+    /// The requests that it refuses, as far as it stores them.
+    pub refused_requests: Vec<StoredRequest>,
+}
+
+impl VmEntry {
+    /// Creates the entry of a VM that refuses nothing.
+    pub(crate) const fn new(address: SocketAddr, zone: ZoneId) -> Self {
+        Self {
+            address,
+            zone,
+            refused_parts: Vec::new(),
+            refused_requests: Vec::new(),
+        }
+    }
+
+    /// Returns whether it refuses something.
+    pub(crate) const fn has_refusals(&self) -> bool {
+        !self.refused_parts.is_empty() || !self.refused_requests.is_empty()
+    }
+
+    /// Returns whether it refuses the same as another one, whenever each crash or trial was.
+    pub(crate) fn refuses_like(&self, other: &Self) -> bool {
+        let identities = |entry: &Self| -> Vec<(Fingerprint, u32, u32)> {
+            let requests = entry.refused_requests.iter();
+            requests.map(StoredRequest::identity).collect()
+        };
+        self.refused_parts == other.refused_parts && identities(self) == identities(other)
+    }
+}
+
+/// A request that VMs refuse, as it is stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredRequest {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Number of targets that it crashed.
+    pub crashes: u32,
+    /// Number of trials.
+    pub trials: u32,
+    /// Time of day of the last crash or trial, in seconds since 1970.
+    pub last_s: u64,
+}
+
+impl StoredRequest {
+    /// Returns all but the time, which the VMs do not know alike.
+    const fn identity(&self) -> (Fingerprint, u32, u32) {
+        (self.fingerprint, self.crashes, self.trials)
+    }
 }
 
 /// A page of a list, or the changes that a watch returned.
--- a/crates/almondcroft-gateway/src/clock.rs
+++ b/crates/almondcroft-gateway/src/clock.rs
@@ -2,7 +2,7 @@
 
 use almondcroft_core::Timestamp;
 use rustix::time::{ClockId, clock_gettime};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Returns the time since the VM booted, including time for which it was suspended.
 ///
@@ -15,3 +15,10 @@
     let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
     Duration::new(seconds, nanos)
 }
+
+/// Returns the time of day since 1970, which may jump; only for what outlives a process.
+#[must_use]
+pub(crate) fn unix_time() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
+}
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 mod digests;
 mod loans;
 mod message;
-mod refused_parts;
+mod stored_refusals;
 mod watchers;
 
 pub(crate) use loans::{Borrowed, LoanDesk, borrow};
@@ -76,7 +76,7 @@
     run_forever(&shared, loans::send_messages);
     run_forever(&shared, move |gateway, _| discover_peers(gateway, address));
     run_forever(&shared, move |gateway, _| {
-        refused_parts::keep_stored(gateway, address)
+        stored_refusals::keep_stored(gateway, address)
     });
     Ok(())
 }
@@ -145,11 +145,7 @@
     if message.vm == gateway.settings.vm {
         return;
     }
-    let entry = VmEntry {
-        address: from,
-        zone: message.zone.clone(),
-        refused_parts: Vec::new(),
-    };
+    let entry = VmEntry::new(from, message.zone.clone());
     let previous = lock(&gateway.peers).insert(message.vm.clone(), entry);
     if previous.is_none() {
         let peers = lock(&gateway.peers);
@@ -281,12 +277,7 @@
 async fn discover_peers(gateway: Arc<Gateway>, address: SocketAddr) {
     let mut client = StoreClient::new(gateway.settings.store);
     let mut unreadable = UnreadableObjects::default();
-    let own = gateway.settings.vm.clone();
-    let mut entry = VmEntry {
-        address,
-        zone: gateway.settings.zone.clone(),
-        refused_parts: Vec::new(),
-    };
+    let (own, zone) = (gateway.settings.vm.clone(), &gateway.settings.zone);
     let (mut registered, mut listed_before) = (false, false);
     let started_at = clock::now();
     let mut was_listed = false;
@@ -300,12 +291,13 @@
                 let vms = vm_count(entries.keys().filter(|vm| **vm != own).count());
                 lock(&gateway.budget_share).record_list(vms, asked_at);
                 if !std::mem::replace(&mut listed_before, true) {
-                    refused_parts::restore(&gateway, entries.values());
+                    *lock(&gateway.registration) = entries.get(&own).cloned();
+                    stored_refusals::restore(&gateway, entries.values());
                 }
                 // An entry of this VM's last process is as good as a new one.
                 let listed = entries.get(&own);
                 let is_listed =
-                    listed.is_some_and(|own| (own.address, &own.zone) == (address, &entry.zone));
+                    listed.is_some_and(|own| (own.address, &own.zone) == (address, zone));
                 // The list may be older than a registration at the start.
                 registered = is_listed || (registered && starting);
             }
@@ -313,11 +305,16 @@
         }
         gateway.mark_peers_listed();
         if !registered && !gateway.lifecycle.is_draining() {
-            entry.refused_parts = lock(&gateway.prompt_quarantine).refused_parts();
+            let entry = stored_refusals::entry(&gateway, address);
             let call = gateway.registry.register(&own, &entry);
             registered = match client.call(&gateway, &call, CALL_TIMEOUT).await {
-                Ok(_) => true,
+                Ok(_) => {
+                    *lock(&gateway.registration) = Some(entry);
+                    true
+                }
                 Err(StoreError::Status(CONFLICT_STATUS)) => {
+                    let mut registration = lock(&gateway.registration);
+                    registration.get_or_insert(VmEntry::new(address, zone.clone()));
                     was_listed = true;
                     true
                 }
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -50,6 +50,8 @@
     pub(crate) prompt_quarantine: Mutex<PromptQuarantine>,
     pub(crate) target_paths: Mutex<TargetPaths>,
     pub(crate) peers: Mutex<HashMap<VmId, VmEntry>>,
+    /// How this VM is registered, as far as it is known.
+    pub(crate) registration: Mutex<Option<VmEntry>>,
     pub(crate) pending_queries: Mutex<PendingQueries>,
     pub(crate) unfinished_pages: Mutex<Option<UnfinishedPages>>,
     bounds: Mutex<Bounds>,
@@ -104,6 +106,7 @@
             prompt_quarantine: Mutex::default(),
             target_paths: Mutex::default(),
             peers: Mutex::default(),
+            registration: Mutex::default(),
             pending_queries: Mutex::default(),
             unfinished_pages: Mutex::default(),
             bounds: Mutex::new(settings.bounds),
