fix(daemon): bodies of requests share a memory budget

Callers: many uploads at once take a VM of 256 MB beyond its memory; the requests of others would end with its process.

A body was read up to 1 MiB from a caller, and up to 4 MiB at the address for other VMs before its authentication code was checked and without a limit of time, and nothing bounded the sum.

Fix: bodies count against 32 MiB of the process until their request ends: with a stated length before they are read, so that an upload that has begun is not given up for a later one, and in chunks as they arrive. Large ones leave an eighth to those of up to 64 KiB. What has no room is refused at once with 503 `memory`, not-run and Retry-After.

Also: a subtraction in a test of the quarantine that the linter refuses.

--- a/crates/almondcroft-core/src/quarantine/tests.rs
+++ b/crates/almondcroft-core/src/quarantine/tests.rs
@@ -162,7 +162,7 @@
     started.restore(&stored, stored_at);
     let next_trial = tried_at + TRIAL_DELAY;
     assert!(started.remaining(7, stored_at).is_some());
-    assert!(!started.begin_trial(7, next_trial - Duration::from_millis(1)));
+    assert!(!started.begin_trial(7, next_trial.saturating_sub(Duration::from_millis(1))));
     assert!(started.begin_trial(7, next_trial));
     assert!(started.remaining(7, tried_at + QUARANTINE_TIME).is_none());
 }
--- a/crates/almondcroft-standin/tests/endless.rs
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -1,8 +1,9 @@
-//! Targets and stores that send bytes without end to the daemon.
+//! Targets, stores and callers that send more bytes to the daemon than a VM can hold.
 
 #![cfg(target_os = "linux")]
 
 use almondcroft_core::ledger::{Expected, ObjectStore};
+use almondcroft_proto::peer::RPC_PATH;
 use almondcroft_proto::vm_list::{VmEntry, VmState};
 use almondcroft_standin::demo::{Caller, LocalDeployment, StreamEnd, TOKEN};
 use almondcroftd::http::Outbound;
@@ -10,7 +11,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,9 @@
 /// The ports of the servers.
 static PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
 
+/// The ports of the daemons to which callers send bodies.
+static VM_PORTS: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 /// Held by each test, as memory is measured for the whole process.
 static EXCLUSIVE: Mutex<()> = Mutex::new(());
 
@@ -131,17 +135,19 @@
     kilobytes.trim().parse::<usize>().unwrap() * 1024
 }
 
-/// Returns the bytes that connections to the servers of this test have received and that were not read.
+/// Returns the bytes that connections of daemons of this test have received and that were not read.
 fn unread() -> usize {
-    let ports = PORTS.lock().unwrap().clone();
+    let (ports, vm_ports) = (
+        PORTS.lock().unwrap().clone(),
+        VM_PORTS.lock().unwrap().clone(),
+    );
     let connections = std::fs::read_to_string("/proc/net/tcp").unwrap();
     let queues = connections.lines().skip(1).filter_map(|line| {
-        let mut fields = line.split_whitespace().skip(2);
-        let remote = fields.next()?;
-        let queues = fields.nth(1)?;
-        let port = u16::from_str_radix(remote.split_once(':')?.1, 16).ok()?;
-        let received = usize::from_str_radix(queues.split_once(':')?.1, 16).ok()?;
-        ports.contains(&port).then_some(received)
+        let mut fields = line.split_whitespace().skip(1);
+        let port = |address: &str| u16::from_str_radix(address.split_once(':')?.1, 16).ok();
+        let (local, remote) = (port(fields.next()?)?, port(fields.next()?)?);
+        let received = usize::from_str_radix(fields.nth(1)?.split_once(':')?.1, 16).ok()?;
+        (ports.contains(&remote) || vm_ports.contains(&local)).then_some(received)
     });
     queues.sum()
 }
@@ -458,3 +464,96 @@
         assert_eq!(&status, b"HTTP/1.1 502", "a generation has no response");
     }
 }
+
+/// Number of callers that send a body at once.
+const UPLOADS: usize = 400;
+
+/// Size of a body, in bytes; the daemon permits a megabyte.
+const UPLOAD_BYTES: usize = 1_000_000;
+
+/// The body that callers send; they share it, as their memory is measured, too.
+static UPLOAD: LazyLock<Vec<u8>> = LazyLock::new(|| vec![b'x'; UPLOAD_BYTES]);
+
+/// Sends a request whose body ends after a time; returns the status of its response, or zero.
+fn upload(address: SocketAddr, path: &str, hold: Duration) -> u16 {
+    let mut socket = TcpStream::connect(address).unwrap();
+    socket.set_read_timeout(Some(PLAY_TIME * 5)).unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: vm\r\nAuthorization: Bearer {TOKEN}\r\n\
+         Content-Length: {UPLOAD_BYTES}\r\n\r\n"
+    );
+    let sent = socket.write_all(head.as_bytes());
+    let sent = sent.and_then(|()| socket.write_all(&UPLOAD[1..]));
+    thread::sleep(hold);
+    let _ = sent.and_then(|()| socket.write_all(&UPLOAD[..1]));
+    let mut status = [0; 12];
+    if socket.read_exact(&mut status).is_err() {
+        return 0;
+    }
+    let text = String::from_utf8_lossy(&status).into_owned();
+    text.split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .unwrap_or(0)
+}
+
+/// Sends many bodies at once; returns the memory that they add, the statuses, and the number of small calls of others that
+/// are served meanwhile, of ten.
+fn play_uploads(path: &str) -> (usize, Vec<u16>, usize) {
+    block_on(async {
+        let deployment = LocalDeployment::start(1, 1).await.unwrap();
+        let vm = deployment.vm_urls()[0].clone();
+        let address: SocketAddr = vm.strip_prefix("http://").unwrap().parse().unwrap();
+        VM_PORTS.lock().unwrap().push(address.port());
+        assert_eq!(UPLOAD.len(), UPLOAD_BYTES);
+        let (ended, base) = (Arc::new(AtomicBool::new(false)), resident());
+        let measured = measure(&ended);
+        let uploads: Vec<_> = (0..UPLOADS)
+            .map(|_| {
+                let path = path.to_owned();
+                let caller = thread::Builder::new().stack_size(256 * 1024);
+                let run = move || upload(address, &path, PLAY_TIME);
+                caller.spawn(run).unwrap()
+            })
+            .collect();
+        let mut served = 0;
+        for number in 0..10 {
+            sleep(PLAY_TIME / 10).await;
+            let body = format!("small-{number}");
+            let reply = Caller::default().call(&vm, "lookups", None, &body).await;
+            served += usize::from(reply.status == 200);
+        }
+        let statuses = uploads.into_iter().map(|upload| upload.join().unwrap());
+        let statuses: Vec<u16> = statuses.collect();
+        ended.store(true, Ordering::SeqCst);
+        let added = measured.join().unwrap().saturating_sub(base);
+        (added, statuses, served)
+    })
+}
+
+/// Guards against bodies of many callers that take the memory of the VM together.
+#[test]
+fn uploads_leave_the_memory_of_a_vm() {
+    let _exclusive = exclusive();
+    let (added, statuses, served) = play_uploads("/v1/services/lookups/a");
+    let count = |status| statuses.iter().filter(|other| **other == status).count();
+    eprintln!(
+        "{added} bytes, {served} small calls, {} with 200, {} with 503",
+        count(200),
+        count(503)
+    );
+    assert!(added <= MEMORY, "{added} bytes");
+    assert_eq!(served, 10, "calls of others are served");
+    assert!(count(200) > 0, "some have room: {statuses:?}");
+}
+
+/// Guards against bodies of callers that are no VMs, which take the memory of the VM before they are refused.
+#[test]
+fn uploads_of_strangers_leave_the_memory_of_a_vm() {
+    let _exclusive = exclusive();
+    let (added, statuses, served) = play_uploads(RPC_PATH);
+    eprintln!("{added} bytes, {served} small calls");
+    assert!(added <= MEMORY, "{added} bytes");
+    assert_eq!(served, 10, "calls of others are served");
+    assert!(!statuses.contains(&200), "{statuses:?}");
+}
--- a/crates/almondcroftd/src/server.rs
+++ b/crates/almondcroftd/src/server.rs
@@ -7,6 +7,7 @@
 mod peer_api;
 mod polls;
 mod reply;
+mod request_body;
 mod services;
 
 use crate::app::App;
--- a/crates/almondcroftd/src/server/admission.rs
+++ b/crates/almondcroftd/src/server/admission.rs
@@ -1,13 +1,13 @@
 //! Admission of callers' requests.
 
 use super::auth::{self, CustomerGuard};
+use super::request_body::{BodyError, HeldBytes, read_body};
 use crate::app::App;
 use crate::runtime::within;
 use almondcroft_core::config::{Config, Customer, Service, ServiceKind, Terms};
 use almondcroft_core::{RequestId, Timestamp, Verdict};
 use almondcroft_proto::Problem;
 use almondcroft_proto::caller::{DEADLINE_HEADER, REQUEST_ID_HEADER, is_request_id};
-use futures_lite::AsyncReadExt;
 use std::sync::Arc;
 use std::time::Duration;
 use trillium::Conn;
@@ -18,6 +18,8 @@
     pub(crate) config: Arc<Config>,
     pub(crate) customer: Customer,
     pub(crate) arrived_at: Timestamp,
+    /// What its body takes of the memory for all bodies.
+    held_bytes: HeldBytes,
     _customer_guard: CustomerGuard,
 }
 
@@ -33,6 +35,7 @@
             config,
             customer,
             arrived_at: app.clock.now(),
+            held_bytes: HeldBytes::default(),
             _customer_guard: customer_guard,
             id,
         })
@@ -99,12 +102,7 @@
     pub(crate) async fn body(&self, conn: &mut Conn, app: &App) -> Result<Vec<u8>, Problem> {
         let limits = &app.settings.limits;
         let max_bytes = limits.body_bytes;
-        let read = async {
-            let mut bytes = Vec::new();
-            let body = conn.request_body().await;
-            let mut reader = body.take(max_bytes as u64 + 1);
-            reader.read_to_end(&mut bytes).await.map(|_| bytes)
-        };
+        let read = read_body(conn, max_bytes, &self.held_bytes);
         let read = app.lifecycle.until_aborted(within(limits.body_time, read));
         let Some(read) = read.await else {
             return Err(self
@@ -113,12 +111,16 @@
                 .retry_after(1));
         };
         match read {
-            Some(Ok(bytes)) if bytes.len() <= max_bytes => Ok(bytes),
-            Some(Ok(_)) => Err(self
+            Some(Ok(bytes)) => Ok(bytes),
+            Some(Err(BodyError::NoMemory)) => Err(self
+                .problem(503, "memory", Verdict::NotRun)
+                .detail("the VM has no room for the body beside those of other requests")
+                .retry_after(1)),
+            Some(Err(BodyError::TooLarge)) => Err(self
                 .problem(413, "body-too-large", Verdict::NotRun)
                 .detail(format!("the body is longer than {max_bytes} bytes"))
                 .field("body")),
-            Some(Err(_)) => Err(self
+            Some(Err(BodyError::Unreadable)) => Err(self
                 .problem(400, "body-unreadable", Verdict::NotRun)
                 .detail("the body is incomplete")
                 .field("body")),
--- a/crates/almondcroftd/src/server/peer_api.rs
+++ b/crates/almondcroftd/src/server/peer_api.rs
@@ -1,14 +1,15 @@
 //! JSON-RPC methods that peers call.
 
+use super::request_body::{BodyError, HeldBytes, read_body};
 use super::{MAX_PEER_BYTES, reply};
 use crate::app::App;
 use crate::members;
+use crate::runtime::within;
 use almondcroft_core::Revision;
 use almondcroft_proto::peer::{
     AUTH_HEADER, CLAIM_METHOD, CONFIG_METHOD, ClaimParams, ConfigResponse, GOSSIP_METHOD,
     GossipMessage, RECORD_METHOD, RecordParams, verify_auth_code,
 };
-use futures_lite::AsyncReadExt;
 use jsonrpsee::RpcModule;
 use jsonrpsee::types::ErrorObjectOwned;
 use std::sync::Arc;
@@ -52,17 +53,18 @@
 
 /// Handles a call of a peer if its authentication code is valid.
 pub(crate) async fn handle(mut conn: Conn, app: &Arc<App>, rpc: &Arc<RpcModule<Arc<App>>>) -> Conn {
-    let mut body = Vec::new();
-    let reader = conn.request_body().await;
-    let read = reader
-        .take(MAX_PEER_BYTES as u64)
-        .read_to_end(&mut body)
-        .await;
+    let held_bytes = HeldBytes::default();
+    let read = read_body(&mut conn, MAX_PEER_BYTES, &held_bytes);
+    let body = match within(app.settings.limits.body_time, read).await {
+        Some(Ok(body)) => body,
+        Some(Err(BodyError::NoMemory)) => return conn.with_status(503).halt(),
+        Some(Err(_)) | None => return conn.with_status(403).halt(),
+    };
     let auth = conn
         .request_headers()
         .get_str(AUTH_HEADER)
         .unwrap_or_default();
-    if read.is_err() || !verify_auth_code(&app.settings.peer_secret, &body, auth) {
+    if !verify_auth_code(&app.settings.peer_secret, &body, auth) {
         return conn.with_status(403).halt();
     }
     let Ok(text) = std::str::from_utf8(&body) else {
