fix(daemon): large responses at once are collected one after the other

Callers: of several sound responses of 15 MB at once, all but two ended with 502 for a call that had run.

Cause: the limit for all collected bodies failed the response that reached it, whether it was sound or had no end.

Fix: beyond 16 MiB together, bodies of over 16 KiB wait, and one at a time goes on, up to its own limit of 16 MiB. One without end fails by that limit and gives its turn to the next. `collected-bodies-full` is no longer logged.

--- a/crates/almondcroft-standin/tests/endless.rs
+++ b/crates/almondcroft-standin/tests/endless.rs
@@ -11,7 +11,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Barrier, LazyLock, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -557,3 +557,64 @@
     assert_eq!(served, 10, "calls of others are served");
     assert!(!statuses.contains(&200), "{statuses:?}");
 }
+
+/// Number and size of large sound responses at once, in bytes.
+const LARGE_RESPONSES: usize = 5;
+const LARGE_BYTES: usize = 15_000_000;
+
+/// Starts a target that sends a large response to each of several calls once all of them have arrived.
+fn large_target() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let all = Arc::new(Barrier::new(LARGE_RESPONSES));
+    thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let all = Arc::clone(&all);
+            thread::spawn(move || {
+                if read_head(&mut socket).is_some() {
+                    all.wait();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BYTES}\r\n\r\n");
+                    let sent = socket.write_all(head.as_bytes());
+                    let _ = sent.and_then(|()| socket.write_all(&vec![b'x'; LARGE_BYTES]));
+                }
+            });
+        }
+    });
+    url
+}
+
+/// Guards against sound responses that fail because the process collects others at the same time.
+#[test]
+fn large_responses_at_once_are_whole() {
+    let _exclusive = exclusive();
+    let url = large_target();
+    block_on(async {
+        let deployment = deploy(|deployment| deployment.orders.url(), &url).await;
+        let vm = deployment.vm_urls()[0].clone();
+        let address: SocketAddr = vm.strip_prefix("http://").unwrap().parse().unwrap();
+        let calls: Vec<_> = (0..LARGE_RESPONSES)
+            .map(|_| {
+                let (sender, done) = async_channel::bounded(1);
+                thread::spawn(move || {
+                    let mut socket = TcpStream::connect(address).unwrap();
+                    let head = format!(
+                        "GET /v1/services/lookups/a HTTP/1.1\r\nHost: vm\r\n\
+                         Authorization: Bearer {TOKEN}\r\nConnection: close\r\n\r\n"
+                    );
+                    socket.write_all(head.as_bytes()).unwrap();
+                    let mut response = Vec::new();
+                    let _ = socket.read_to_end(&mut response);
+                    let is_whole =
+                        response.starts_with(b"HTTP/1.1 200") && response.len() > LARGE_BYTES;
+                    let _ = sender.send_blocking(is_whole);
+                });
+                done
+            })
+            .collect();
+        let mut whole = 0;
+        for call in calls {
+            whole += usize::from(call.recv().await.unwrap());
+        }
+        assert_eq!(whole, LARGE_RESPONSES);
+    });
+}
--- a/crates/almondcroftd/src/http/outbound.rs
+++ b/crates/almondcroftd/src/http/outbound.rs
@@ -142,8 +142,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] if the body breaks off, does not end in time or is too long, or if all bodies that the
-    /// process collects are too long together.
+    /// Returns a [`CallError`] if the body breaks off, does not end in time or is too long.
     pub async fn read_body(
         conn: Conn,
         max_bytes: usize,
@@ -171,11 +170,7 @@
             while bytes.len() <= max_bytes {
                 match body.read(&mut buffer).await? {
                     0 => break,
-                    count if bytes.try_extend(&buffer[..count]) => {}
-                    _ => {
-                        log::warn!(event = "collected-bodies-full", bytes = bytes.len(); "");
-                        return Err(io::ErrorKind::OutOfMemory.into());
-                    }
+                    count => bytes.extend(&buffer[..count]).await,
                 }
             }
             io::Result::Ok(bytes.finish())
