test(review): all VMs start the trial of a request in quarantine at once

Each VM starts the trial that is due by its own record, and Retry-After brings the callers of all VMs back at that moment.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -4,6 +4,7 @@
 mod overlap;
 mod removal;
 mod slow_reader;
+mod trials;
 
 use crate::record::Record;
 use crate::site::{Site, Vm};
@@ -20,6 +21,7 @@
         "crashing-request" => crashing_request::play(&record, &place, trouble),
         "overlap" => overlap::play(&record, &place, trouble),
         "removal" => removal::play(&record, &place, trouble),
+        "trials" => trials::play(&record, &place, trouble),
         "slow-reader" => slow_reader::play(&record, &place, trouble),
         _ => Err(format!("no case {case}")),
     }
