--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 /// Plays a case; returns whether its rule was broken, or why it could not run.
-pub fn play(case: &str, folder: &Path, trouble: bool) -> Result<bool, String> {
-    let record = Record::create(&folder.join("record.txt")).map_err(|error| error.to_string())?;
+pub fn play(case: &str, record: &Path, trouble: bool) -> Result<bool, String> {
+    let record = Record::create(record).map_err(|error| error.to_string())?;
     let place = Place::create()?;
     match case {
         "crashing-request" => crashing_request::play(&record, &place, trouble),
--- a/review/standins-2/src/cases/crashing_request.rs
+++ b/review/standins-2/src/cases/crashing_request.rs
@@ -58,7 +58,7 @@
 }
 
 pub fn play(record: &Record, place: &Place, trouble: bool) -> Result<bool, String> {
-    let store = Store::start();
+    let store = Store::start(record);
     store.put("config", "main", &site::config(7));
     let pool = Arc::new(Pool::default());
     let engines: Vec<Arc<Engine>> = (0..9)
--- a/review/standins-2/src/cases/overlap.rs
+++ b/review/standins-2/src/cases/overlap.rs
@@ -43,7 +43,7 @@
 }
 
 pub fn play(record: &Record, place: &Place, trouble: bool) -> Result<bool, String> {
-    let store = Store::start();
+    let store = Store::start(record);
     store.put("config", "main", &site::config(7));
     let pool = Arc::new(Pool::default());
     let pace = Pace {
--- a/review/standins-2/src/cases/removal.rs
+++ b/review/standins-2/src/cases/removal.rs
@@ -34,7 +34,7 @@
 }
 
 pub fn play(record: &Record, place: &Place, trouble: bool) -> Result<bool, String> {
-    let store = Store::start();
+    let store = Store::start(record);
     store.put("config", "main", &site::config(7));
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let desks: Vec<Arc<Desk>> = (0..3)
--- a/review/standins-2/src/cases/trials.rs
+++ b/review/standins-2/src/cases/trials.rs
@@ -65,7 +65,7 @@
 }
 
 pub fn play(record: &Record, place: &Place, trouble: bool) -> Result<bool, String> {
-    let store = Store::start();
+    let store = Store::start(record);
     store.put("config", "main", &site::config(7));
     let pool = Arc::new(Pool::default());
     let engines: Vec<Arc<Engine>> = (0..9)
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{Request, read_request, respond};
 use crate::json;
+use crate::record::Record;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -29,10 +30,11 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    record: Record,
 }
 
 impl Store {
-    pub fn start() -> Self {
+    pub fn start(record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let state = State {
             revision: 500,
@@ -43,6 +45,7 @@
         let store = Self {
             address: listener.local_addr().expect("an address"),
             state: Arc::new((Mutex::new(state), Condvar::new())),
+            record: record.clone(),
         };
         let served = store.clone();
         thread::spawn(move || {
@@ -164,6 +167,12 @@
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
+            if events
+                .iter()
+                .any(|event| event.starts_with("{\"removed\":true"))
+            {
+                self.record.line("the store answers a watch with a removal");
+            }
             if !events.is_empty() || left.is_zero() {
                 return Some(format!(
                     "{{\"events\":[{}],\"store_revision\":{}}}",
