fix(relay): a run that goes on elsewhere is stopped by a call at the engine before

What callers saw: nothing.

Cause: the gateway ended a run by closing its connection only. The platform says that most engines drop a request then, not all. The call that stops a run at each engine was sent only for generations without a backup.

Change: RunStops asks the engine before to stop the run, again and again until it says that it is over (StopAttempts in the core), on each path on which a generation goes on elsewhere: leave with a backup, broken stream, second start, failed resumption, request sent again. It works because the answer of the engine, not the close, ends the run, and because the call is sent before the generation goes on, or 100 ms after it did.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -17,6 +17,7 @@
 //! | [`GossipFanout`] | which peers get a gossip message? |
 //! | [`HedgePolicy`] | is a slow request sent to a second target? |
 //! | [`PendingQueries`] | how recent is a fact in a peer's response? |
+//! | [`StopAttempts`] | is a run that was asked to stop over? |
 //! | [`StoreEra`] | was the store restored from an older copy? |
 //! | [`StorePosition`] | which of two views of the store is newer? |
 //! | [`TargetPaths`] | is a target reached directly, or through which VM? |
@@ -35,6 +36,7 @@
 mod number;
 mod pending_queries;
 mod route;
+mod run_stop;
 mod shutdown;
 mod store_era;
 mod store_position;
@@ -56,6 +58,7 @@
 pub use hedge_policy::{HedgeLimits, HedgePolicy};
 pub use pending_queries::{CompletedQuery, PendingQueries};
 pub use route::{CallKind, RouteSpec, RouteTable, WeightedService};
+pub use run_stop::{StopAnswer, StopAttempts, StopStep};
 pub use shutdown::admits_during_shutdown;
 pub use store_era::{EraCheck, StoreEra};
 pub use store_position::StorePosition;
--- a/crates/almondcroft-core/src/gateway/fleet/migration.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/migration.rs
@@ -2,7 +2,8 @@
 
 use super::target_state::{InFlightRequest, KvCopy, TargetState};
 use super::{Choice, Demand, Fleet, Need, PeerSnapshot};
-use crate::{RequestId, TargetId, Timestamp};
+use crate::gateway::{AllowedRegions, TargetEntry};
+use crate::{RequestId, ServiceId, TargetId, Timestamp};
 use std::time::Duration;
 
 /// Typical decode time per token on an engine that runs several generations.
@@ -92,6 +93,36 @@
         self.choose(&demand, self.options.backup_headroom, now)
     }
 
+    /// Chooses a target for the copy that comes with stopping a run of which the copy is not needed: the nearest one that
+    /// may hold it, whatever its load.
+    #[must_use]
+    pub fn choose_stop_destination(
+        &self,
+        service: &ServiceId,
+        source: &TargetId,
+        regions: &AllowedRegions,
+    ) -> Option<Choice> {
+        let place = self.targets.get(source).map(|state| &state.entry);
+        let others = self.targets.values().filter(|state| {
+            state.entry.service == *service
+                && state.entry.id != *source
+                && !state.leaving
+                && self.is_permitted(state, regions)
+        });
+        let distance = |state: &&TargetState| {
+            let is_near = |near: fn(&TargetEntry, &TargetEntry) -> bool| {
+                place.is_some_and(|place| near(place, &state.entry))
+            };
+            (
+                !is_near(|a, b| a.zone == b.zone),
+                !is_near(|a, b| a.region == b.region),
+                state.local_load().count,
+            )
+        };
+        let nearest = others.min_by_key(distance)?;
+        self.choice_for(&nearest.entry.id)
+    }
+
     /// Records that a migration needs the source's link no longer for its first copy: that copy is
     /// complete, or no destination has room.
     pub fn release_link(&mut self, request: &RequestId) {
--- a/crates/almondcroft-core/src/gateway/fleet/tests/link.rs
+++ b/crates/almondcroft-core/src/gateway/fleet/tests/link.rs
@@ -200,3 +200,21 @@
         Duration::ZERO
     );
 }
+
+/// Guards against a call that stops a run and names its own target, one that leaves or one that must not hold the copy.
+#[test]
+fn choose_stop_destination_is_the_nearest_other_target() {
+    let mut fleet = fleet(&[("e1", "a-1"), ("e2", "b-1"), ("e3", "a-2"), ("e4", "a-1")]);
+    let choose = |fleet: &Fleet, regions: &AllowedRegions| {
+        let choice = fleet.choose_stop_destination(&"menus".into(), &"e1".into(), regions);
+        choice.map(|choice| choice.target)
+    };
+    let anywhere = AllowedRegions::default();
+    assert_eq!(choose(&fleet, &anywhere), Some("e4".into()));
+    fleet.mark_leaving("e4", SECOND);
+    assert_eq!(choose(&fleet, &anywhere), Some("e3".into()));
+    fleet.remove_target("e3", SECOND);
+    assert_eq!(choose(&fleet, &anywhere), Some("e2".into()));
+    fleet.mark_leaving("e2", SECOND);
+    assert_eq!(choose(&fleet, &anywhere), None);
+}
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::logging::millis;
 use crate::reply::Reply;
+use crate::run_stop::RunStops;
 use crate::runtime::{spawn, within};
 use crate::state::{ExtraPermit, Gateway, PlacementGuard, lock};
 use crate::target_connect;
@@ -86,6 +87,7 @@
                 call: Arc::new(call),
                 writer,
                 avoid: Vec::new(),
+                stops: RunStops::default(),
                 run_count: 0,
                 send_count: 0,
                 is_in_flight: false,
@@ -125,6 +127,8 @@
     writer: &'a mut ResponseWriter,
     request_log: RequestLog,
     avoid: Vec<TargetId>,
+    /// The runs of generations at targets that do not answer any more, or whose answer is of no use.
+    stops: RunStops,
     /// Number of sends that the targets ran or may have run.
     run_count: u32,
     send_count: u32,
@@ -170,6 +174,7 @@
                 }
             };
             self.is_in_flight = true;
+            let before = choice.clone();
             let attempt = self.attempt(placement_guard, choice, run).await;
             self.is_in_flight = false;
             match attempt {
@@ -187,7 +192,10 @@
                         return self.finish(last_response, reply).await;
                     }
                 }
-                Attempt::GivenUp => self.run_count += 1,
+                Attempt::GivenUp => {
+                    self.run_count += 1;
+                    self.stop_run(&before).await;
+                }
                 Attempt::MayHaveRun(reason) => {
                     self.run_count += 1;
                     if !self.permit_repeat(&target).await {
@@ -196,11 +204,20 @@
                             .finish(last_response, Reply::failed(status, reason))
                             .await;
                     }
+                    self.stop_run(&before).await;
                 }
             }
         }
     }
 
+    /// Stops the run of a generation that is about to be sent to another target.
+    async fn stop_run(&self, choice: &Choice) {
+        if self.call.is_stream() {
+            let run = (self.gateway, &self.call);
+            self.stops.stop(run, &self.call.id, choice, false).await;
+        }
+    }
+
     /// Answers a request that is open when the process is about to end; returns `false`, as the connection ends too.
     async fn end_with_process(&mut self) -> bool {
         self.writer.close_after_response();
--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -74,7 +74,7 @@
                 backup.map(|choice| choice.target),
                 (exchange, run),
             );
-            let relay = relay.after(self.run_count, &self.avoid);
+            let relay = relay.after(self.run_count, &self.avoid, &self.stops);
             return match relay.run(self.writer, &mut self.request_log).await {
                 RelayEnd::Complete => Attempt::Relayed(true),
                 RelayEnd::Incomplete => Attempt::Relayed(false),
--- a/crates/almondcroft-gateway/src/exchange.rs
+++ b/crates/almondcroft-gateway/src/exchange.rs
@@ -194,11 +194,21 @@
         self.decoder.is_close_delimited() && time_left.is_zero()
     }
 
-    /// Closes the connection, which cancels the run at its target; only the head of the response remains.
+    /// Closes the connection, which cancels the run at most targets; only the head of the response remains.
     pub(crate) fn close(&mut self) {
         self.connection = None;
     }
 
+    /// Takes the connection out, so that nothing is read until it is put back.
+    pub(crate) const fn detach(&mut self) -> Option<Connection> {
+        self.connection.take()
+    }
+
+    /// Puts the connection back; without one, the response counts as broken off.
+    pub(crate) fn attach(&mut self, connection: Option<Connection>) {
+        self.connection = connection;
+    }
+
     /// Returns whether the target states that it did not run the request.
     pub(crate) fn is_refusal(&self) -> bool {
         self.meta.not_run || self.head.status == 421
--- a/crates/almondcroft-gateway/src/migration.rs
+++ b/crates/almondcroft-gateway/src/migration.rs
@@ -3,27 +3,22 @@
 //! The KV cache is copied while the generation runs; a last, short copy stops the generation. The
 //! stream of the source then ends, and the relay resumes at the destination.
 
-use crate::adapter::ControlCall;
+pub(crate) mod copy_calls;
+
 use crate::call::Call;
 use crate::clock;
-use crate::exchange::{CONNECT_TIMEOUT, target_round_trip};
-use crate::logging::millis;
 use crate::pool::{self, Purpose};
-use crate::runtime::{sleep, spawn, within};
+use crate::runtime::{sleep, spawn};
 use crate::state::{ExtraPermit, Gateway, lock};
-use crate::target_connect::Destination;
 use almondcroft_core::gateway::{Choice, ExtraSend, Fleet};
 use almondcroft_core::{RequestId, Timestamp};
 use async_channel::{Receiver, Sender, bounded};
+use copy_calls::{COPY_TIMEOUT, CopyCalls, CopyResponse, StopResult};
 use smol_str::SmolStr;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-/// Timeout of one copy; the copies of several generations queue on a link.
-const COPY_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Maximum number of destinations that are tried.
 ///
 /// Another one is tried only if the previous one had no room or none was available.
@@ -48,12 +43,6 @@
 /// generation that it runs; without one it has preempted the generation.
 const EVENT_MARGIN: Duration = Duration::from_millis(100);
 
-/// Timeout of the call that frees a copy.
-const FREE_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Maximum size of a response to a copy call, in bytes.
-const MAX_RESPONSE_BODY: usize = 64 * 1024;
-
 /// Maximum number of calls to stop a generation; another one is sent if no response shows whether it has stopped.
 const MAX_STOP_CALLS: u32 = 3;
 
@@ -149,17 +138,12 @@
     reason: MigrationReason,
     events: &Arc<AtomicU64>,
 ) -> Option<RunningMigration> {
-    let config = gateway.config()?;
-    let engine = config.pools.get(&call.service)?.engine.as_ref()?;
-    if !engine.supports_migration {
+    if !copy_calls::are_supported(gateway, call) {
         return None;
     }
     let (sender, receiver) = bounded(1);
     let migration = Migration {
-        gateway: Arc::clone(gateway),
-        call: Arc::clone(call),
-        request: request.clone(),
-        source: source.clone(),
+        calls: CopyCalls::new((gateway, call), request, source, reason.as_str()),
         reason,
         events: Arc::clone(events),
         events_before: events.load(Ordering::Relaxed),
@@ -190,50 +174,8 @@
     Failed,
 }
 
-/// The response to a copy call.
-enum CopyResponse {
-    /// No connection to the target opened, so the call was not sent.
-    NotSent,
-    /// The call was sent, and no response to it arrived, or one that cannot be read.
-    Lost,
-    /// The target responded with this status and body.
-    Answered(u16, Vec<u8>),
-}
-
-impl CopyResponse {
-    /// Returns the form used in logs.
-    const fn outcome(&self) -> &'static str {
-        match self {
-            Self::NotSent => "unreachable",
-            Self::Lost => "lost",
-            Self::Answered(200, _) => "copied",
-            Self::Answered(404, _) => "no-run",
-            Self::Answered(409, _) => "busy",
-            Self::Answered(503, _) => "no-room",
-            Self::Answered(..) => "failed",
-        }
-    }
-}
-
-/// What came of the calls to stop a generation.
-enum StopResult {
-    /// The source has stopped it; the handle of the complete copy.
-    Stopped(SmolStr),
-    /// The source may have stopped it.
-    Unknown,
-    /// The source was not reached.
-    Unreached,
-    /// The source is busy with another call for the generation, which goes on.
-    Busy,
-    /// The source does not run the generation any more.
-    NoRun,
-}
-
 struct Migration {
-    gateway: Arc<Gateway>,
-    call: Arc<Call>,
-    request: RequestId,
-    source: Choice,
+    calls: CopyCalls,
     reason: MigrationReason,
     events: Arc<AtomicU64>,
     /// Number of events at the start of the migration.
@@ -247,32 +189,34 @@
 impl Migration {
     async fn run(&self) -> MigrationEnd {
         let started_at = clock::now();
-        self.wait_while(|fleet, now| fleet.copy_wait(&self.request, started_at, now))
+        self.wait_while(|fleet, now| fleet.copy_wait(&self.calls.request, started_at, now))
             .await;
         for _ in 0..MAX_ATTEMPTS {
             let now = clock::now();
             if now > started_at + ATTEMPT_WINDOW {
                 break;
             }
-            let target = lock(&self.gateway.fleet).choose_migration_target(&self.request, now);
+            let target =
+                lock(&self.calls.gateway.fleet).choose_migration_target(&self.calls.request, now);
             let Some(target) = target else {
-                self.log_copy("ahead", "no-destination", None, now);
+                self.calls.log_copy("ahead", "no-destination", None, now);
                 self.release_link();
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            let backup = lock(&self.gateway.fleet).backup_target(&self.request);
+            let backup = lock(&self.calls.gateway.fleet).backup_target(&self.calls.request);
             let mut copied = None;
             let result = self.migrate_to(target, started_at, &mut copied).await;
             if let MigrationAttempt::Ended(end) = result {
                 if end.copy.is_none() {
-                    lock(&self.gateway.fleet).set_backup(&self.request, backup.as_ref());
+                    lock(&self.calls.gateway.fleet)
+                        .set_backup(&self.calls.request, backup.as_ref());
                 }
                 return end;
             }
-            lock(&self.gateway.fleet).set_backup(&self.request, backup.as_ref());
+            lock(&self.calls.gateway.fleet).set_backup(&self.calls.request, backup.as_ref());
             if let Some(handle) = copied {
-                self.free_copy(&handle).await;
+                self.calls.free_copy(&handle).await;
             }
             if matches!(result, MigrationAttempt::Failed) {
                 break;
@@ -285,7 +229,7 @@
     /// Asks the fleet how long to wait, and waits, until it says not at all.
     async fn wait_while(&self, wait: impl Fn(&Fleet, Timestamp) -> Duration) {
         loop {
-            let wait = wait(&lock(&self.gateway.fleet), clock::now());
+            let wait = wait(&lock(&self.calls.gateway.fleet), clock::now());
             if wait.is_zero() {
                 return;
             }
@@ -295,8 +239,8 @@
 
     /// Leaves the source's link to other generations.
     fn release_link(&self) {
-        lock(&self.gateway.fleet).release_link(&self.request);
-        self.gateway.request_gossip();
+        lock(&self.calls.gateway.fleet).release_link(&self.calls.request);
+        self.calls.gateway.request_gossip();
     }
 
     /// Attempts to migrate the generation to one target.
@@ -310,22 +254,24 @@
         started_at: Timestamp,
         copy_handle: &mut Option<SmolStr>,
     ) -> MigrationAttempt {
-        lock(&self.gateway.fleet).set_migration_target(&self.request, &target.target);
-        self.gateway.request_gossip();
+        lock(&self.calls.gateway.fleet).set_migration_target(&self.calls.request, &target.target);
+        self.calls.gateway.request_gossip();
         let resumption = Purpose::Request {
-            id: self.call.external_id(),
+            id: self.calls.call.external_id(),
             run_once: true,
         };
-        let service = &self.call.service;
-        pool::preconnect(&self.gateway, target.address, service, resumption);
+        let service = &self.calls.call.service;
+        pool::preconnect(&self.calls.gateway, target.address, service, resumption);
         loop {
             let copy_started_at = clock::now();
-            let copied = self.copy(target.address, false).await;
-            self.log_copy("ahead", copied.outcome(), Some(&target), copy_started_at);
+            let copied = self.calls.copy(target.address, false).await;
+            self.calls
+                .log_copy("ahead", copied.outcome(), Some(&target), copy_started_at);
             match copied {
                 CopyResponse::Answered(200, body) => {
                     self.release_link();
                     *copy_handle = self
+                        .calls
                         .gateway
                         .dialect
                         .read_copy_handle(&body)
@@ -335,7 +281,7 @@
                 _ => return MigrationAttempt::Failed,
             }
             let elapsed = clock::now().saturating_sub(copy_started_at);
-            self.wait_while(|fleet, now| fleet.stop_wait(&self.request, started_at, now))
+            self.wait_while(|fleet, now| fleet.stop_wait(&self.calls.request, started_at, now))
                 .await;
             let is_last =
                 elapsed < UNQUEUED_COPY_TIME || clock::now() + elapsed > started_at + STOP_DEADLINE;
@@ -347,7 +293,8 @@
         let permit = match self.prepare_stop(started_at).await {
             Ok(permit) => permit,
             Err(reason) => {
-                self.log_copy("kept", reason, Some(&target), stop_started_at);
+                self.calls
+                    .log_copy("kept", reason, Some(&target), stop_started_at);
                 return MigrationAttempt::Failed;
             }
         };
@@ -387,10 +334,11 @@
                 return (StopResult::NoRun, is_unanswered);
             }
             let sent_at = clock::now();
-            let response = self.copy(target.address, true).await;
-            self.log_copy("last", response.outcome(), Some(target), sent_at);
+            let response = self.calls.copy(target.address, true).await;
+            self.calls
+                .log_copy("last", response.outcome(), Some(target), sent_at);
             let is_busy = matches!(response, CopyResponse::Answered(409, _));
-            match self.read_stop(&response) {
+            match self.calls.read_stop(&response) {
                 StopResult::Unknown => is_unanswered = true,
                 StopResult::NoRun if is_unanswered => break,
                 result if !is_unanswered || matches!(result, StopResult::Stopped(_)) => {
@@ -409,28 +357,12 @@
         (StopResult::Unknown, is_unanswered)
     }
 
-    /// Reads the response to a call to stop the generation.
-    ///
-    /// A source that has no room for the rest of the copy has stopped all the same, and names the handle.
-    fn read_stop(&self, response: &CopyResponse) -> StopResult {
-        match response {
-            CopyResponse::NotSent => StopResult::Unreached,
-            CopyResponse::Answered(404, _) => StopResult::NoRun,
-            CopyResponse::Answered(409, _) => StopResult::Busy,
-            CopyResponse::Answered(200 | 503, body) => {
-                let handle = self.gateway.dialect.read_copy_handle(body);
-                handle.map_or(StopResult::Unknown, StopResult::Stopped)
-            }
-            CopyResponse::Answered(..) | CopyResponse::Lost => StopResult::Unknown,
-        }
-    }
-
     /// Returns whether a generation that is migrated for a silence has sent events since.
     ///
     /// One whose target is leaving is migrated all the same.
     fn has_resumed(&self) -> bool {
         self.reason == MigrationReason::Silence
-            && !lock(&self.gateway.fleet).is_leaving(&self.source.target)
+            && !lock(&self.calls.gateway.fleet).is_leaving(&self.calls.source.target)
             && self.events.load(Ordering::Relaxed) != self.events_before
     }
 
@@ -439,7 +371,7 @@
     /// Returns why it must go on at its source: a generation that was stopped and may not be resumed is lost.
     async fn prepare_stop(&self, started_at: Timestamp) -> Result<ExtraPermit, &'static str> {
         if self.reason == MigrationReason::Silence {
-            let permitted_pause = self.call.route.gap_objective.unwrap_or_default();
+            let permitted_pause = self.calls.call.route.gap_objective.unwrap_or_default();
             sleep(permitted_pause + EVENT_MARGIN).await;
         }
         if self.has_resumed() {
@@ -447,9 +379,10 @@
         }
         loop {
             let now = clock::now();
-            let request = self.call.external_id();
-            let service = &self.call.service;
+            let request = self.calls.call.external_id();
+            let service = &self.calls.call.service;
             let taken = self
+                .calls
                 .gateway
                 .take_retry(ExtraSend::Resumption, service, request);
             if let Some(permit) = taken.await {
@@ -462,99 +395,8 @@
         }
     }
 
-    /// Frees the copy of a generation that goes on at its source.
-    async fn free_copy(&self, handle: &str) {
-        let freed_at = clock::now();
-        let call = self.gateway.dialect.free_copy_call(handle);
-        let outcome = match self.send_copy_call(&call, FREE_TIMEOUT, true).await {
-            CopyResponse::Answered(200..300, _) => "freed",
-            CopyResponse::Answered(404, _) => "unknown",
-            CopyResponse::Answered(..) => "failed",
-            response => response.outcome(),
-        };
-        self.log_copy("free", outcome, None, freed_at);
-    }
-
-    fn resident_tokens(&self) -> u32 {
-        lock(&self.gateway.fleet).resident_tokens(&self.request)
-    }
-
     fn record_no_room(&self, target: &Choice) -> MigrationAttempt {
-        lock(&self.gateway.fleet).record_refusal(&target.target, clock::now());
+        lock(&self.calls.gateway.fleet).record_refusal(&target.target, clock::now());
         MigrationAttempt::NoRoom
     }
-
-    async fn copy(&self, to: SocketAddr, last: bool) -> CopyResponse {
-        let external_id = self.call.external_id();
-        let call = self.gateway.dialect.copy_call(external_id, to, last);
-        self.send_copy_call(&call, COPY_TIMEOUT, last).await
-    }
-
-    async fn send_copy_call(
-        &self,
-        call: &ControlCall,
-        timeout: Duration,
-        last: bool,
-    ) -> CopyResponse {
-        let address = self.source.address;
-        let regions = self.gateway.allowed_regions(&self.call);
-        let destination = Destination {
-            regions: &regions,
-            target: &self.source.target,
-            address,
-            request: self.call.external_id(),
-            time_left: timeout,
-        };
-        let purpose = Purpose::UnidentifiedCall;
-        let started_at = clock::now();
-        let connected = pool::connect(&self.gateway, destination, purpose, CONNECT_TIMEOUT);
-        let Ok((mut connection, _)) = connected.await else {
-            return CopyResponse::NotSent;
-        };
-        if !last {
-            // The next copy follows at once, and must not wait for its connection.
-            pool::preconnect(&self.gateway, address, &self.call.service, purpose);
-        }
-        let response = target_round_trip(
-            &self.gateway,
-            &mut connection,
-            address,
-            call,
-            MAX_RESPONSE_BODY,
-        );
-        let time_left = timeout.saturating_sub(clock::now().saturating_sub(started_at));
-        let Some(Ok((head, body))) = within(time_left, response).await else {
-            return CopyResponse::Lost;
-        };
-        let meta = self.gateway.dialect.read_response(&head);
-        if meta.leaving {
-            self.gateway
-                .observe_response(&self.source.target, &head, &meta);
-        }
-        if head.keeps_alive() {
-            pool::release(
-                &self.gateway,
-                address,
-                &self.call.service,
-                connection,
-                meta.keep_alive,
-            );
-        }
-        CopyResponse::Answered(head.status, body)
-    }
-
-    fn log_copy(
-        &self,
-        phase: &str,
-        outcome: &str,
-        target: Option<&Choice>,
-        copy_started_at: Duration,
-    ) {
-        let elapsed = clock::now().saturating_sub(copy_started_at);
-        log::info!(event = "copy", request = self.call.external_id(),
-            from = self.source.target.as_str(),
-            target_id = target.map_or("-", |choice| choice.target.as_str()), part = phase, outcome = outcome,
-            reason = self.reason.as_str(), tokens = self.resident_tokens(),
-            beside = target.map_or(0, |choice| choice.request_count), took_ms = millis(elapsed); "");
-    }
 }
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::dispatch::RequestLog;
 use crate::exchange::Exchange;
 use crate::migration::{Migrated, MigrationEnd, RunningMigration};
+use crate::run_stop::RunStops;
 use crate::runtime::sleep;
 use crate::state::{Gateway, PlacementGuard, lock};
 use crate::target_run::TargetRun;
@@ -83,6 +84,8 @@
     run_count: u32,
     /// Targets at which the stream was not complete.
     avoid: Vec<TargetId>,
+    /// The runs at targets before.
+    stops: RunStops,
     splitter: EventSplitter,
     /// Whether the current stream has delivered a whole event.
     has_events: bool,
@@ -127,6 +130,7 @@
             run,
             run_count: 1,
             avoid: Vec::new(),
+            stops: RunStops::default(),
             splitter: EventSplitter::default(),
             has_events: false,
             buffer: Vec::new(),
@@ -143,8 +147,9 @@
         }
     }
 
-    /// Sets the targets at which the request ran before, or was not run.
-    pub(crate) fn after(mut self, run_count: u32, avoid: &[TargetId]) -> Self {
+    /// Sets the targets at which the request ran before, or was not run, and the runs that are being stopped.
+    pub(crate) fn after(mut self, run_count: u32, avoid: &[TargetId], stops: &RunStops) -> Self {
+        self.stops = stops.clone();
         self.run_count = run_count + 1;
         self.avoid = avoid.to_vec();
         self
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -18,7 +18,7 @@
     ///
     /// The broken stream has been closed, so its target does not go on with it.
     pub(super) async fn restart_stream(&mut self, request_log: &mut RequestLog) -> bool {
-        while self.call.is_resumable() && self.run_count < self.call.route.max_attempts {
+        while self.may_restart() {
             self.avoid.push(self.choice.target.clone());
             let now = clock::now();
             let Some(permit) = self.take_resumption().await else {
@@ -35,6 +35,11 @@
         false
     }
 
+    /// Returns whether the stream may be continued by another run that reads the prompt anew.
+    pub(super) fn may_restart(&self) -> bool {
+        self.call.is_resumable() && self.run_count < self.call.route.max_attempts
+    }
+
     /// Waits for another place for the rest of the stream.
     async fn place_again(&mut self, now: Timestamp) -> Option<Choice> {
         // The place at the broken target is given up first: both have the request's id.
@@ -72,6 +77,7 @@
             ..send_meta(self.call, &self.choice, None, now)
         };
         request_log.log_send(&self.choice, None, now);
+        let may_stop = self.stops.cancel(&target);
         let opened = Exchange::open(
             self.gateway,
             self.call,
@@ -84,6 +90,7 @@
             Ok(exchange) if exchange.head.status == 200 && exchange.meta.stamped => {
                 self.run_count += 1;
                 self.begin(exchange, run);
+                self.may_have_stopped = may_stop;
                 true
             }
             Ok(exchange) if exchange.meta.not_run || exchange.head.status == 421 => {
@@ -92,18 +99,30 @@
                 request_log.log_fault(&target, "target-refused", Verdict::NotRun);
                 false
             }
-            Ok(_) => {
+            Ok(exchange) => {
                 self.run_count += 1;
                 request_log.log_fault(&target, "resume-failed", Verdict::MayHaveRun);
+                drop(exchange);
+                self.stop_failed(true).await;
                 false
             }
             Err(error) => {
                 self.record_restart_error(&run, error, request_log);
+                if error.verdict != Verdict::NotRun {
+                    self.stop_failed(false).await;
+                }
                 false
             }
         }
     }
 
+    /// Stops the run of a target that failed to continue the stream, if another one is to be tried.
+    async fn stop_failed(&self, has_begun: bool) {
+        if self.may_restart() {
+            self.stop_run(&self.choice, has_begun).await;
+        }
+    }
+
     fn record_restart_error(
         &mut self,
         run: &TargetRun,
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -3,15 +3,21 @@
 use super::{REMAINDER_TIMEOUT, Relay};
 use crate::adapter::{Continuation, SendMeta};
 use crate::clock;
+use crate::connection::Connection;
 use crate::dispatch::{RequestLog, check_crash, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
+use crate::migration::copy_calls;
 use crate::migration::{self, Migrated, MigrationEnd, MigrationReason};
-use crate::runtime::within;
+use crate::pool::{self, Purpose};
+use crate::run_stop::{RunStop, STOP_WAIT, StopEnd};
+use crate::runtime::{sleep, within};
 use crate::state::{ExtraPermit, lock};
 use crate::target_connect;
 use almondcroft_core::gateway::{Choice, ExtraSend};
 use almondcroft_core::{TargetId, Verdict};
+use futures_lite::future::or;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,11 +30,27 @@
 /// Connect timeout for probing a silent target.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time for the engine with the backup to resume a generation while the source still runs it.
+/// Time for the engine with the backup to resume a generation that the source still runs, or keeps a copy of.
 ///
 /// The platform permits both to run it for 400 ms.
 const SWITCH_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after which the source is asked to stop the generation.
+///
+/// The rest of the 400 ms is for the call, and for a VM that is late.
+const STOP_DELAY: Duration = Duration::from_millis(100);
+
+/// What came of the attempt to resume a generation from its backup while its source still ran it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Switch {
+    /// It goes on from the backup.
+    Resumed,
+    /// It does not, and the source has stopped it or may have.
+    Stopped,
+    /// It goes on at the source.
+    Kept,
+}
+
 /// Location of a copy of a generation's KV cache: the target that holds it, and its handle there.
 type CopyLocation = (SocketAddr, String);
 
@@ -36,22 +58,22 @@
     /// Moves the generation off a leaving target.
     ///
     /// It is resumed from its backup at once if there is one, and migrated otherwise. The source
-    /// keeps running until the engine with the backup has resumed, so nothing is lost if the backup
-    /// is missing.
+    /// keeps running until the engine with the backup has resumed, or keeps a copy, so nothing is lost if
+    /// the backup is missing.
     pub(super) async fn leave_target(&mut self, request_log: &mut RequestLog) {
         if self.is_migrating() {
             self.missed_notice = true;
             return;
         }
         let backup_copy = self.backup_copy();
-        let switched = match backup_copy {
-            Some(option) => self.switch_to(option, request_log).await,
-            None => false,
+        let switch = match backup_copy {
+            Some(option) => self.leave_for(option, request_log).await,
+            None => Switch::Kept,
         };
-        if switched {
-            self.gateway.metrics.count_migration("switched");
-        } else {
-            self.start_migration(MigrationReason::Leave);
+        match switch {
+            Switch::Resumed => self.gateway.metrics.count_migration("switched"),
+            Switch::Stopped => {}
+            Switch::Kept => self.start_migration(MigrationReason::Leave),
         }
     }
 
@@ -85,14 +107,14 @@
         if reached {
             self.start_migration(MigrationReason::Silence);
         } else if let Some(option) = self.backup_copy()
-            && self.switch_to(option, request_log).await
+            && self.abandon_for(option, request_log).await
         {
             self.gateway.metrics.count_migration("switched");
         }
     }
 
-    /// Resumes the generation from its backup while its target may still run it; returns whether it succeeded.
-    async fn switch_to(
+    /// Resumes the generation from its backup in place of a target that is not reached; returns whether it succeeded.
+    async fn abandon_for(
         &mut self,
         option: (Choice, CopyLocation),
         request_log: &mut RequestLog,
@@ -100,8 +122,97 @@
         let Some(permit) = self.take_resumption().await else {
             return false;
         };
-        self.resume(option, permit, SWITCH_TIMEOUT, request_log)
-            .await
+        let source = self.choice.clone();
+        let resumed = self
+            .resume(option, permit, SWITCH_TIMEOUT, request_log)
+            .await;
+        if resumed {
+            let run = (self.gateway, self.call);
+            self.stops
+                .stop(run, &self.placement_id, &source, true)
+                .await;
+        }
+        resumed
+    }
+
+    /// Resumes the generation from its backup, and stops it at its source.
+    ///
+    /// The source is stopped once the engine with the backup has resumed, or after a while that both may run the generation.
+    /// Until then nothing is lost if the backup is missing, and afterwards the source keeps a copy.
+    async fn leave_for(
+        &mut self,
+        option: (Choice, CopyLocation),
+        request_log: &mut RequestLog,
+    ) -> Switch {
+        let Some(permit) = self.take_resumption().await else {
+            return Switch::Kept;
+        };
+        let (gateway, call) = (self.gateway, self.call);
+        let (source, request) = (self.choice.clone(), self.placement_id.clone());
+        if copy_calls::are_supported(gateway, call) {
+            let purpose = Purpose::UnidentifiedCall;
+            pool::preconnect(gateway, source.address, &call.service, purpose);
+        }
+        let mut stream = self.exchange.detach();
+        let mut stop = None;
+        let stop_source = async {
+            sleep(STOP_DELAY).await;
+            stop = RunStop::start((gateway, call), &request, &source, true, true);
+            if let Some(stop) = &stop {
+                stop.wait_answered(STOP_WAIT).await;
+                if stop.was_sent() && stop.end() != Some(StopEnd::NoRun) {
+                    stream = None;
+                }
+            }
+            pending().await
+        };
+        let resume = self.resume(option, permit, SWITCH_TIMEOUT, request_log);
+        if or(resume, stop_source).await {
+            drop(stream);
+            let stop =
+                stop.or_else(|| RunStop::start((gateway, call), &request, &source, true, false));
+            if let Some(stop) = stop {
+                self.stops.keep(stop);
+            }
+            return Switch::Resumed;
+        }
+        self.stay_after(stop, stream).await
+    }
+
+    /// Reads on from the source of a generation that was not resumed elsewhere, unless it was stopped.
+    async fn stay_after(&mut self, stop: Option<RunStop>, stream: Option<Connection>) -> Switch {
+        self.exchange.attach(stream);
+        let Some(stop) = stop else {
+            return Switch::Kept;
+        };
+        if stop.end().is_none() && stop.was_sent() {
+            stop.wait_answered(MIGRATION_TIMEOUT).await;
+        }
+        let end = stop.end();
+        let was_sent = stop.was_sent();
+        if let Some(StopEnd::Stopped(handle, target)) = end {
+            self.migrated = Some(Migrated {
+                target,
+                handle,
+                permit: None,
+            });
+            return Switch::Stopped;
+        }
+        self.may_have_stopped |= end.is_none() && was_sent;
+        if end.is_some() || was_sent {
+            self.stops.keep(stop);
+            return Switch::Stopped;
+        }
+        self.may_have_stopped |= stop.cancel();
+        Switch::Kept
+    }
+
+    /// Stops a run at a target from which nothing is read any more, so that the generation can go on elsewhere.
+    pub(super) async fn stop_run(&self, choice: &Choice, has_begun: bool) {
+        let run = (self.gateway, self.call);
+        self.stops
+            .stop(run, &self.placement_id, choice, has_begun)
+            .await;
     }
 
     /// Records the end of a migration.
@@ -168,6 +279,7 @@
         }
         // An engine works on as long as the connection is open, whatever is wrong with its stream.
         self.exchange.close();
+        let is_stopped = self.migrated.is_some();
         let copied = self.copied.take();
         let mut migrated = self.migrated.take().or(copied);
         if migrated.is_none() {
@@ -182,6 +294,11 @@
                 request_log.event_count,
             );
         }
+        let goes_on = migrated.is_some() || self.backup_copy().is_some() || self.may_restart();
+        if !is_stopped && goes_on {
+            // Some engines work on without a connection.
+            self.stop_run(&self.choice, self.run.has_begun()).await;
+        }
         // The migration has taken one resumption; a borrowed one may have run out.
         let mut taken = migrated
             .as_mut()
@@ -261,6 +378,8 @@
             ..send_meta(self.call, choice, backup.as_ref(), now)
         };
         request_log.log_send(choice, backup.as_ref(), now);
+        // A call that stops an earlier run there may take effect once this one runs.
+        let may_stop = self.stops.cancel(&choice.target);
         let timeout = timeout.min(send.time_left);
         let opened = Exchange::open(
             self.gateway,
@@ -274,23 +393,27 @@
         let exchange = match opened {
             Ok(exchange) if exchange.head.status == 200 && exchange.meta.stamped => exchange,
             Ok(exchange) => {
-                let kind = if exchange.meta.not_run {
+                if exchange.is_refusal() {
                     run.record_not_run();
-                    "resume-refused"
+                    request_log.log_fault(&choice.target, "resume-refused", Verdict::NotRun);
                 } else {
-                    "resume-failed"
-                };
-                request_log.log_fault(&choice.target, kind, Verdict::NotRun);
+                    request_log.log_fault(&choice.target, "resume-failed", Verdict::MayHaveRun);
+                    drop(exchange);
+                    self.stop_run(choice, true).await;
+                }
                 return false;
             }
             Err(error) => {
                 request_log.log_fault(&choice.target, error.kind, error.verdict);
                 if error.verdict == Verdict::NotRun {
                     run.record_not_run();
-                } else if error.kind != "target-timeout" {
+                    return false;
+                }
+                if error.kind != "target-timeout" {
                     let events = request_log.event_count;
                     check_crash(self.gateway, self.call, choice, &run, events);
                 }
+                self.stop_run(choice, false).await;
                 return false;
             }
         };
@@ -307,7 +430,7 @@
         drop(fleet);
         self.gateway.deliver(placements);
         // A call to stop the generation that was not answered may take effect once it goes on at the same target.
-        let may_stop = self.may_have_stopped && self.choice.target == choice.target;
+        let may_stop = may_stop || self.may_have_stopped && self.choice.target == choice.target;
         self.replace_stream(exchange, run);
         self.may_have_stopped = may_stop;
         self.choice = choice.clone();
--- a/crates/almondcroft-gateway/src/target_run.rs
+++ b/crates/almondcroft-gateway/src/target_run.rs
@@ -72,6 +72,11 @@
             .is_some_and(|started| PromptQuarantine::has_survived(started, now))
     }
 
+    /// Returns whether the response has started, so that the target has begun the run.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.started_at.is_some()
+    }
+
     /// Records that the response has started.
     pub(crate) fn record_start(&mut self) {
         if self.started_at.is_none() {
