fix(sync): one call to the store that is cut off is no outage

Cause: each failed call made the directory hold removals back, as if entries had expired in an outage, until 2 s after the next response: the end of the next watch, up to 3 s later. A second cut started the time anew.

Change: StoreContact decides. A call that fails at once shows nothing alone, and the next one, which does not wait, decides; two failures or silence are an outage. It works because the response to that call comes at once, so that neither the doubt nor the time for registrations lasts for the time of a watch.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -18,6 +18,7 @@
 //! | [`HedgePolicy`] | is a slow request sent to a second target? |
 //! | [`PendingQueries`] | how recent is a fact in a peer's response? |
 //! | [`StopAttempts`] | is a run that was asked to stop over? |
+//! | [`StoreContact`] | is the store unavailable? |
 //! | [`StoreEra`] | was the store restored from an older copy? |
 //! | [`StorePosition`] | which of two views of the store is newer? |
 //! | [`TargetPaths`] | is a target reached directly, or through which VM? |
@@ -38,6 +39,7 @@
 mod route;
 mod run_stop;
 mod shutdown;
+mod store_contact;
 mod store_era;
 mod store_position;
 mod target;
@@ -60,6 +62,7 @@
 pub use route::{CallKind, RouteSpec, RouteTable, WeightedService};
 pub use run_stop::{StopAnswer, StopAttempts, StopStep};
 pub use shutdown::admits_during_shutdown;
+pub use store_contact::{StoreContact, StoreFailure};
 pub use store_era::{EraCheck, StoreEra};
 pub use store_position::StorePosition;
 pub use target::{MAX_SOUND_SILENCE, TargetEntry};
--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -2,13 +2,17 @@
 
 use super::{StorePosition, TargetEntry};
 use crate::{Era, TargetId, Timestamp};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Maximum number of removed targets kept for [`Directory::changes_since`]; more than are removed while
 /// a VM is unreachable for a minute.
 const MAX_REMOVED: usize = 1_024;
 
+/// Number of VMs whose reports show that the store is unavailable.
+const MIN_UNCERTAIN_VIEWS: usize = 2;
+
 /// Time within which live targets register again after an outage of the store.
 const REGISTRATION_TIME: Duration = Duration::from_secs(2);
 
@@ -97,6 +101,8 @@
     known: BTreeMap<TargetId, KnownTarget>,
     store_unavailable: bool,
     recovered_at: Option<Timestamp>,
+    /// VMs that follow the store and reported it as unavailable since another report was certain.
+    uncertain_views: BTreeSet<SocketAddr>,
     /// Newest era of the store that is known.
     era: Era,
     checkpoint: Option<Checkpoint>,
@@ -117,8 +123,19 @@
         self.store_unavailable = true;
     }
 
+    /// Records that a VM which follows the store for others reports it as unavailable, now or a short time ago.
+    ///
+    /// A single VM may be cut off from a store that serves all others, so its report alone says nothing about the store.
+    pub fn record_uncertain_view(&mut self, vm: SocketAddr) {
+        self.uncertain_views.insert(vm);
+        if self.uncertain_views.len() >= MIN_UNCERTAIN_VIEWS {
+            self.mark_store_unavailable();
+        }
+    }
+
     /// Records that the store responds, and starts the registration time if it did not before.
     pub fn mark_store_available(&mut self, now: Timestamp) {
+        self.uncertain_views.clear();
         if std::mem::take(&mut self.store_unavailable) {
             self.recovered_at = Some(now);
         }
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -76,6 +76,28 @@
     assert_eq!(directory.replace(vec![], SECOND * 10), [gone("a")]);
 }
 
+/// Guards against a removed target that stays in use because one VM of those that follow the store is cut off from it.
+#[test]
+fn record_uncertain_view_of_one_vm_shows_no_outage() {
+    let vm = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let mut directory = Directory::default();
+    directory.replace(vec![entry("a"), entry("b")], SECOND);
+    for second in 2..6 {
+        directory.record_uncertain_view(vm(1));
+        directory.record_uncertain_view(vm(1));
+        directory.mark_store_available(SECOND * second);
+    }
+    let changes = directory.apply(EntryEvent::Absent("a".into()), SECOND * 6);
+    assert_eq!(changes, [gone("a")]);
+    // Entries may have expired if several of them say so.
+    directory.record_uncertain_view(vm(1));
+    directory.record_uncertain_view(vm(2));
+    directory.mark_store_available(SECOND * 7);
+    let changes = directory.apply(EntryEvent::Absent("b".into()), SECOND * 7);
+    assert_eq!(changes, []);
+    assert_eq!(directory.remove_missing(SECOND * 9), [gone("b")]);
+}
+
 #[test]
 fn apply_present_restarted_under_same_id() {
     let mut directory = Directory::default();
--- a/crates/almondcroft-gateway/src/gossip/watchers.rs
+++ b/crates/almondcroft-gateway/src/gossip/watchers.rs
@@ -29,8 +29,7 @@
 /// Number of times that a page is asked for again before the VM asks another one from the start.
 const MAX_PAGE_RETRIES: u32 = 2;
 
-/// Number of queries that may get no response before a watcher's report that the store is unavailable is
-/// accepted.
+/// Number of queries that may get no certain response before watchers' reports that the store is unavailable count.
 const MAX_LOST_QUERIES: u32 = 2;
 
 /// Queries a random watcher at each interval, unless this VM watches the store itself.
@@ -241,7 +240,7 @@
         gateway.change_targets(|directory| {
             let complete_at = directory.complete_at();
             if complete_at.is_none_or(|at| at + QUERY_INTERVAL * MAX_LOST_QUERIES < now) {
-                directory.mark_store_unavailable();
+                directory.record_uncertain_view(from);
             }
             Vec::new()
         });
--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -6,6 +6,7 @@
 use crate::runtime::within;
 use crate::state::Gateway;
 use almondcroft_core::Era;
+use almondcroft_core::gateway::StoreFailure;
 use almondcroft_proto::http1::FrameError;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -37,6 +38,16 @@
     Restored,
 }
 
+impl StoreError {
+    /// Returns what the error shows of the store.
+    pub(crate) fn failure(&self) -> StoreFailure {
+        match self {
+            Self::Unreachable("timeout") => StoreFailure::Silent,
+            _ => StoreFailure::Prompt,
+        }
+    }
+}
+
 impl std::fmt::Display for StoreError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -9,7 +9,7 @@
 use crate::state::Gateway;
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
 use crate::unreadable_objects::UnreadableObjects;
-use almondcroft_core::gateway::{EntryEvent, StorePosition, TargetEntry};
+use almondcroft_core::gateway::{EntryEvent, StoreContact, StorePosition, TargetEntry};
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
 use rand::Rng;
@@ -82,7 +82,7 @@
                 kind,
                 client: StoreClient::new(gateway.settings.store),
                 backoff: INITIAL_BACKOFF,
-                disconnected: false,
+                contact: StoreContact::default(),
                 recent_changes: VecDeque::new(),
                 outdated: false,
                 has_unknown_change: false,
@@ -101,7 +101,7 @@
     kind: ObjectKind,
     client: StoreClient,
     backoff: Duration,
-    disconnected: bool,
+    contact: StoreContact,
     /// Times of the latest responses with changes.
     recent_changes: VecDeque<Timestamp>,
     /// Whether the newest configuration is unreadable, so that the active one is outdated.
@@ -205,8 +205,12 @@
         waited
     }
 
-    /// Returns the maximum wait of a watch; shorter if peers query this VM.
+    /// Returns the maximum wait of a watch; shorter if peers query this VM, and zero after a call that failed, so that the
+    /// response shows at once whether the store is available.
     fn watch_wait(&self) -> Duration {
+        if self.contact.is_in_doubt() {
+            return Duration::ZERO;
+        }
         let wait = match self.kind {
             ObjectKind::Config => CONFIG_WATCH_WAIT,
             ObjectKind::Targets | ObjectKind::Vms => DEFAULT_WATCH_WAIT,
@@ -451,7 +455,7 @@
 
     fn record_response(&mut self) {
         self.backoff = INITIAL_BACKOFF;
-        if std::mem::take(&mut self.disconnected) {
+        if self.contact.record_response() {
             log::info!(event = "store-regained", kind = self.kind.as_str(),
                 era = self.gateway.store_era(); "");
         }
@@ -465,11 +469,15 @@
     }
 
     async fn back_off(&mut self, error: &StoreError) {
-        if !std::mem::replace(&mut self.disconnected, true) {
+        let was_lost = self.contact.is_lost();
+        let is_lost = self.contact.record_failure(error.failure());
+        if !is_lost {
+            log::info!(event = "store-call-failed", kind = self.kind.as_str(), error:% = error; "");
+        } else if !was_lost {
             log::warn!(event = "store-lost", kind = self.kind.as_str(), error:% = error,
                 era = self.gateway.store_era(); "");
         }
-        if self.kind == ObjectKind::Targets {
+        if is_lost && self.kind == ObjectKind::Targets {
             self.gateway.change_targets(|directory| {
                 directory.mark_store_unavailable();
                 Vec::new()
