fix(http1): a status that HTTP does not define is no response

What callers saw: with 000 and 099, and 101, an order waited until its deadline, or got a response that came behind; with 600 to 999 it got that status with the target's stamp. Calls to almondcroftd waited 10 s.

Cause: parse_response took any three digits; below 200 they counted as an interim response, else as a final one.

Why it works: all readers of a status line use parse_response, and each already treats bytes that are no response as such: the connection is closed, another target is tried where the request may be repeated, and the caller gets 502 at once.

--- a/crates/almondcroft-proto/src/http1/head.rs
+++ b/crates/almondcroft-proto/src/http1/head.rs
@@ -137,8 +137,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`FrameError`] if the bytes are not a response or the head is longer than `limit`
-/// bytes.
+/// Returns [`FrameError`] if the bytes are not a response, the status is none of 100 to 599 or is 101, or the head is longer
+/// than `limit` bytes.
 pub fn parse_response(
     bytes: &[u8],
     limit: usize,
@@ -155,6 +155,9 @@
     let (Some(status), Some(minor)) = (response.code, response.version) else {
         return Err(FrameError::Malformed);
     };
+    if !is_valid_status(status) {
+        return Err(FrameError::Malformed);
+    }
     let head = ResponseHead {
         status,
         reason: response.reason.unwrap_or_default().to_owned(),
@@ -164,6 +167,13 @@
     Ok(Some((head, used)))
 }
 
+/// Returns whether a response may have a status: RFC 9110, section 15, defines the classes 1xx to 5xx.
+///
+/// 101 answers a request to change the protocol, which is never sent, and what follows it is no HTTP.
+const fn is_valid_status(status: u16) -> bool {
+    matches!(status, 100 | 102..=599)
+}
+
 fn to_headers(fields: &[httparse::Header<'_>]) -> Headers {
     let mut headers = Headers::default();
     for field in fields {
--- a/crates/almondcroft-proto/src/http1/tests.rs
+++ b/crates/almondcroft-proto/src/http1/tests.rs
@@ -62,6 +62,20 @@
     }
 }
 
+/// Guards against a status that is taken for an interim response or passed on, though RFC 9110 defines none of its class, and
+/// against a change of the protocol that nobody has asked for.
+#[test]
+fn parse_response_invalid_status() {
+    let parse =
+        |status: &str| parse_response(format!("HTTP/1.1 {status} X\r\n\r\n").as_bytes(), 99);
+    for status in ["000", "001", "099", "101", "600", "700", "999"] {
+        assert_eq!(parse(status), Err(FrameError::Malformed), "{status}");
+    }
+    for status in ["100", "102", "103", "199", "200", "299", "599"] {
+        assert!(matches!(parse(status), Ok(Some(_))), "{status}");
+    }
+}
+
 #[test]
 fn body_kind_response() {
     let text = b"HTTP/1.1 200 OK\r\n\r\n";
