fix(relay): a stream whose caller has left is stopped by a call at its engine

What callers saw: nothing.

Evidence: stream_whose_caller_has_left_is_stopped_at_an_engine_that_ignores_the_close fails on: the engine works on for 1.3 s, all its work.

Why it works: RunGuard follows the run whose stream is read, and asks its engine to stop it when the relay is dropped.

Result: the test passes, also when the first call is lost.

--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::RequestLog;
 use crate::exchange::Exchange;
 use crate::migration::{Migrated, MigrationEnd, RunningMigration};
-use crate::run_stop::RunStops;
+use crate::run_stop::{RunGuard, RunStops};
 use crate::runtime::sleep;
 use crate::state::{Gateway, PlacementGuard, lock};
 use crate::target_run::TargetRun;
@@ -86,6 +86,8 @@
     avoid: Vec<TargetId>,
     /// The runs at targets before.
     stops: RunStops,
+    /// The run whose stream is read.
+    run_guard: RunGuard,
     splitter: EventSplitter,
     /// Whether the current stream has delivered a whole event.
     has_events: bool,
@@ -119,6 +121,7 @@
         (exchange, run): (Exchange, TargetRun),
     ) -> Self {
         let leave_notice = gateway.subscribe_leave_notice(&placement_guard.request);
+        let run_guard = RunGuard::new((gateway, call), &placement_guard.request, &choice);
         Self {
             gateway,
             call,
@@ -131,6 +134,7 @@
             run_count: 1,
             avoid: Vec::new(),
             stops: RunStops::default(),
+            run_guard,
             splitter: EventSplitter::default(),
             has_events: false,
             buffer: Vec::new(),
@@ -216,6 +220,8 @@
                     Some("stopped")
                 }
                 Step::TimedOut => {
+                    // The target ends the run at the deadline.
+                    self.run_guard.disarm();
                     if !writer.has_started() {
                         return RelayEnd::Unstarted("timeout");
                     }
@@ -388,7 +394,8 @@
         self.exchange.decoder.is_close_delimited()
     }
 
-    async fn finish(self, writer: &mut ResponseWriter, request_log: &mut RequestLog) -> bool {
+    async fn finish(mut self, writer: &mut ResponseWriter, request_log: &mut RequestLog) -> bool {
+        self.run_guard.disarm();
         let remainder = self.splitter.pending().to_vec();
         let started = writer.has_started();
         let sent = if started {
--- a/crates/almondcroft-gateway/src/relay/restart.rs
+++ b/crates/almondcroft-gateway/src/relay/restart.rs
@@ -157,6 +157,7 @@
     /// Reads on from the stream of another target.
     pub(super) fn begin(&mut self, exchange: Exchange, run: TargetRun) {
         self.replace_stream(exchange, run);
+        self.run_guard.follow(&self.choice);
         self.backup = None;
         let now = clock::now();
         let placements = lock(&self.gateway.fleet).record_response_start(&self.placement_id, now);
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -297,6 +297,7 @@
         let goes_on = migrated.is_some() || self.backup_copy().is_some() || self.may_restart();
         if !is_stopped && goes_on {
             // Some engines work on without a connection.
+            self.run_guard.disarm();
             self.stop_run(&self.choice, self.run.has_begun()).await;
         }
         // The migration has taken one resumption; a borrowed one may have run out.
@@ -434,6 +435,7 @@
         self.replace_stream(exchange, run);
         self.may_have_stopped = may_stop;
         self.choice = choice.clone();
+        self.run_guard.follow(choice);
         self.backup = backup.map(|choice| choice.target);
         if lock(&self.gateway.fleet).is_leaving(&self.choice.target) {
             self.start_migration(MigrationReason::Leave);
