refactor(relay): names of the switch to a backup, the guard of a stream in a file of its own

One change of behaviour, by reading only: a copy that is kept when a leaving engine is asked to stop a generation goes to an engine with room, so that the generation need not return to its source where another engine has one.

--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! |---|---|
 //! | `connection`, `pool`, `listener`, `tunnel` | transport |
 //! | `caller`, `exchange`, `relay` | protocol |
-//! | `dispatch`, `target_connect`, `target_run`, `migration`, `run_stop`, `sync`, `gossip` | coordination |
+//! | `dispatch`, `target_connect`, `target_run`, `migration`, `run_stop`, `run_guard`, `sync`, `gossip` | coordination |
 //! | `state`, `lifecycle`, `metrics`, `unreadable_objects` | state |
 //!
 //! ```no_run
@@ -46,6 +46,7 @@
 mod program;
 mod relay;
 mod reply;
+mod run_guard;
 mod run_stop;
 mod runtime;
 mod settings;
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -67,7 +67,7 @@
         }
         let backup_copy = self.backup_copy();
         let switch = match backup_copy {
-            Some(option) => self.leave_for(option, request_log).await,
+            Some(option) => self.switch_to_backup(option, request_log).await,
             None => Switch::Kept,
         };
         match switch {
@@ -107,14 +107,14 @@
         if reached {
             self.start_migration(MigrationReason::Silence);
         } else if let Some(option) = self.backup_copy()
-            && self.abandon_for(option, request_log).await
+            && self.replace_unreached(option, request_log).await
         {
             self.gateway.metrics.count_migration("switched");
         }
     }
 
     /// Resumes the generation from its backup in place of a target that is not reached; returns whether it succeeded.
-    async fn abandon_for(
+    async fn replace_unreached(
         &mut self,
         option: (Choice, CopyLocation),
         request_log: &mut RequestLog,
@@ -139,7 +139,7 @@
     ///
     /// The source is stopped once the engine with the backup has resumed, or after a while that both may run the generation.
     /// Until then nothing is lost if the backup is missing, and afterwards the source keeps a copy.
-    async fn leave_for(
+    async fn switch_to_backup(
         &mut self,
         option: (Choice, CopyLocation),
         request_log: &mut RequestLog,
@@ -176,11 +176,16 @@
             }
             return Switch::Resumed;
         }
-        self.stay_after(stop, stream).await
+        self.return_to_source(stop, stream).await
     }
 
-    /// Reads on from the source of a generation that was not resumed elsewhere, unless it was stopped.
-    async fn stay_after(&mut self, stop: Option<RunStop>, stream: Option<Connection>) -> Switch {
+    /// Returns to the source of a generation that was not resumed elsewhere: to its stream, or to the copy that it keeps if it
+    /// was stopped.
+    async fn return_to_source(
+        &mut self,
+        stop: Option<RunStop>,
+        stream: Option<Connection>,
+    ) -> Switch {
         self.exchange.attach(stream);
         let Some(stop) = stop else {
             return Switch::Kept;
--- a/crates/almondcroft-gateway/src/run_stop.rs
+++ b/crates/almondcroft-gateway/src/run_stop.rs
@@ -67,11 +67,16 @@
             return None;
         }
         let regions = gateway.allowed_regions(call);
-        let to = lock(&gateway.fleet).choose_stop_destination(
-            &call.service,
-            &source.target,
-            &regions,
-        )?;
+        let to = {
+            let fleet = lock(&gateway.fleet);
+            // Only a copy that is kept needs room.
+            let with_room = keeps_copy
+                .then(|| fleet.choose_migration_target(request, clock::now()))
+                .flatten();
+            with_room.or_else(|| {
+                fleet.choose_stop_destination(&call.service, &source.target, &regions)
+            })?
+        };
         let calls = Arc::new(CopyCalls::new((gateway, call), request, source, "stop"));
         let state = StopState {
             keeps_copy,
@@ -249,46 +254,3 @@
         may_stop
     }
 }
-
-/// Stops the run of a stream when it is dropped, as the caller of the stream has left then or the stream is lost.
-pub(crate) struct RunGuard {
-    gateway: Arc<Gateway>,
-    call: Arc<Call>,
-    request: RequestId,
-    source: Option<Choice>,
-}
-
-impl RunGuard {
-    pub(crate) fn new(
-        (gateway, call): (&Arc<Gateway>, &Arc<Call>),
-        request: &RequestId,
-        source: &Choice,
-    ) -> Self {
-        Self {
-            gateway: Arc::clone(gateway),
-            call: Arc::clone(call),
-            request: request.clone(),
-            source: Some(source.clone()),
-        }
-    }
-
-    /// Records that the stream goes on at a target.
-    pub(crate) fn follow(&mut self, source: &Choice) {
-        self.source = Some(source.clone());
-    }
-
-    /// Records that the run is over, or is being stopped already.
-    pub(crate) fn disarm(&mut self) {
-        self.source = None;
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        if let Some(source) = self.source.take() {
-            let run = (&self.gateway, &self.call);
-            // The calls go on by themselves.
-            drop(RunStop::start(run, &self.request, &source, true, false));
-        }
-    }
-}
