fix(gateway): callers and targets that read slowly are not taken for gone

Uploads to a target that pauses got 502.

Cause: TCP_USER_TIMEOUT of 3 s on all connections. Linux counts the time for which a window is closed too. Two more timers of the class: 10 s for one part of a response, whatever was read of it, and the target's own, as nothing was read from it while its caller paused.

Change: a peer counts as gone only if it leaves data or window probes unanswered (SocketState). Responses are read ahead for slow callers (WriteQueue) within a quarter of the memory (SlowCallers, core); one is given up 10 s after the last sign of reading and after its deadline, or if memory runs out, the longest unread first. A stop waits until callers have acknowledged their responses, and hands whole ones over to the kernel at its end. Requests are handled in a future on the heap, as the nested futures took about 100 KB a connection.

--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -17,6 +17,7 @@
 //! | [`GossipFanout`] | which peers get a gossip message? |
 //! | [`HedgePolicy`] | is a slow request sent to a second target? |
 //! | [`PendingQueries`] | how recent is a fact in a peer's response? |
+//! | [`SlowCallers`] | how much is held for callers that read slowly? |
 //! | [`StopAttempts`] | is a run that was asked to stop over? |
 //! | [`StoreContact`] | is the store unavailable? |
 //! | [`StoreEra`] | was the store restored from an older copy? |
@@ -39,6 +40,7 @@
 mod route;
 mod run_stop;
 mod shutdown;
+mod slow_callers;
 mod store_contact;
 mod store_era;
 mod store_position;
@@ -62,6 +64,7 @@
 pub use route::{CallKind, RouteSpec, RouteTable, WeightedService};
 pub use run_stop::{StopAnswer, StopAttempts, StopStep};
 pub use shutdown::admits_during_shutdown;
+pub use slow_callers::{ConnectionId, SlowCallers};
 pub use store_contact::{StoreContact, StoreFailure};
 pub use store_era::{EraCheck, StoreEra};
 pub use store_position::StorePosition;
--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -1,12 +1,13 @@
 //! One caller's connection: reads requests and writes responses.
 
 use crate::clock;
-use crate::connection::{Connection, ConnectionError, Sender};
+use crate::connection::{Connection, ConnectionError};
 use crate::dispatch;
 use crate::lifecycle::{Guard, Lifecycle};
 use crate::reply::{Reply, reason_phrase};
 use crate::runtime::within;
 use crate::state::Gateway;
+use crate::write_queue::WriteQueue;
 use almondcroft_core::Timestamp;
 use almondcroft_core::gateway::CallerLimits;
 use almondcroft_proto::http1::{
@@ -29,8 +30,8 @@
 /// Time after which a caller may retry a request whose body did not fit into memory.
 const MEMORY_RETRY: Duration = Duration::from_secs(1);
 
-/// Time for a caller to accept a part of a response.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes that the framing of a chunk takes at most.
+const CHUNK_FRAMING: usize = 24;
 
 /// One of the gateway's own pages: its status, media type and body.
 pub(crate) type Page = (u16, &'static str, Vec<u8>);
@@ -56,28 +57,36 @@
     CloseDelimited,
 }
 
+/// How much of a response was sent or queued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Nothing,
+    Part,
+    All,
+}
+
 /// Writes one response to a caller.
 #[derive(Debug)]
 pub(crate) struct ResponseWriter {
-    sender: Sender,
+    queue: Arc<WriteQueue>,
     minor: u8,
     head_only: bool,
     close: bool,
     /// The connection ends with a response that is sent during a shutdown.
     lifecycle: Option<Arc<Lifecycle>>,
-    started: bool,
+    progress: Progress,
     framing: Framing,
 }
 
 impl ResponseWriter {
-    pub(crate) fn new(sender: Sender, head: Option<&RequestHead>, close: bool) -> Self {
+    pub(crate) fn new(queue: &Arc<WriteQueue>, head: Option<&RequestHead>, close: bool) -> Self {
         Self {
-            sender,
+            queue: Arc::clone(queue),
             minor: head.map_or(1, |head| head.minor),
             head_only: head.is_some_and(|head| head.method == "HEAD"),
             close,
             lifecycle: None,
-            started: false,
+            progress: Progress::Nothing,
             framing: Framing::Length(0),
         }
     }
@@ -88,9 +97,19 @@
         self
     }
 
-    /// Returns whether a part of the response was sent.
-    pub(crate) const fn has_started(&self) -> bool {
-        self.started
+    /// Returns whether a part of the response was sent or queued.
+    pub(crate) fn has_started(&self) -> bool {
+        self.progress != Progress::Nothing
+    }
+
+    /// Sets the time until which the caller may pause as long as it likes.
+    pub(crate) fn set_deadline(&self, deadline: Timestamp) {
+        self.queue.set_deadline(deadline);
+    }
+
+    /// Returns whether the whole response was sent or queued.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.progress == Progress::All
     }
 
     /// Ends the connection with this response, which says so unless it has started.
@@ -98,24 +117,27 @@
         self.close = true;
     }
 
-    /// Sends a complete response.
+    /// Sends a complete response; returns once the operating system has accepted it.
     pub(crate) async fn send_response(
         &mut self,
         head: &ResponseHead,
         body: &[u8],
     ) -> io::Result<()> {
         let mut bytes = self.encode_head(head, Framing::Length(body.len()));
+        bytes.reserve_exact(body.len());
         if !self.head_only {
             bytes.extend_from_slice(body);
         }
-        self.send(&bytes).await
+        self.progress = Progress::All;
+        self.queue.push(bytes).await?;
+        self.flush().await
     }
 
     /// Starts a response of unknown length.
     pub(crate) async fn start_response(
         &mut self,
         head: &ResponseHead,
-        first_part: &[u8],
+        first_part: Vec<u8>,
     ) -> io::Result<()> {
         let framing = if self.minor == 0 {
             self.close = true;
@@ -124,31 +146,44 @@
             Framing::Chunked
         };
         let mut bytes = self.encode_head(head, framing);
-        self.write_framed(first_part, &mut bytes);
-        self.send(&bytes).await
+        bytes.reserve_exact(first_part.len() + CHUNK_FRAMING);
+        self.write_framed(&first_part, &mut bytes);
+        drop(first_part);
+        self.queue.push(bytes).await
     }
 
     /// Sends a part of the body of a started response.
     pub(crate) async fn send_part(&mut self, part: &[u8]) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(part.len() + 16);
+        let mut bytes = Vec::with_capacity(part.len() + CHUNK_FRAMING);
         self.write_framed(part, &mut bytes);
-        self.send(&bytes).await
+        self.queue.push(bytes).await
     }
 
-    /// Ends a started response that is complete.
+    /// Ends a started response that is complete; [`ResponseWriter::flush`] waits until it is sent.
     pub(crate) async fn finish_response(&mut self) -> io::Result<()> {
+        self.progress = Progress::All;
         match self.framing {
-            Framing::Chunked => self.send(b"0\r\n\r\n").await,
+            Framing::Chunked => self.queue.push(b"0\r\n\r\n".to_vec()).await,
             Framing::CloseDelimited | Framing::Length(_) => Ok(()),
         }
     }
 
+    /// Waits until the operating system has accepted what was sent or queued.
+    pub(crate) async fn flush(&self) -> io::Result<()> {
+        self.queue.flush().await
+    }
+
+    /// Hands a complete response to the operating system, which sends it also after the end of the process.
+    pub(crate) async fn hand_over(&self) -> io::Result<()> {
+        self.queue.hand_over().await
+    }
+
     /// Breaks off a started response, so that the caller notices.
     ///
     /// A length or chunks show by themselves that something is missing.
     fn abort(&self) {
-        if self.started && self.framing == Framing::CloseDelimited {
-            self.sender.reset_on_close();
+        if self.has_started() && self.framing == Framing::CloseDelimited {
+            self.queue.sender().reset_on_close();
         }
     }
 
@@ -180,7 +215,7 @@
     }
 
     fn encode_head(&mut self, head: &ResponseHead, framing: Framing) -> Vec<u8> {
-        self.started = true;
+        self.progress = Progress::Part;
         self.framing = framing;
         self.close |= self.lifecycle.as_ref().is_some_and(|l| l.is_draining());
         let mut bytes = Vec::with_capacity(1024);
@@ -199,11 +234,6 @@
         bytes.extend_from_slice(b"\r\n");
         bytes
     }
-
-    async fn send(&self, bytes: &[u8]) -> io::Result<()> {
-        let sent = within(WRITE_TIMEOUT, self.sender.send(bytes)).await;
-        sent.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
-    }
 }
 
 /// The reason why no request was read from a connection.
@@ -231,35 +261,40 @@
 /// Serves one connection until it ends.
 pub(crate) async fn serve(gateway: Arc<Gateway>, mut connection: Connection) {
     let _guard = gateway.lifecycle.enter_connection();
+    connection.bound_send_buffer();
+    let queue = Arc::new(gateway.open_write_queue(connection.sender()));
     loop {
         let limits = gateway.config().map(|config| config.limits);
         let limits = limits.unwrap_or_default();
-        let received = match receive_request(&gateway, &mut connection, &limits).await {
+        let received = match receive_request(&gateway, &mut connection, &queue, &limits).await {
             Ok(received) => received,
-            Err(ReceiveError::Idle) => return,
+            Err(ReceiveError::Idle) => return queue.close().await,
             Err(ReceiveError::Rejected(reply)) => {
                 log::info!(event = "bad-request", status = reply.status, reason = reply.kind; "");
-                let mut writer = ResponseWriter::new(connection.sender(), None, true);
-                if writer.send_reply(&gateway, &reply, None).await.is_ok() {
+                let mut writer = ResponseWriter::new(&queue, None, true);
+                let sent = queue.drive(writer.send_reply(&gateway, &reply, None)).await;
+                if matches!(sent, Some(Ok(()))) {
                     linger(&mut connection).await;
                 }
-                return;
+                return queue.close().await;
             }
         };
         let close = !received.head.keeps_alive();
-        let mut writer = ResponseWriter::new(connection.sender(), Some(&received.head), close)
+        let mut writer = ResponseWriter::new(&queue, Some(&received.head), close)
             .closing_on_drain(&gateway.lifecycle);
-        let handled = async { Some(dispatch::handle(&gateway, received, &mut writer).await) };
+        // On the heap, as a connection would hold several copies of the large future also while it is idle.
+        let handled = Box::pin(dispatch::handle(&gateway, received, &mut writer));
+        let handled = queue.drive(handled);
         let disconnected = async {
             wait_for_disconnect(&mut connection).await;
             None
         };
         let reusable = futures_lite::future::or(handled, disconnected).await;
         if reusable != Some(true) {
-            writer.abort();
+            return writer.abort();
         }
-        if reusable != Some(true) || writer.close {
-            return;
+        if writer.close {
+            return queue.close().await;
         }
     }
 }
@@ -268,6 +303,7 @@
 async fn receive_request(
     gateway: &Gateway,
     connection: &mut Connection,
+    queue: &WriteQueue,
     limits: &CallerLimits,
 ) -> Result<ReceivedRequest, ReceiveError> {
     if connection.buffered().is_empty() {
@@ -302,11 +338,10 @@
         return Err(out_of_memory());
     }
     if head.headers.has_token("expect", "100-continue") {
-        let sent = connection
-            .sender()
-            .send(b"HTTP/1.1 100 Continue\r\n\r\n")
-            .await;
-        sent.map_err(|source| ReceiveError::from(ConnectionError::Io { source }))?;
+        let sent = queue.drive(queue.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()));
+        if !matches!(sent.await, Some(Ok(()))) {
+            return Err(ReceiveError::Idle);
+        }
     }
     let mut decoder = BodyDecoder::new(kind);
     let mut body = Vec::with_capacity(length.min(64 * 1024));
@@ -401,9 +436,9 @@
     head: &RequestHead,
     (status, media_type, body): Page,
 ) -> bool {
-    let mut writer = ResponseWriter::new(connection.sender(), Some(head), !head.keeps_alive());
-    let sent = writer
-        .send_response(&response_head(status, media_type), &body)
-        .await;
-    sent.is_ok() && !writer.close
+    let queue = Arc::new(WriteQueue::unbuffered(connection.sender()));
+    let mut writer = ResponseWriter::new(&queue, Some(head), !head.keeps_alive());
+    let head = response_head(status, media_type);
+    let sent = queue.drive(writer.send_response(&head, &body)).await;
+    matches!(sent, Some(Ok(()))) && !writer.close
 }
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -62,8 +62,8 @@
 enum Attempt {
     /// The target responded; the body is complete.
     Response(CollectedResponse),
-    /// The response was forwarded as it arrived; `true` if it was complete.
-    Relayed(bool),
+    /// The response was forwarded as it arrived; its status if it was complete.
+    Relayed(Option<u16>),
     /// The target did not run the request.
     NotRun(&'static str),
     /// The target may have run the request.
@@ -81,6 +81,7 @@
     let _guard = gateway.lifecycle.enter_request();
     match admit::admit(gateway, received) {
         Ok(call) => {
+            writer.set_deadline(call.deadline());
             let mut dispatch = Dispatch {
                 request_log: RequestLog::new(gateway, &call),
                 gateway,
@@ -178,7 +179,8 @@
             let attempt = self.attempt(placement_guard, choice, run).await;
             self.is_in_flight = false;
             match attempt {
-                Attempt::Relayed(complete) => return complete,
+                Attempt::Relayed(None) => return false,
+                Attempt::Relayed(Some(status)) => return self.deliver(status).await,
                 Attempt::Response(response) => {
                     self.run_count += 1;
                     if response.head.status < 500 || !self.permit_repeat(&target).await {
@@ -221,7 +223,11 @@
     /// Answers a request that is open when the process is about to end; returns `false`, as the connection ends too.
     async fn end_with_process(&mut self) -> bool {
         self.writer.close_after_response();
-        if self.writer.has_started() {
+        if self.writer.is_complete() {
+            let sent = self.writer.hand_over().await;
+            self.request_log
+                .log_end(0, if sent.is_ok() { "handed-over" } else { "cut" });
+        } else if self.writer.has_started() {
             self.request_log.log_end(0, "cut");
         } else if self.is_in_flight {
             self.finish(None, Reply::failed(504, "stopping")).await;
@@ -401,16 +407,21 @@
         self.request_log.record_progress();
         let (head, body) = (&response.head, &response.body);
         let sent = self.writer.send_response(head, body).await;
-        self.request_log.log_end(
-            head.status,
-            if sent.is_ok() {
-                "answered"
-            } else {
-                "caller-gone"
-            },
-        );
+        self.log_answer(head.status, sent.is_ok());
+        sent.is_ok()
+    }
+
+    /// Waits until the caller has accepted a response that was forwarded as it arrived; the target is not needed for that.
+    async fn deliver(&mut self, status: u16) -> bool {
+        let sent = self.writer.flush().await;
+        self.log_answer(status, sent.is_ok());
         sent.is_ok()
     }
+
+    fn log_answer(&mut self, status: u16, is_sent: bool) {
+        let outcome = if is_sent { "answered" } else { "caller-gone" };
+        self.request_log.log_end(status, outcome);
+    }
 }
 
 /// Describes a request for its placement by the fleet.
--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -76,8 +76,8 @@
             );
             let relay = relay.after(self.run_count, &self.avoid, &self.stops);
             return match relay.run(self.writer, &mut self.request_log).await {
-                RelayEnd::Complete => Attempt::Relayed(true),
-                RelayEnd::Incomplete => Attempt::Relayed(false),
+                RelayEnd::Complete(status) => Attempt::Relayed(Some(status)),
+                RelayEnd::Incomplete => Attempt::Relayed(None),
                 RelayEnd::Unstarted(reason) => Attempt::MayHaveRun(reason),
             };
         }
@@ -149,10 +149,10 @@
     ) -> Attempt {
         let mut sent = self
             .writer
-            .start_response(&exchange.head, &first_part)
+            .start_response(&exchange.head, first_part)
             .await
             .is_ok();
-        drop((first_part, guard));
+        drop(guard);
         self.request_log.record_progress();
         let mut buffer = Vec::new();
         while sent {
@@ -167,19 +167,19 @@
                 Some(Ok(false)) if exchange.is_past_end(self.call.time_left(clock::now())) => break,
                 Some(Ok(false)) => {
                     self.request_log.log_close_delimited(&exchange.decoder, 0);
-                    let complete = self.writer.finish_response().await.is_ok();
-                    self.request_log.log_end(
-                        exchange.head.status,
-                        if complete { "answered" } else { "caller-gone" },
-                    );
+                    let status = exchange.head.status;
                     exchange.finish(self.gateway);
-                    return Attempt::Relayed(complete);
+                    if self.writer.finish_response().await.is_ok() {
+                        return Attempt::Relayed(Some(status));
+                    }
+                    self.request_log.log_end(status, "caller-gone");
+                    return Attempt::Relayed(None);
                 }
                 Some(Err(_)) | None => break,
             }
         }
         self.request_log.log_end(0, "broken-off");
-        Attempt::Relayed(false)
+        Attempt::Relayed(None)
     }
 
     /// Records that a target got time to respond and another one gets the request.
--- a/crates/almondcroft-gateway/src/lib.rs
+++ b/crates/almondcroft-gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod runtime;
 mod settings;
 mod signals;
+mod socket_state;
 mod state;
 mod store;
 mod sync;
@@ -58,6 +59,7 @@
 mod target_run;
 mod tunnel;
 mod unreadable_objects;
+mod write_queue;
 
 pub use program::{Program, run};
 pub use runtime::block_on;
--- a/crates/almondcroft-gateway/src/listener.rs
+++ b/crates/almondcroft-gateway/src/listener.rs
@@ -51,7 +51,7 @@
 {
     loop {
         let accepted = listener.accept().await;
-        match accepted.and_then(|(socket, _)| Connection::new(socket)) {
+        match accepted.and_then(|(socket, _)| Connection::accepted(socket)) {
             Ok(connection) => spawn(serve(connection)),
             Err(error) => {
                 log::warn!(event = "accept-failed", error:% = error; "");
--- a/crates/almondcroft-gateway/src/relay.rs
+++ b/crates/almondcroft-gateway/src/relay.rs
@@ -61,8 +61,8 @@
 /// How a relay ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RelayEnd {
-    /// The caller received the whole stream.
-    Complete,
+    /// The whole stream was sent or queued, with this status.
+    Complete(u16),
     /// The caller received a part of the stream, or has left.
     Incomplete,
     /// The stream ended before its first event, for this reason; the caller has received nothing.
@@ -186,11 +186,7 @@
                     request_log.log_close_delimited(&self.exchange.decoder, rest_bytes);
                     let defect = self.end_defect();
                     if defect.is_none() {
-                        return if self.finish(writer, request_log).await {
-                            RelayEnd::Complete
-                        } else {
-                            RelayEnd::Incomplete
-                        };
+                        return self.finish(writer, request_log).await;
                     }
                     defect
                 }
@@ -368,7 +364,7 @@
             writer.send_part(&bytes).await.is_ok()
         } else {
             writer
-                .start_response(&self.exchange.head, &bytes)
+                .start_response(&self.exchange.head, bytes)
                 .await
                 .is_ok()
         };
@@ -395,7 +391,11 @@
         self.exchange.decoder.is_close_delimited()
     }
 
-    async fn finish(mut self, writer: &mut ResponseWriter, request_log: &mut RequestLog) -> bool {
+    async fn finish(
+        mut self,
+        writer: &mut ResponseWriter,
+        request_log: &mut RequestLog,
+    ) -> RelayEnd {
         self.run_guard.disarm();
         let remainder = self.splitter.pending().to_vec();
         let started = writer.has_started();
@@ -403,15 +403,11 @@
             remainder.is_empty() || writer.send_part(&remainder).await.is_ok()
         } else {
             writer
-                .start_response(&self.exchange.head, &remainder)
+                .start_response(&self.exchange.head, remainder)
                 .await
                 .is_ok()
         };
         let complete = sent && writer.finish_response().await.is_ok();
-        request_log.log_end(
-            self.exchange.head.status,
-            if complete { "answered" } else { "caller-gone" },
-        );
         self.run.record_completion();
         let now = clock::now();
         lock(&self.gateway.fleet).record_success(
@@ -419,7 +415,13 @@
             now.saturating_sub(self.call.received_at),
         );
         lock(&self.gateway.quarantine).record_survival(self.call.fingerprint, clock::now());
+        let status = self.exchange.head.status;
         self.exchange.finish(self.gateway);
-        complete
+        if complete {
+            RelayEnd::Complete(status)
+        } else {
+            request_log.log_end(status, "caller-gone");
+            RelayEnd::Incomplete
+        }
     }
 }
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -311,6 +311,12 @@
     pub const fn body_budget(&self) -> usize {
         (self.memory_mb * 1024.0 * 1024.0 / 8.0) as usize
     }
+
+    /// Returns the number of bytes that may be held for callers that read slowly: a quarter of the memory.
+    #[must_use]
+    pub const fn slow_caller_budget(&self) -> usize {
+        2 * self.body_budget()
+    }
 }
 
 #[cfg(test)]
--- a/crates/almondcroft-gateway/src/tunnel/server.rs
+++ b/crates/almondcroft-gateway/src/tunnel/server.rs
@@ -10,6 +10,7 @@
 use crate::reply::Reply;
 use crate::runtime::within;
 use crate::state::{Gateway, lock};
+use crate::write_queue::WriteQueue;
 use almondcroft_core::Timestamp;
 use almondcroft_core::gateway::Choice;
 use almondcroft_proto::http1::{BodyDecoder, RequestHead};
@@ -49,9 +50,10 @@
             log::info!(event = "tunnel-refused", request = request.request.as_str(),
                 vm = request.vm.as_str(), target_id = request.target.as_str(), reason = reason; "");
             let reply = Reply::refused(reason, RETRY_AFTER);
-            let mut writer = ResponseWriter::new(connection.sender(), None, true);
+            let queue = Arc::new(WriteQueue::unbuffered(connection.sender()));
+            let mut writer = ResponseWriter::new(&queue, None, true);
             // The VM that asked tries another one also without the reason.
-            let _ = writer.send_reply(gateway, &reply, None).await;
+            let _ = queue.drive(writer.send_reply(gateway, &reply, None)).await;
             return;
         }
     };
@@ -91,6 +93,8 @@
     request: &TunnelRequest,
     now: Timestamp,
 ) -> Result<(Choice, Connection), &'static str> {
+    // A tunnel may be silent for a long time, so a VM that is gone must not keep it open.
+    connection.watch_peer().map_err(|_| "vm-gone")?;
     if !connection.peer_ip().is_some_and(|ip| is_peer(gateway, ip)) {
         return Err("unknown-vm");
     }
