fix(daemon): a caller that never reads again keeps no response and holds up no stop

What callers saw: nothing. A caller that read no more kept its plain response, its connection and the count of requests in flight for ever, so a stop waited for its whole drain limit.

Cause: only chunks of streams had a time limit (limits.write_ms), and it counted the time for a chunk, whatever the caller had read of it; other responses had none. The operating system took megabytes for each connection.

Change: connections end once their other end accepts no byte for limits.write_ms (WriteLimitTransport, below TLS), and the send buffer has 32 KiB, so a caller that reads little shows that it reads.

--- a/crates/almondcroftd/src/daemon.rs
+++ b/crates/almondcroftd/src/daemon.rs
@@ -2,13 +2,17 @@
 
 use crate::app::App;
 use crate::claims::Claims;
-use crate::http::{Outbound, TlsError, client_tls, server_options, server_tls};
+use crate::http::{
+    Outbound, SEND_BUFFER_BYTES, TlsError, WriteLimitAcceptor, client_tls, server_options,
+    server_tls,
+};
 use crate::routing::Routing;
 use crate::runtime::{sleep, spawn};
 use crate::settings::Settings;
 use crate::{config_sync, members, server};
 use almondcroft_core::Timestamp;
 use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -67,6 +71,10 @@
         listener
             .set_nonblocking(true)
             .context(ListenSnafu { address: listen })?;
+        // Connections that are accepted take the size over.
+        SockRef::from(&listener)
+            .set_send_buffer_size(SEND_BUFFER_BYTES)
+            .context(ListenSnafu { address: listen })?;
         let address = listener
             .local_addr()
             .context(ListenSnafu { address: listen })?;
@@ -97,11 +105,17 @@
             .with_http_config(server_options())
             .with_prebound_server(smol::net::TcpListener::from(listener));
         let handler = server::handler(&app);
+        let write_time = app.settings.limits.write_time;
         let server = match acceptor {
             Some(tls) => config
-                .with_acceptor(RustlsAcceptor::from(tls))
+                .with_acceptor(WriteLimitAcceptor::new(
+                    RustlsAcceptor::from(tls),
+                    write_time,
+                ))
+                .spawn(handler),
+            None => config
+                .with_acceptor(WriteLimitAcceptor::new((), write_time))
                 .spawn(handler),
-            None => config.spawn(handler),
         };
         Claims::start(&app);
         members::start(&app);
--- a/crates/almondcroftd/src/http.rs
+++ b/crates/almondcroftd/src/http.rs
@@ -8,6 +8,7 @@
 mod response_body;
 mod response_filter;
 mod tls;
+mod write_limit;
 
 pub use body::{BodySender, stream_body};
 pub(crate) use collected_body::CollectedBody;
@@ -15,3 +16,4 @@
 pub use outbound::{CallError, CallErrorKind, Outbound};
 pub use response_body::ResponseBody;
 pub use tls::{TlsError, TlsFiles, client_tls, server_tls};
+pub(crate) use write_limit::{SEND_BUFFER_BYTES, WriteLimitAcceptor};
--- a/crates/almondcroftd/src/server/completions.rs
+++ b/crates/almondcroftd/src/server/completions.rs
@@ -304,14 +304,14 @@
     }
 }
 
-/// Sends bytes to the caller; returns whether they could be sent within the write time.
+/// Sends bytes to the caller; returns whether its connection is open.
 async fn send(app: &App, sender: &BodySender, bytes: Vec<u8>) -> bool {
     if app.lifecycle.is_crashed() {
         sender.reset(std::io::ErrorKind::ConnectionReset.into());
         return false;
     }
-    let sent = within(app.settings.limits.write_time, sender.send(Ok(bytes))).await;
-    matches!(sent, Some(Ok(())))
+    // The connection fails once the caller has accepted no byte for the write time.
+    sender.send(Ok(bytes)).await.is_ok()
 }
 
 fn error_event(problem: &Problem) -> Event {
--- a/crates/almondcroftd/src/settings.rs
+++ b/crates/almondcroftd/src/settings.rs
@@ -21,7 +21,7 @@
     pub body_bytes: usize,
     /// Time for a request body to arrive.
     pub body_time: Duration,
-    /// Time for a caller to receive a chunk of the response.
+    /// Time without a byte that a caller accepts after which its response ends.
     pub write_time: Duration,
     /// Time without a token after which the generation is resumed over a new connection.
     pub silence: Duration,
