fix(gateway): responses for slow callers leave the memory of a process at once

A caller that had read a slow response could lose the next one on its connection, as it still counted as the one that had not read for longest.

Change: only connections that hold something are given up, and the time of a new response begins with it. Those that are given up are told at once (SlowCallerRegistry). The send buffer of a caller's connection has 16 KiB instead of 32 and counts.

Result: caller_that_has_read_its_response_is_not_given_up fails before and passes now.

--- a/crates/almondcroft-core/src/gateway/slow_callers.rs
+++ b/crates/almondcroft-core/src/gateway/slow_callers.rs
@@ -6,8 +6,9 @@
 /// Identifies a caller's connection within one process.
 pub type ConnectionId = u64;
 
-/// Bytes that a response whose target waits for the caller may hold in receive buffers of the operating system.
-const BLOCKED_BYTES: usize = 128 * 1024;
+/// Bytes that a response whose target waits for the caller may hold in buffers of the operating system, with their overhead:
+/// in the receive buffer of the target's connection, and in the send buffer of the caller's.
+const BLOCKED_BYTES: usize = (128 + 32) * 1024;
 
 /// Fraction of the budget that the bytes read ahead may take; the rest is for blocked responses.
 const READ_AHEAD_DIVISOR: usize = 2;
@@ -66,14 +67,14 @@
         true
     }
 
-    /// Records that a response waits for its caller, and gives up others if that exceeds the budget.
-    pub fn record_blocked(&mut self, id: ConnectionId, now: Timestamp) {
+    /// Records that a response waits for its caller; returns those that are given up, as they exceed the budget.
+    pub fn record_blocked(&mut self, id: ConnectionId, now: Timestamp) -> Vec<ConnectionId> {
         let held = self.entry(id, now);
         if !held.is_blocked {
             held.is_blocked = true;
             self.blocked += 1;
         }
-        self.evict();
+        self.evict()
     }
 
     /// Records that a response does not wait for its caller any more.
@@ -117,25 +118,34 @@
     }
 
     fn entry(&mut self, id: ConnectionId, now: Timestamp) -> &mut Held {
-        self.held.entry(id).or_insert(Held {
+        let held = self.held.entry(id).or_insert(Held {
             read_ahead: 0,
             is_blocked: false,
             progress_at: now,
             is_evicted: false,
-        })
+        });
+        if held.bytes() == 0 {
+            // The caller has accepted the response before.
+            held.progress_at = now;
+        }
+        held
     }
 
-    fn evict(&mut self) {
-        let evicted = self.held.values().filter(|held| held.is_evicted);
-        let mut freed: usize = evicted.map(Held::bytes).sum();
+    fn evict(&mut self) -> Vec<ConnectionId> {
+        let before = self.held.values().filter(|held| held.is_evicted);
+        let mut freed: usize = before.map(Held::bytes).sum();
+        let mut evicted = Vec::new();
         while self.bytes() - freed > self.budget {
-            let kept = self.held.values_mut().filter(|held| !held.is_evicted);
-            let Some(victim) = kept.min_by_key(|held| held.progress_at) else {
-                return;
+            let kept = self.held.iter_mut();
+            let kept = kept.filter(|(_, held)| !held.is_evicted && held.bytes() > 0);
+            let Some((id, victim)) = kept.min_by_key(|(_, held)| held.progress_at) else {
+                break;
             };
             victim.is_evicted = true;
             freed += victim.bytes();
+            evicted.push(*id);
         }
+        evicted
     }
 }
 
--- a/crates/almondcroft-core/src/gateway/slow_callers/tests.rs
+++ b/crates/almondcroft-core/src/gateway/slow_callers/tests.rs
@@ -39,11 +39,11 @@
     }
     callers.record_progress(1, 0, at(9));
     assert!((1..=3).all(|id| !callers.is_evicted(id)));
-    callers.record_blocked(4, at(10));
+    assert_eq!(callers.record_blocked(4, at(10)), [2]);
     let evicted: Vec<u64> = (1..=4).filter(|id| callers.is_evicted(*id)).collect();
     assert_eq!(evicted, [2]);
     // The room of a response that is being given up counts as free.
-    callers.record_blocked(4, at(10));
+    assert!(callers.record_blocked(4, at(10)).is_empty());
     assert!(!callers.is_evicted(3));
     callers.remove(2);
     callers.record_blocked(5, at(11));
@@ -59,6 +59,24 @@
     assert!(!callers.is_evicted(1) && !callers.is_evicted(2));
 }
 
+/// Guards against a kept connection that loses its next response because its caller was slow to read the one before.
+#[test]
+fn caller_that_has_read_its_response_is_not_given_up() {
+    let mut callers = SlowCallers::new(2 * BLOCKED_BYTES);
+    callers.record_blocked(1, at(0));
+    callers.record_unblocked(1);
+    for id in 2..=4 {
+        callers.record_blocked(id, at(id));
+    }
+    assert!(callers.is_evicted(2) && !callers.is_evicted(1));
+    callers.remove(2);
+    callers.remove(3);
+    // Its next response has waited for a shorter time than that of the other caller.
+    callers.record_blocked(1, at(5));
+    callers.record_blocked(5, at(6));
+    assert!(callers.is_evicted(4) && !callers.is_evicted(1));
+}
+
 proptest! {
     /// Guards against sums that drift from what the connections hold, and against a budget that is exceeded.
     #[test]
@@ -71,7 +89,7 @@
             let now = at(second as u64);
             match step {
                 0 => { callers.try_read_ahead(id, bytes, now); }
-                1 => callers.record_blocked(id, now),
+                1 => { callers.record_blocked(id, now); }
                 2 => callers.record_unblocked(id),
                 3 => callers.record_progress(id, bytes, now),
                 _ => callers.remove(id),
--- a/crates/almondcroft-gateway/src/connection.rs
+++ b/crates/almondcroft-gateway/src/connection.rs
@@ -48,7 +48,7 @@
 /// Size of the send buffer of a caller's connection, in bytes.
 ///
 /// The operating system grows a buffer up to megabytes, and takes responses that the process could count and time.
-const CALLER_SEND_BUFFER: usize = 32 * 1024;
+const CALLER_SEND_BUFFER: usize = 16 * 1024;
 
 /// Size of the receive buffer of a connection to a target, in bytes.
 ///
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -17,11 +17,11 @@
 use crate::peer_view::ConfigDocument;
 use crate::pool::ConnectionPool;
 use crate::settings::{BackupRequests, Bounds, GatewaySettings};
-use crate::write_queue::WriteQueue;
+use crate::write_queue::{SlowCallerRegistry, WriteQueue};
 use almondcroft_core::gateway::{
     AllowedRegions, BudgetShare, ConfigFreshness, Demand, Directory, Evacuations, Fleet,
     FleetOptions, FleetRetryBudget, GatewayConfig, HedgePolicy, PeerSnapshot, PendingQueries,
-    PlacedRequest, Placement, SlowCallers, StoreEra, TargetPaths, TunnelPeer,
+    PlacedRequest, Placement, StoreEra, TargetPaths, TunnelPeer,
 };
 use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
@@ -74,8 +74,7 @@
     pub(crate) budget_share: Mutex<BudgetShare>,
     pub(crate) loans: LoanDesk,
     next_request_id: AtomicU64,
-    slow_callers: Arc<Mutex<SlowCallers>>,
-    next_connection_id: AtomicU64,
+    slow_callers: Arc<SlowCallerRegistry>,
     gossip_signal: (Sender<()>, Receiver<()>),
     departures: Mutex<VecDeque<(Timestamp, Departure)>>,
     /// Latest revision of the configuration that a peer announced.
@@ -131,8 +130,7 @@
             budget_share: Mutex::new(budget_share),
             loans: LoanDesk::default(),
             next_request_id: AtomicU64::new(1),
-            slow_callers: Arc::new(Mutex::new(SlowCallers::new(settings.slow_caller_budget()))),
-            next_connection_id: AtomicU64::new(1),
+            slow_callers: Arc::new(SlowCallerRegistry::new(settings.slow_caller_budget())),
             gossip_signal: bounded(1),
             departures: Mutex::default(),
             newest_revision: AtomicU64::new(0),
@@ -144,8 +142,7 @@
 
     /// Creates the queue of responses on a caller's connection.
     pub(crate) fn open_write_queue(&self, sender: SocketSender) -> WriteQueue {
-        let id = self.next_connection_id.fetch_add(1, Ordering::Relaxed);
-        WriteQueue::new(sender, id, Arc::clone(&self.slow_callers))
+        WriteQueue::new(sender, &self.slow_callers)
     }
 
     /// Returns the active bounds.
--- a/crates/almondcroft-gateway/src/write_queue.rs
+++ b/crates/almondcroft-gateway/src/write_queue.rs
@@ -9,8 +9,9 @@
 use almondcroft_core::gateway::{ConnectionId, SlowCallers};
 use async_channel::{Receiver, bounded};
 use futures_lite::future::or;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -45,6 +46,30 @@
     }
 }
 
+/// What all connections of callers hold, and how those are told whose response is given up.
+#[derive(Debug)]
+pub(crate) struct SlowCallerRegistry {
+    callers: Mutex<SlowCallers>,
+    evictions: Mutex<HashMap<ConnectionId, Arc<Signal>>>,
+    next_id: AtomicU64,
+}
+
+impl SlowCallerRegistry {
+    /// Creates an empty registry with a budget in bytes.
+    pub(crate) fn new(budget: usize) -> Self {
+        Self {
+            callers: Mutex::new(SlowCallers::new(budget)),
+            evictions: Mutex::default(),
+            next_id: AtomicU64::new(0),
+        }
+    }
+
+    fn remove(&self, id: ConnectionId) {
+        lock(&self.callers).remove(id);
+        lock(&self.evictions).remove(&id);
+    }
+}
+
 #[derive(Debug)]
 struct State {
     /// Parts, with the number of bytes of each that were sent before.
@@ -68,23 +93,20 @@
 pub(crate) struct WriteQueue {
     sender: Sender,
     id: ConnectionId,
-    slow_callers: Arc<Mutex<SlowCallers>>,
+    registry: Arc<SlowCallerRegistry>,
     state: Mutex<State>,
     pushed: Signal,
     accepted: Signal,
+    evicted: Arc<Signal>,
 }
 
 impl WriteQueue {
-    pub(crate) fn new(
-        sender: Sender,
-        id: ConnectionId,
-        slow_callers: Arc<Mutex<SlowCallers>>,
-    ) -> Self {
+    pub(crate) fn new(sender: Sender, registry: &Arc<SlowCallerRegistry>) -> Self {
         let now = clock::now();
         Self {
             sender,
-            id,
-            slow_callers,
+            id: registry.next_id.fetch_add(1, Ordering::Relaxed),
+            registry: Arc::clone(registry),
             state: Mutex::new(State {
                 parts: VecDeque::new(),
                 queued: 0,
@@ -95,12 +117,13 @@
             }),
             pushed: Signal::default(),
             accepted: Signal::default(),
+            evicted: Arc::default(),
         }
     }
 
     /// Creates a queue that holds one part at a time.
     pub(crate) fn unbuffered(sender: Sender) -> Self {
-        Self::new(sender, 0, Arc::new(Mutex::new(SlowCallers::new(0))))
+        Self::new(sender, &Arc::new(SlowCallerRegistry::new(0)))
     }
 
     pub(crate) const fn sender(&self) -> &Sender {
@@ -150,21 +173,28 @@
     async fn push_unreserved(&self, part: Vec<u8>, sent: usize) -> io::Result<()> {
         self.enqueue(part, sent);
         let flushed = self.flush().await;
-        lock(&self.slow_callers).record_unblocked(self.id);
+        lock(&self.registry.callers).record_unblocked(self.id);
         flushed
     }
 
     /// Counts bytes that are read ahead; if there is no room for them, the source of the response has to wait.
     fn try_reserve(&self, bytes: usize) -> bool {
         let now = clock::now();
-        let mut slow_callers = lock(&self.slow_callers);
-        let has_room = slow_callers.try_read_ahead(self.id, bytes, now);
-        if has_room {
-            slow_callers.record_unblocked(self.id);
-        } else {
-            slow_callers.record_blocked(self.id, now);
+        let mut evictions = lock(&self.registry.evictions);
+        evictions
+            .entry(self.id)
+            .or_insert_with(|| Arc::clone(&self.evicted));
+        let mut callers = lock(&self.registry.callers);
+        if callers.try_read_ahead(self.id, bytes, now) {
+            callers.record_unblocked(self.id);
+            return true;
+        }
+        for id in callers.record_blocked(self.id, now) {
+            if let Some(evicted) = evictions.get(&id) {
+                evicted.send();
+            }
         }
-        has_room
+        false
     }
 
     /// Waits until the operating system has accepted everything.
@@ -220,19 +250,31 @@
             };
             let mut rest = &part[sent..];
             while !rest.is_empty() {
-                match within(CHECK_INTERVAL, self.sender.send_some(rest)).await {
+                match within(CHECK_INTERVAL, self.send_unless_evicted(rest)).await {
+                    Some(Ok(0)) | None => {
+                        if self.is_given_up() {
+                            return self.fail(io::ErrorKind::TimedOut);
+                        }
+                    }
                     Some(Ok(count)) => {
                         rest = &rest[count..];
                         self.record_accepted(count);
                     }
                     Some(Err(error)) => return self.fail(error.kind()),
-                    None if self.is_given_up() => return self.fail(io::ErrorKind::TimedOut),
-                    None => {}
                 }
             }
         }
     }
 
+    /// Sends at least one byte; returns zero if the response may have been given up first.
+    async fn send_unless_evicted(&self, bytes: &[u8]) -> io::Result<usize> {
+        let evicted = async {
+            self.evicted.wait().await;
+            Ok(0)
+        };
+        or(self.sender.send_some(bytes), evicted).await
+    }
+
     /// Returns whether nothing is queued, or the error with which the connection failed.
     fn check(&self) -> io::Result<bool> {
         let state = lock(&self.state);
@@ -273,7 +315,7 @@
         state.progress_at = now;
         state.queued -= count;
         drop(state);
-        lock(&self.slow_callers).record_progress(self.id, count, now);
+        lock(&self.registry.callers).record_progress(self.id, count, now);
         self.accepted.send();
     }
 
@@ -294,11 +336,11 @@
         {
             // A caller that reads little at a time leaves room in the buffer only now and then.
             state.progress_at = now;
-            lock(&self.slow_callers).record_progress(self.id, 0, now);
+            lock(&self.registry.callers).record_progress(self.id, 0, now);
         }
         let stalled_for = now.saturating_sub(state.progress_at);
         let is_stalled = stalled_for >= STALL_TIMEOUT && now >= state.deadline;
-        let is_evicted = lock(&self.slow_callers).is_evicted(self.id);
+        let is_evicted = lock(&self.registry.callers).is_evicted(self.id);
         if is_stalled || is_evicted {
             log::info!(event = "caller-given-up",
                 reason = if is_evicted { "memory" } else { "stalled" },
@@ -312,6 +354,6 @@
 
 impl Drop for WriteQueue {
     fn drop(&mut self) {
-        lock(&self.slow_callers).remove(self.id);
+        self.registry.remove(self.id);
     }
 }
