--- a/crates/almondcroft-gateway/src/caller.rs
+++ b/crates/almondcroft-gateway/src/caller.rs
@@ -436,7 +436,7 @@
     head: &RequestHead,
     (status, media_type, body): Page,
 ) -> bool {
-    let queue = Arc::new(WriteQueue::unbuffered(connection.sender()));
+    let queue = Arc::new(WriteQueue::uncounted(connection.sender()));
     let mut writer = ResponseWriter::new(&queue, Some(head), !head.keeps_alive());
     let head = response_head(status, media_type);
     let sent = queue.drive(writer.send_response(&head, &body)).await;
--- a/crates/almondcroft-gateway/src/tunnel/server.rs
+++ b/crates/almondcroft-gateway/src/tunnel/server.rs
@@ -50,7 +50,7 @@
             log::info!(event = "tunnel-refused", request = request.request.as_str(),
                 vm = request.vm.as_str(), target_id = request.target.as_str(), reason = reason; "");
             let reply = Reply::refused(reason, RETRY_AFTER);
-            let queue = Arc::new(WriteQueue::unbuffered(connection.sender()));
+            let queue = Arc::new(WriteQueue::uncounted(connection.sender()));
             let mut writer = ResponseWriter::new(&queue, None, true);
             // The VM that asked tries another one also without the reason.
             let _ = queue.drive(writer.send_reply(gateway, &reply, None)).await;
--- a/crates/almondcroft-gateway/src/write_queue.rs
+++ b/crates/almondcroft-gateway/src/write_queue.rs
@@ -121,9 +121,9 @@
         }
     }
 
-    /// Creates a queue that holds one part at a time.
-    pub(crate) fn unbuffered(sender: Sender) -> Self {
-        Self::new(sender, &Arc::new(SlowCallerRegistry::new(0)))
+    /// Creates a queue for responses that the process holds as a whole anyway, so that they are not counted.
+    pub(crate) fn uncounted(sender: Sender) -> Self {
+        Self::new(sender, &Arc::new(SlowCallerRegistry::new(usize::MAX)))
     }
 
     pub(crate) const fn sender(&self) -> &Sender {
@@ -357,3 +357,6 @@
         self.registry.remove(self.id);
     }
 }
+
+#[cfg(test)]
+mod tests;
