--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,9 +1,13 @@
 #!/bin/sh
 # DRAIN: the connections to the store go silent for good, and a runner leaves just after.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no silence.
+# The program writes record.txt in this folder, or in RECORD_FOLDER.
 cd "$(dirname "$0")/../.." || exit 2
+record="${RECORD_FOLDER:-review/13}/record.txt"
+rm -f "$record"
 folder=$(mktemp -d) || exit 2
-review/standins-3/target/release/silent_watch "${RECORD_FOLDER:-review/13}" "$folder"
+review/standins-3/target/release/silent_watch "$(dirname "$record")" "$folder"
 result=$?
 rm -rf "$folder"
+[ -s "$record" ] || exit 2
 case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
--- a/review/standins-3/src/bin/dark_request.rs
+++ b/review/standins-3/src/bin/dark_request.rs
@@ -20,7 +20,7 @@
 const PERMITTED: usize = 3;
 const KEY: &str = "xd9dnn2ctnfzs989anu6";
 const GATEWAYS: usize = 3;
-const RUNNERS: usize = 8;
+const RUNNERS: usize = 24;
 /// Time after which a runner that crashed is back, in milliseconds.
 const BACK_MS: u64 = 3_000;
 /// Seconds between two times at which the request comes again.
@@ -132,12 +132,25 @@
     }
 
     fn run(&self, request: &Message, writer: &mut TcpStream) -> std::io::Result<()> {
-        let id = request.header("X-Almondcroft-Request-Id").unwrap_or_default().to_owned();
-        if request.header("X-Almondcroft-Expect-Instance").is_some_and(|expected| expected != self.id) {
-            return send(writer, "HTTP/1.1 421 Misdirected Request", &[("X-Almondcroft-Request-Id", &id)], b"");
+        let id = request
+            .header("X-Almondcroft-Request-Id")
+            .unwrap_or_default()
+            .to_owned();
+        if request
+            .header("X-Almondcroft-Expect-Instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            return send(
+                writer,
+                "HTTP/1.1 421 Misdirected Request",
+                &[("X-Almondcroft-Request-Id", &id)],
+                b"",
+            );
         }
         if request.body == b"crash" {
-            let at = self.record.line(&format!("run {id} at {}, which crashes", self.id));
+            let at = self
+                .record
+                .line(&format!("run {id} at {}, which crashes", self.id));
             self.is_down.store(true, Ordering::SeqCst);
             if !self.goes_dark {
                 for socket in self.sockets.lock().expect("usable").drain(..) {
@@ -159,7 +172,12 @@
             ("X-Almondcroft-Instance-Load", "1,0,8"),
             ("Keep-Alive", "timeout=5"),
         ];
-        send(writer, "HTTP/1.1 200 OK", &headers, format!("done {id}").as_bytes())
+        send(
+            writer,
+            "HTTP/1.1 200 OK",
+            &headers,
+            format!("done {id}").as_bytes(),
+        )
     }
 
     /// Keeps a connection open and silent until the machine is back.
@@ -194,7 +212,14 @@
     store.put("config", "main", CONFIG);
     (0..RUNNERS).for_each(|number| Runner::start(number, trouble, &store, &record, &crashes));
     let mut gateways: Vec<Gateway> = (0..GATEWAYS)
-        .map(|i| Gateway::new(&temporary, &format!("front-z-a-{}", i + 1), store.address, true))
+        .map(|i| {
+            Gateway::new(
+                &temporary,
+                &format!("front-z-a-{}", i + 1),
+                store.address,
+                true,
+            )
+        })
         .collect();
     gateways.iter_mut().for_each(Gateway::start);
     if !gateways.iter().all(Gateway::wait_ready) {
@@ -203,21 +228,38 @@
     }
     // The gateways hear of each other, and all machines have been in touch for a while.
     pause(5_000);
-    let (over, lost) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let (over, lost) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicUsize::new(0)),
+    );
     let others: Vec<_> = gateways
         .iter()
         .enumerate()
         .map(|(number, gateway)| {
-            let (over, lost, record, to) = (Arc::clone(&over), Arc::clone(&lost), record.clone(), gateway.listen);
+            let (over, lost, record, to) = (
+                Arc::clone(&over),
+                Arc::clone(&lost),
+                record.clone(),
+                gateway.listen,
+            );
             thread::spawn(move || {
                 let mut count = 0;
                 while !over.load(Ordering::SeqCst) {
                     count += 1;
                     let id = format!("b{number}{count:06x}");
-                    let answer = call(to, "POST /pule252/2f HTTP/1.1", &id, 1500, KEY, format!("rent {id}").as_bytes());
+                    let answer = call(
+                        to,
+                        "POST /pule252/2f HTTP/1.1",
+                        &id,
+                        1500,
+                        KEY,
+                        format!("rent {id}").as_bytes(),
+                    );
                     let status = answer.map_or(0, |answer| answer.status());
                     if status == 502 || status == 504 || status == 0 {
-                        record.line(&format!("answer {id} {status}: an order of another client is lost"));
+                        record.line(&format!(
+                            "answer {id} {status}: an order of another client is lost"
+                        ));
                         lost.fetch_add(1, Ordering::SeqCst);
                     }
                     pause(100);
@@ -228,10 +270,17 @@
     let start = record.line("the request comes for the first time");
     let mut round = 0;
     while record.now() - start < END_S {
-                let gateway = &gateways[round % GATEWAYS];
+        let gateway = &gateways[round % GATEWAYS];
         let id = format!("c{round:04x}");
         record.line(&format!("send {id} to {}", gateway.name));
-        let answer = call(gateway.listen, "POST /pule252/2f HTTP/1.1", &id, 1500, KEY, b"crash");
+        let answer = call(
+            gateway.listen,
+            "POST /pule252/2f HTTP/1.1",
+            &id,
+            1500,
+            KEY,
+            b"crash",
+        );
         let status = answer.map_or("closed".into(), |answer| answer.status().to_string());
         record.line(&format!("answer {id} {status}"));
         round += 1;
@@ -239,12 +288,19 @@
         pause(((next - record.now()).max(0.0) * 1_000.0) as u64);
     }
     over.store(true, Ordering::SeqCst);
-    others.into_iter().for_each(|client| client.join().expect("a client ends"));
+    others
+        .into_iter()
+        .for_each(|client| client.join().expect("a client ends"));
     if gateways.iter_mut().any(Gateway::has_ended) {
         record.line("a gateway has ended by itself");
         return ExitCode::from(2);
     }
-    let mut crashes: Vec<f64> = crashes.lock().expect("usable").iter().map(|(_, at)| *at).collect();
+    let mut crashes: Vec<f64> = crashes
+        .lock()
+        .expect("usable")
+        .iter()
+        .map(|(_, at)| *at)
+        .collect();
     crashes.sort_by(f64::total_cmp);
     let third = crashes.get(2).copied().unwrap_or(f64::INFINITY);
     let late = crashes.iter().filter(|at| **at > third + CONTACT_S).count();
@@ -253,5 +309,9 @@
         crashes.len(),
         lost.load(Ordering::SeqCst)
     ));
-    if late > PERMITTED { ExitCode::from(1) } else { ExitCode::SUCCESS }
+    if late > PERMITTED {
+        ExitCode::from(1)
+    } else {
+        ExitCode::SUCCESS
+    }
 }
--- a/review/standins-3/src/bin/silent_watch.rs
+++ b/review/standins-3/src/bin/silent_watch.rs
@@ -32,19 +32,34 @@
     }
     let proxies = [Proxy::start(store.address), Proxy::start(store.address)];
     let mut gateways: Vec<Gateway> = (0..2)
-        .map(|i| Gateway::new(&temporary, &format!("front-z-a-{}", i + 1), proxies[i].address, true))
+        .map(|i| {
+            Gateway::new(
+                &temporary,
+                &format!("front-z-a-{}", i + 1),
+                proxies[i].address,
+                true,
+            )
+        })
         .collect();
     gateways.iter_mut().for_each(Gateway::start);
     if !gateways.iter().all(Gateway::wait_ready) {
         record.line("a gateway did not become ready");
         return ExitCode::from(2);
     }
-    let (over, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+    let (over, sent) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(Mutex::new(Vec::new())),
+    );
     let failed = Arc::new(Mutex::new(Vec::new()));
     let mut clients = Vec::new();
     for (number, gateway) in gateways.iter().enumerate() {
         for client in 0..4 {
-            let (over, sent, record, to) = (Arc::clone(&over), Arc::clone(&sent), record.clone(), gateway.listen);
+            let (over, sent, record, to) = (
+                Arc::clone(&over),
+                Arc::clone(&sent),
+                record.clone(),
+                gateway.listen,
+            );
             let failed = Arc::clone(&failed);
             clients.push(thread::spawn(move || {
                 let mut count = 0;
@@ -54,7 +69,8 @@
                     let at = record.line(&format!("send {id} to front-z-a-{}", number + 1));
                     sent.lock().expect("usable").push((id.clone(), at));
                     let answer = call(to, "POST /pule252/2f HTTP/1.1", &id, 1500, KEY, b"rent");
-                    let status = answer.map_or("closed".into(), |answer| answer.status().to_string());
+                    let status =
+                        answer.map_or("closed".into(), |answer| answer.status().to_string());
                     record.line(&format!("answer {id} {status}"));
                     if status != "200" {
                         failed.lock().expect("usable").push(id);
@@ -87,7 +103,9 @@
     let ended_at = record.line("i-x has ended");
     pause(2_000);
     over.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().expect("a client ends"));
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("a client ends"));
     if gateways.iter_mut().any(Gateway::has_ended) {
         record.line("a gateway has ended by itself");
         return ExitCode::from(2);
@@ -98,22 +116,41 @@
     let runs = x.runs.lock().expect("usable").clone();
     let late: Vec<_> = runs
         .iter()
-        .filter(|(id, at)| *at > from && sent.iter().any(|(other, sent_at)| other == id && *sent_at > from))
+        .filter(|(id, at)| {
+            *at > from
+                && sent
+                    .iter()
+                    .any(|(other, sent_at)| other == id && *sent_at > from)
+        })
         .collect();
-    let last = runs.iter().map(|(_, at)| at - removed_at).fold(0.0, f64::max);
+    let last = runs
+        .iter()
+        .map(|(_, at)| at - removed_at)
+        .fold(0.0, f64::max);
     record.line(&format!(
         "{} of {} requests reached i-x later than {DRAIN_S} s after its leaving was acknowledged, from machines in touch; the last one after {last:.2} s",
         late.len(),
         sent.len()
     ));
     let failed = failed.lock().expect("usable").clone();
-    let lost = runs.iter().filter(|(id, at)| *at > from && failed.contains(id)).count();
+    let lost = runs
+        .iter()
+        .filter(|(id, at)| *at > from && failed.contains(id))
+        .count();
     record.line(&format!(
         "{lost} requests that i-x began to run later than the bound had no success; i-x ended {:.2} s after its leaving was acknowledged",
         ended_at - removed_at
     ));
-    if trouble && !gateways.iter().any(|gateway| gateway.log().contains("store-call-failed") || gateway.log().contains("store-lost")) {
+    if trouble
+        && !gateways.iter().any(|gateway| {
+            gateway.log().contains("store-call-failed") || gateway.log().contains("store-lost")
+        })
+    {
         return ExitCode::from(2);
     }
-    if late.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+    if late.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    }
 }
--- a/review/standins-3/src/gateway.rs
+++ b/review/standins-3/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Bounds of the settings, as a small deployment has them.
@@ -21,15 +22,30 @@
     child: Option<Child>,
 }
 
+/// Number of ports that a script keeps apart from those of other scripts that run beside it.
+const PORTS: u16 = 16;
+static TAKEN: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a free address below the ports that the system gives to connections, as it stays free until the gateway starts.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    let first = 10_000 + u16::try_from(std::process::id() % 1_400).expect("small") * PORTS;
+    loop {
+        let port = first + TAKEN.fetch_add(1, Ordering::SeqCst);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 impl Gateway {
     /// Writes the settings of a gateway into a folder; `zones` are two, and it is in the first.
     pub fn new(folder: &Path, name: &str, store: SocketAddr, bootstrap: bool) -> Self {
-        let (listen, ready, peers, metrics) = (free_address(), free_address(), free_address(), free_address());
+        let (listen, ready, peers, metrics) = (
+            free_address(),
+            free_address(),
+            free_address(),
+            free_address(),
+        );
         let text = format!(
             r#"{{"vm": "{name}", "zone": "z-a", "region": "r-a", "zones": {{"z-a": "r-a", "z-b": "r-b"}},
 "listen": "{listen}", "ready": "{ready}", "peers": "{peers}", "metrics": "{metrics}", "store": "{store}",
@@ -49,7 +65,11 @@
     }
 
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let child = Command::new("target/release/almondcroft-platform")
             .arg("--settings")
             .arg(&self.settings)
@@ -87,12 +107,31 @@
             }
             crate::pause(20);
         }
+        self.print_log();
         false
     }
 
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        let has_ended = self
+            .child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if has_ended {
+            self.print_log();
+        }
+        has_ended
+    }
+
+    /// Prints the end of the log, for a case that could not run.
+    fn print_log(&self) {
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        eprintln!(
+            "{}: {}",
+            self.name,
+            lines[lines.len().saturating_sub(5)..].join("\n")
+        );
     }
 
     pub fn kill(&mut self) {
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -14,7 +14,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -42,7 +45,10 @@
 
 impl Reader {
     pub fn new(socket: TcpStream) -> Self {
-        Self { socket, buffer: Vec::new() }
+        Self {
+            socket,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<bool> {
@@ -78,7 +84,10 @@
         let Some(first) = self.line()? else {
             return Ok(None);
         };
-        let mut message = Message { first, ..Message::default() };
+        let mut message = Message {
+            first,
+            ..Message::default()
+        };
         loop {
             let Some(line) = self.line()? else {
                 return Ok(None);
@@ -87,7 +96,9 @@
                 return Ok(Some(message));
             }
             if let Some((name, value)) = line.split_once(':') {
-                message.headers.push((name.trim().into(), value.trim().into()));
+                message
+                    .headers
+                    .push((name.trim().into(), value.trim().into()));
             }
         }
     }
@@ -97,7 +108,8 @@
         let Some(size) = self.line()? else {
             return Ok(None);
         };
-        let size = usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+        let size =
+            usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
         let Some(mut data) = self.take(size + 2)? else {
             return Ok(None);
         };
@@ -119,7 +131,9 @@
                 }
             }
         }
-        let length = message.header("content-length").and_then(|text| text.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
         match self.take(length.unwrap_or(0))? {
             Some(body) => {
                 message.body = body;
@@ -131,7 +145,12 @@
 }
 
 /// Sends a message with a length.
-pub fn send(socket: &mut TcpStream, first: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+pub fn send(
+    socket: &mut TcpStream,
+    first: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
     let mut bytes = format!("{first}\r\n").into_bytes();
     for (name, value) in headers {
         bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
--- a/review/standins-3/src/proxy.rs
+++ b/review/standins-3/src/proxy.rs
@@ -19,7 +19,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let age = Arc::new(AtomicU64::new(0));
-        let proxy = Self { address, age: Arc::clone(&age) };
+        let proxy = Self {
+            address,
+            age: Arc::clone(&age),
+        };
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 let Ok(far) = TcpStream::connect(to) else {
--- a/review/standins-3/src/record.rs
+++ b/review/standins-3/src/record.rs
@@ -16,7 +16,10 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { started_at: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            started_at: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     /// Returns the seconds since the start.
--- a/review/standins-3/src/runner.rs
+++ b/review/standins-3/src/runner.rs
@@ -86,13 +86,21 @@
     }
 
     fn run(&self, request: &Message, writer: &mut TcpStream) -> std::io::Result<()> {
-        let id = request.header("X-Almondcroft-Request-Id").unwrap_or_default().to_owned();
+        let id = request
+            .header("X-Almondcroft-Request-Id")
+            .unwrap_or_default()
+            .to_owned();
         let expected = request.header("X-Almondcroft-Expect-Instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            let headers = [("X-Almondcroft-Request-Id", id.as_str()), ("X-Almondcroft-Instance-Id", &self.id)];
+            let headers = [
+                ("X-Almondcroft-Request-Id", id.as_str()),
+                ("X-Almondcroft-Instance-Id", &self.id),
+            ];
             return send(writer, "HTTP/1.1 421 Misdirected Request", &headers, b"");
         }
-        let at = self.record.line(&format!("run {id} at {} ({})", self.id, request.first));
+        let at = self
+            .record
+            .line(&format!("run {id} at {} ({})", self.id, request.first));
         self.runs.lock().expect("usable").push((id.clone(), at));
         crate::pause(self.work_ms.load(Ordering::SeqCst));
         if self.ended.load(Ordering::SeqCst) {
@@ -104,6 +112,11 @@
             ("X-Almondcroft-Instance-Load", "1,0,8"),
             ("Keep-Alive", "timeout=5"),
         ];
-        send(writer, "HTTP/1.1 200 OK", &headers, format!("done {id} by {}", self.id).as_bytes())
+        send(
+            writer,
+            "HTTP/1.1 200 OK",
+            &headers,
+            format!("done {id} by {}", self.id).as_bytes(),
+        )
     }
 }
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -48,8 +48,14 @@
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let state = State { revision: 100, ..State::default() };
-        let store = Self { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
+        let state = State {
+            revision: 100,
+            ..State::default()
+        };
+        let store = Self {
+            address,
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -88,26 +94,40 @@
             // An answer of the store takes 4 ms.
             crate::pause(4);
             let first = format!("HTTP/1.1 {status} X");
-            send(&mut writer, &first, &[("Content-Type", "application/json")], body.as_bytes())?;
+            send(
+                &mut writer,
+                &first,
+                &[("Content-Type", "application/json")],
+                body.as_bytes(),
+            )?;
         }
         Ok(())
     }
 
     fn answer(&self, request: &Message) -> (u16, String) {
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let Some(rest) = path.strip_prefix("/api/objects/") else {
             return (404, "{}".into());
         };
         let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
+            pairs
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value.to_owned())
         };
         match request.method() {
-            "GET" if name.is_empty() => match parameter("watch").and_then(|text| text.parse().ok()) {
+            "GET" if name.is_empty() => match parameter("watch").and_then(|text| text.parse().ok())
+            {
                 Some(since) => {
                     let wait = parameter("wait_ms").and_then(|text| text.parse().ok());
-                    (200, self.watch(kind, since, Duration::from_millis(wait.unwrap_or(0))))
+                    (
+                        200,
+                        self.watch(kind, since, Duration::from_millis(wait.unwrap_or(0))),
+                    )
                 }
                 None => (200, self.list(kind)),
             },
@@ -156,20 +176,37 @@
         let mut items: Vec<&Object> = state.objects.iter().filter(|o| o.kind == kind).collect();
         items.sort_by(|a, b| a.name.cmp(&b.name));
         let items: Vec<String> = items.into_iter().map(Object::json).collect();
-        format!("{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}", items.join(","), state.revision)
+        format!(
+            "{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}",
+            items.join(","),
+            state.revision
+        )
     }
 
     fn watch(&self, kind: &str, since: u64, wait: Duration) -> String {
         let until = Instant::now() + wait;
         let mut state = self.state.0.lock().expect("usable");
         loop {
-            let events = state.events.iter().filter(|e| e.revision > since && e.object.kind == kind);
+            let events = state
+                .events
+                .iter()
+                .filter(|e| e.revision > since && e.object.kind == kind);
             let events: Vec<String> = events
-                .map(|e| format!("{{\"removed\":{},\"object\":{}}}", e.removed, e.object.json()))
+                .map(|e| {
+                    format!(
+                        "{{\"removed\":{},\"object\":{}}}",
+                        e.removed,
+                        e.object.json()
+                    )
+                })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!("{{\"events\":[{}],\"store_revision\":{}}}", events.join(","), state.revision);
+                return format!(
+                    "{{\"events\":[{}],\"store_revision\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
             }
             state = self.state.1.wait_timeout(state, left).expect("usable").0;
         }
@@ -178,15 +215,22 @@
 
 impl State {
     fn find(&self, kind: &str, name: &str) -> Option<&Object> {
-        self.objects.iter().find(|o| (o.kind.as_str(), o.name.as_str()) == (kind, name))
+        self.objects
+            .iter()
+            .find(|o| (o.kind.as_str(), o.name.as_str()) == (kind, name))
     }
 
     fn put(&mut self, kind: &str, name: &str, spec: &str) {
-        if self.find(kind, name).is_some_and(|object| object.spec == spec) {
+        if self
+            .find(kind, name)
+            .is_some_and(|object| object.spec == spec)
+        {
             return;
         }
         self.revision += 1;
-        let created = self.find(kind, name).map_or(self.revision, |object| object.created);
+        let created = self
+            .find(kind, name)
+            .map_or(self.revision, |object| object.created);
         let object = Object {
             kind: kind.into(),
             name: name.into(),
@@ -194,9 +238,14 @@
             created,
             revision: self.revision,
         };
-        self.objects.retain(|o| (o.kind.as_str(), o.name.as_str()) != (kind, name));
+        self.objects
+            .retain(|o| (o.kind.as_str(), o.name.as_str()) != (kind, name));
         self.objects.push(object.clone());
-        self.events.push(Event { revision: self.revision, object, removed: false });
+        self.events.push(Event {
+            revision: self.revision,
+            object,
+            removed: false,
+        });
     }
 
     fn remove(&mut self, kind: &str, name: &str) {
@@ -204,9 +253,17 @@
             return;
         };
         self.revision += 1;
-        self.objects.retain(|o| (o.kind.as_str(), o.name.as_str()) != (kind, name));
-        let object = Object { revision: self.revision, ..object };
-        self.events.push(Event { revision: self.revision, object, removed: true });
+        self.objects
+            .retain(|o| (o.kind.as_str(), o.name.as_str()) != (kind, name));
+        let object = Object {
+            revision: self.revision,
+            ..object
+        };
+        self.events.push(Event {
+            revision: self.revision,
+            object,
+            removed: true,
+        });
     }
 }
 
