--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -113,6 +113,8 @@
     held: BTreeMap<TargetId, (TargetEntry, Timestamp)>,
     /// Targets that changed since the last checkpoint.
     uncommitted: Vec<TargetId>,
+    /// Targets that stay in use although their entries disappeared, since they were last taken out.
+    kept: Vec<TargetId>,
     /// Position before which the history of removed targets is incomplete.
     history_start: StorePosition,
 }
@@ -434,6 +436,11 @@
         missing.into_iter().map(|id| self.remove(id)).collect()
     }
 
+    /// Takes out the targets that stay in use although their entries disappeared since the last call.
+    pub fn take_kept(&mut self) -> Vec<TargetId> {
+        std::mem::take(&mut self.kept)
+    }
+
     /// Uses restored entries that outlived the time in which those of stopped targets expire.
     pub fn release_held(&mut self, now: Timestamp) -> Vec<TargetChange> {
         let due = self.held.values().filter(|(_, until)| *until <= now);
@@ -497,7 +504,9 @@
         };
         // A draining target does not register again.
         if uncertain && !known.entry.draining {
-            known.missing = true;
+            if !std::mem::replace(&mut known.missing, true) {
+                self.kept.push(id.clone());
+            }
             return Vec::new();
         }
         vec![self.remove(id.clone())]
--- a/crates/almondcroft-gateway/src/state/targets.rs
+++ b/crates/almondcroft-gateway/src/state/targets.rs
@@ -25,7 +25,13 @@
 impl Gateway {
     /// Applies a change to the directory, and the resulting changes to the fleet.
     pub(crate) fn change_targets(&self, change: impl FnOnce(&mut Directory) -> Vec<TargetChange>) {
-        let changes = change(&mut lock(&self.directory));
+        let mut directory = lock(&self.directory);
+        let changes = change(&mut directory);
+        let kept = directory.take_kept();
+        drop(directory);
+        for id in kept {
+            log::info!(event = "target-kept", target_id = id.as_str(), reason = "entry-may-have-expired"; "");
+        }
         for change in changes {
             self.change_target(change);
         }
