--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -21,7 +21,9 @@
 //! | [`StopAttempts`] | is a run that was asked to stop over? |
 //! | [`StoreContact`] | is the store unavailable? |
 //! | [`StoreEra`] | was the store restored from an older copy? |
+//! | [`StoreEvidence`] | when is the store known to have been available? |
 //! | [`StorePosition`] | which of two views of the store is newer? |
+//! | [`StoreTiming`] | how long may a call to the store wait? |
 //! | [`TargetPaths`] | is a target reached directly, or through which VM? |
 //! | [`admits_during_shutdown`] | can a request still complete before this VM stops? |
 
@@ -43,7 +45,9 @@
 mod slow_callers;
 mod store_contact;
 mod store_era;
+mod store_evidence;
 mod store_position;
+mod store_timing;
 mod target;
 mod target_paths;
 
@@ -65,8 +69,10 @@
 pub use run_stop::{StopAnswer, StopAttempts, StopStep};
 pub use shutdown::admits_during_shutdown;
 pub use slow_callers::{ConnectionId, SlowCallers};
-pub use store_contact::{StoreContact, StoreFailure};
+pub use store_contact::{FailedCalls, StoreConclusion, StoreContact, StoreFailure};
 pub use store_era::{EraCheck, StoreEra};
+pub use store_evidence::{ResponseGap, StoreEvidence};
 pub use store_position::StorePosition;
+pub use store_timing::StoreTiming;
 pub use target::{MAX_SOUND_SILENCE, TargetEntry};
 pub use target_paths::{PEER_DELAY, TargetPaths, TunnelPeer};
--- a/crates/almondcroft-gateway/src/gossip/watchers.rs
+++ b/crates/almondcroft-gateway/src/gossip/watchers.rs
@@ -231,6 +231,7 @@
     } else if let Some(update) = response.targets {
         *lock(&gateway.unfinished_pages) = None;
         let (position, at) = (update.position(), observed_at(update.age));
+        lock(&gateway.store_evidence).record_response(at, at);
         let events = update.into_events(now);
         gateway.change_targets(|directory| {
             directory.mark_store_available(now);
--- a/crates/almondcroft-gateway/src/settings.rs
+++ b/crates/almondcroft-gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway, read from JSON.
 
-use almondcroft_core::gateway::{ColdBounds, HedgeLimits};
+use almondcroft_core::gateway::{ColdBounds, HedgeLimits, StoreTiming};
 use almondcroft_core::{RegionId, ServiceId, VmId, ZoneId};
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -14,6 +14,9 @@
 /// Maximum of each number in the settings, whatever its unit.
 const MAX_NUMBER: f64 = 1.0e9;
 
+/// Minimum interval at which targets write their entries, in milliseconds; calls to the store wait about as long.
+const MIN_HEARTBEAT_MS: f64 = 100.0;
+
 /// Maximum share of second runs.
 const MAX_BACKUP_SHARE: f64 = 0.5;
 
@@ -148,6 +151,8 @@
     pub cold_slack: f64,
     /// Time after which a leaving target must get no more requests, in milliseconds.
     pub drain_ms: f64,
+    /// Interval at which targets write their entries in the store, in milliseconds; an entry expires after three.
+    pub target_heartbeat_ms: f64,
     /// Time for a graceful shutdown, in seconds.
     pub grace_s: f64,
     /// Extra sends as a fraction of the requests.
@@ -168,6 +173,7 @@
             cold_ratio: 1.0,
             cold_slack: 0.0,
             drain_ms: 2_500.0,
+            target_heartbeat_ms: 1_200.0,
             grace_s: 8.0,
             retry_ratio: 0.1,
             retry_slack: 10.0,
@@ -184,6 +190,12 @@
         Duration::from_secs_f64(self.drain_ms / 1_000.0)
     }
 
+    /// Returns the times of calls to the store.
+    #[must_use]
+    pub fn store_timing(&self) -> StoreTiming {
+        StoreTiming::new(Duration::from_secs_f64(self.target_heartbeat_ms / 1_000.0))
+    }
+
     /// Returns the time after which the targets of an evacuated zone must get no more requests; `None` if zones
     /// are not evacuated.
     #[must_use]
@@ -276,6 +288,7 @@
             ("bounds.cold_ratio", bounds.cold_ratio),
             ("bounds.cold_slack", bounds.cold_slack),
             ("bounds.drain_ms", bounds.drain_ms),
+            ("bounds.target_heartbeat_ms", bounds.target_heartbeat_ms),
             ("bounds.grace_s", bounds.grace_s),
             ("bounds.retry_ratio", bounds.retry_ratio),
             ("bounds.retry_slack", bounds.retry_slack),
@@ -284,6 +297,12 @@
         let invalid = numbers
             .into_iter()
             .find(|(_, number)| !(0.0..=MAX_NUMBER).contains(number));
+        if bounds.target_heartbeat_ms < MIN_HEARTBEAT_MS {
+            return Err(SettingsError::Field {
+                field: "bounds.target_heartbeat_ms".to_owned(),
+                reason: format!("{} is below {MIN_HEARTBEAT_MS}", bounds.target_heartbeat_ms),
+            });
+        }
         match invalid {
             Some((field, number)) => Err(SettingsError::Field {
                 field: field.to_owned(),
--- a/crates/almondcroft-gateway/src/settings/tests.rs
+++ b/crates/almondcroft-gateway/src/settings/tests.rs
@@ -28,5 +28,7 @@
     assert!(error.starts_with("bounds.grace_s:"), "{error}");
     let error = read(r#", "bounds": {"grace_s": -1}"#).unwrap_err();
     assert!(error.starts_with("bounds.grace_s:"), "{error}");
+    let error = read(r#", "bounds": {"target_heartbeat_ms": 0}"#).unwrap_err();
+    assert!(error.starts_with("bounds.target_heartbeat_ms:"), "{error}");
     assert!(read(r#", "unknown": 1"#).is_err());
 }
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -21,7 +21,7 @@
 use almondcroft_core::gateway::{
     AllowedRegions, BudgetShare, ConfigFreshness, Demand, Directory, Evacuations, Fleet,
     FleetOptions, FleetRetryBudget, GatewayConfig, HedgePolicy, PeerSnapshot, PendingQueries,
-    PlacedRequest, Placement, StoreEra, TargetPaths, TunnelPeer,
+    PlacedRequest, Placement, StoreEra, StoreEvidence, TargetPaths, TunnelPeer,
 };
 use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
@@ -51,6 +51,7 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) prompt_quarantine: Mutex<PromptQuarantine>,
     pub(crate) target_paths: Mutex<TargetPaths>,
+    pub(crate) store_evidence: Mutex<StoreEvidence>,
     pub(crate) peers: Mutex<HashMap<VmId, VmEntry>>,
     /// How this VM is registered, as far as it is known.
     pub(crate) registration: Mutex<Option<VmEntry>>,
@@ -108,6 +109,7 @@
             quarantine: Mutex::default(),
             prompt_quarantine: Mutex::default(),
             target_paths: Mutex::default(),
+            store_evidence: Mutex::new(StoreEvidence::new(settings.bounds.store_timing())),
             peers: Mutex::default(),
             registration: Mutex::default(),
             pending_queries: Mutex::default(),
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -281,6 +281,11 @@
         lock(&self.directory).position().unwrap_or_default()
     }
 
+    /// Returns the latest time at which the targets are known to have been complete.
+    pub(crate) fn targets_complete_at(&self) -> Option<Timestamp> {
+        lock(&self.directory).complete_at()
+    }
+
     /// Returns the position up to which the evacuated zones are known.
     pub(crate) fn evacuations_position(&self) -> StorePosition {
         let checkpoint = lock(&self.evacuations).checkpoint();
--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -1,12 +1,13 @@
 //! Calls to the platform's store over one persistent connection.
 
 use crate::adapter::ControlCall;
+use crate::clock;
 use crate::connection::{Connection, ConnectionError};
 use crate::exchange::round_trip;
 use crate::runtime::within;
-use crate::state::Gateway;
-use almondcroft_core::Era;
+use crate::state::{Gateway, lock};
 use almondcroft_core::gateway::StoreFailure;
+use almondcroft_core::{Era, Timestamp};
 use almondcroft_proto::http1::FrameError;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +18,15 @@
 /// Timeout of a call that does not wait for changes.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Idle time up to which a connection is used again; one that has gone silent unnoticed would cost the next call.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+
+/// Statuses from this one on, and [`RATE_LIMITED_STATUS`], do not show that the store serves calls.
+const SERVER_ERROR_STATUS: u16 = 500;
+
+/// Status of a call beyond the permitted rate.
+const RATE_LIMITED_STATUS: u16 = 429;
+
 /// Maximum size of a response body, in bytes: a page of values of up to a megabyte, with room for
 /// their framing.
 const MAX_RESPONSE_BODY: usize = 4 * 1024 * 1024;
@@ -26,6 +36,8 @@
 pub(crate) enum StoreError {
     /// The store cannot be reached, or its response was lost.
     Unreachable(&'static str),
+    /// No response came in time on a connection that had been open, or on which the call had waited.
+    SilentConnection,
     /// The response is too large to be read.
     TooLarge,
     /// The store responded with this error status.
@@ -43,6 +55,7 @@
     pub(crate) fn failure(&self) -> StoreFailure {
         match self {
             Self::Unreachable("timeout") => StoreFailure::Silent,
+            Self::SilentConnection => StoreFailure::SilentConnection,
             _ => StoreFailure::Prompt,
         }
     }
@@ -52,6 +65,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Unreachable(kind) => f.write_str(kind),
+            Self::SilentConnection => f.write_str("silent-connection"),
             Self::TooLarge => f.write_str("too-large"),
             Self::Status(status) => write!(f, "status-{status}"),
             Self::Unreadable(reason) => f.write_str(reason),
@@ -69,23 +83,33 @@
     pub(crate) era: Era,
 }
 
+/// How long a call may take.
+#[derive(Debug, Clone, Copy)]
+struct Patience {
+    /// Time for which the store may wait for changes.
+    wait: Duration,
+    /// Time beyond it.
+    timeout: Duration,
+}
+
 /// Client of the store.
 pub(crate) struct StoreClient {
     address: SocketAddr,
-    connection: Option<Connection>,
+    /// An open connection, and since when it is idle.
+    idle: Option<(Connection, Timestamp)>,
 }
 
 impl StoreClient {
     pub(crate) const fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            connection: None,
+            idle: None,
         }
     }
 
     /// Closes the connection, whose next response may belong to another call.
     pub(crate) fn disconnect(&mut self) {
-        self.connection = None;
+        self.idle = None;
     }
 
     /// Sends a request and returns a successful response.
@@ -97,28 +121,61 @@
         call: &ControlCall,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
-        let idle = self.connection.take().filter(Connection::is_idle);
+        let wait = Duration::ZERO;
+        self.send(gateway, call, Patience { wait, timeout }).await
+    }
+
+    /// Sends a request for which the store waits until there are changes, for a time at most, and returns a successful
+    /// response.
+    pub(crate) async fn watch(
+        &mut self,
+        gateway: &Gateway,
+        call: &ControlCall,
+        wait: Duration,
+    ) -> Result<StoreResponse, StoreError> {
+        let timeout = gateway.bounds().store_timing().overdue();
+        self.send(gateway, call, Patience { wait, timeout }).await
+    }
+
+    async fn send(
+        &mut self,
+        gateway: &Gateway,
+        call: &ControlCall,
+        patience: Patience,
+    ) -> Result<StoreResponse, StoreError> {
+        let idle = self.take_idle(clock::now());
+        let had_opened = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::connect(self.address, CONNECT_TIMEOUT)
                 .await
                 .map_err(|error| StoreError::Unreachable(error.kind()))?,
         };
+        let sent_at = clock::now();
         let response = within(
-            timeout,
+            patience.wait + patience.timeout,
             round_trip(&mut connection, self.address, call, MAX_RESPONSE_BODY),
         )
         .await;
-        let (head, body) = response
-            .ok_or(StoreError::Unreachable("timeout"))?
-            .map_err(|error| match error {
-                ConnectionError::Frame {
-                    source: FrameError::TooLarge,
-                } => StoreError::TooLarge,
-                error => StoreError::Unreachable(error.kind()),
-            })?;
+        let silence = if had_opened || !patience.wait.is_zero() {
+            StoreError::SilentConnection
+        } else {
+            StoreError::Unreachable("timeout")
+        };
+        let (head, body) = response.ok_or(silence)?.map_err(|error| match error {
+            ConnectionError::Frame {
+                source: FrameError::TooLarge,
+            } => StoreError::TooLarge,
+            error => StoreError::Unreachable(error.kind()),
+        })?;
+        let now = clock::now();
         if head.keeps_alive() {
-            self.connection = Some(connection);
+            self.idle = Some((connection, now));
+        }
+        if head.status < SERVER_ERROR_STATUS && head.status != RATE_LIMITED_STATUS {
+            // A response that comes before the end of the wait was made when there was a change.
+            let waited = now.saturating_sub(sent_at).min(patience.wait);
+            lock(&gateway.store_evidence).record_response(sent_at + waited, now);
         }
         let stated = gateway.registry.read_era(&head).unwrap_or_else(|text| {
             log::warn!(event = "store-era-unreadable", text = text.as_str(); "");
@@ -132,4 +189,11 @@
             status => Err(StoreError::Status(status)),
         }
     }
+
+    /// Takes the open connection, if it was used a short time ago.
+    fn take_idle(&mut self, now: Timestamp) -> Option<Connection> {
+        let (connection, idle_since) = self.idle.take()?;
+        let is_recent = now.saturating_sub(idle_since) < MAX_IDLE_TIME;
+        (is_recent && connection.is_idle()).then_some(connection)
+    }
 }
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -4,12 +4,15 @@
 
 use crate::adapter::{Batch, Item, ObjectKind};
 use crate::clock;
+use crate::logging::millis;
 use crate::peer_view::ConfigDocument;
 use crate::runtime::{sleep, spawn_forever};
-use crate::state::Gateway;
+use crate::state::{Gateway, lock};
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
 use crate::unreadable_objects::UnreadableObjects;
-use almondcroft_core::gateway::{EntryEvent, StoreContact, StorePosition, TargetEntry};
+use almondcroft_core::gateway::{
+    EntryEvent, StoreConclusion, StoreContact, StoreFailure, StorePosition, TargetEntry,
+};
 use almondcroft_core::{Revision, Timestamp};
 use futures_lite::future::or;
 use rand::Rng;
@@ -17,15 +20,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Maximum wait of a watch of the configuration.
-///
-/// A confirmation is at most this old, so a VM that loses the store can continue to serve for a
-/// while.
-const CONFIG_WATCH_WAIT: Duration = Duration::from_secs(2);
-
-/// Maximum wait of any other watch; a dead connection is detected after it.
-const DEFAULT_WATCH_WAIT: Duration = Duration::from_secs(3);
-
 /// Maximum wait of a watch of the evacuated zones, as a fraction of the evacuation time.
 const EVACUATION_WAIT_FRACTION: f64 = 0.3;
 
@@ -40,8 +34,8 @@
 /// the call itself.
 const BATCH_FRACTION: f64 = 0.65;
 
-/// Time beyond its wait after which the response to a watch counts as lost.
-const WATCH_SLACK: Duration = Duration::from_secs(1);
+/// Timeout of a watch that does not wait.
+const PROMPT_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Back-off after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -211,20 +205,17 @@
         if self.contact.is_in_doubt() {
             return Duration::ZERO;
         }
-        let wait = match self.kind {
-            ObjectKind::Config => CONFIG_WATCH_WAIT,
-            ObjectKind::Targets | ObjectKind::Vms => DEFAULT_WATCH_WAIT,
+        let bounds = self.gateway.bounds();
+        let wait = bounds.store_timing().max_wait();
+        match self.kind {
             ObjectKind::Evacuations => {
-                let bound = self.gateway.bounds().evacuation().unwrap_or_default();
-                return bound
-                    .mul_f64(EVACUATION_WAIT_FRACTION)
-                    .min(DEFAULT_WATCH_WAIT);
+                let bound = bounds.evacuation().unwrap_or_default();
+                wait.min(bound.mul_f64(EVACUATION_WAIT_FRACTION))
             }
-        };
-        if self.gateway.is_queried(clock::now()) {
-            wait.min(self.gateway.bounds().drain().mul_f64(WATCHER_WAIT_FRACTION))
-        } else {
-            wait
+            _ if self.gateway.is_queried(clock::now()) => {
+                wait.min(bounds.drain().mul_f64(WATCHER_WAIT_FRACTION))
+            }
+            ObjectKind::Config | ObjectKind::Targets | ObjectKind::Vms => wait,
         }
     }
 
@@ -278,8 +269,13 @@
         let sent_at = clock::now();
         let wait = self.watch_wait();
         let call = self.gateway.registry.watch(self.kind, since.revision, wait);
-        let call = self.client.call(&self.gateway, &call, wait + WATCH_SLACK);
-        let StoreResponse { body, era } = call.await?;
+        let response = if wait.is_zero() {
+            let call = self.client.call(&self.gateway, &call, PROMPT_WATCH_TIMEOUT);
+            call.await
+        } else {
+            self.client.watch(&self.gateway, &call, wait).await
+        };
+        let StoreResponse { body, era } = response?;
         if era > since.era {
             return Err(StoreError::Restored);
         }
@@ -455,27 +451,55 @@
 
     fn record_response(&mut self) {
         self.backoff = INITIAL_BACKOFF;
-        if self.contact.record_response() {
-            log::info!(event = "store-regained", kind = self.kind.as_str(),
-                era = self.gateway.store_era(); "");
-        }
+        let now = clock::now();
+        let may_miss_entries = self.conclude(now);
         if self.kind == ObjectKind::Targets {
-            let now = clock::now();
             self.gateway.change_targets(|directory| {
+                if may_miss_entries {
+                    directory.mark_store_unavailable();
+                }
                 directory.mark_store_available(now);
                 Vec::new()
             });
         }
     }
 
-    async fn back_off(&mut self, error: &StoreError) {
+    /// Concludes from a response why calls failed before, if any did; returns whether entries may have expired.
+    fn conclude(&mut self, now: Timestamp) -> bool {
+        let known_at = self.gateway.targets_complete_at().unwrap_or_default();
+        let evidence = lock(&self.gateway.store_evidence);
+        let (gap, interval) = (evidence.gap_since(known_at), evidence.interval());
+        drop(evidence);
         let was_lost = self.contact.is_lost();
-        let is_lost = self.contact.record_failure(error.failure());
+        let Some((conclusion, failed)) = self.contact.record_response(gap) else {
+            return false;
+        };
+        let unseen = match conclusion {
+            StoreConclusion::Unseen(gap) => gap.length(),
+            StoreConclusion::CallsFailed | StoreConclusion::Outage => interval,
+        };
+        log::info!(event = "store-conclusion", kind = self.kind.as_str(), conclusion = conclusion.as_str(),
+            first_failure = failed.first.as_str(), failed_ms_ago = millis(now.saturating_sub(failed.since)),
+            unseen_ms = millis(unseen); "");
+        if was_lost {
+            log::info!(event = "store-regained", kind = self.kind.as_str(),
+                era = self.gateway.store_era(); "");
+        }
+        conclusion.may_miss_entries()
+    }
+
+    async fn back_off(&mut self, error: &StoreError) {
+        let now = clock::now();
+        let (was_in_doubt, was_lost) = (self.contact.is_in_doubt(), self.contact.is_lost());
+        let is_lost = self.contact.record_failure(error.failure(), now);
+        let response_age = lock(&self.gateway.store_evidence).age(now);
+        let response_age = response_age.map_or("-".into(), |age| millis(age).to_string());
         if !is_lost {
-            log::info!(event = "store-call-failed", kind = self.kind.as_str(), error:% = error; "");
+            log::info!(event = "store-call-failed", kind = self.kind.as_str(), error:% = error,
+                last_response_ms_ago = response_age.as_str(); "");
         } else if !was_lost {
             log::warn!(event = "store-lost", kind = self.kind.as_str(), error:% = error,
-                era = self.gateway.store_era(); "");
+                last_response_ms_ago = response_age.as_str(), era = self.gateway.store_era(); "");
         }
         if is_lost && self.kind == ObjectKind::Targets {
             self.gateway.change_targets(|directory| {
@@ -483,6 +507,10 @@
                 Vec::new()
             });
         }
+        if !was_in_doubt && error.failure() == StoreFailure::SilentConnection {
+            // What a new connection shows now is needed before entries can have expired.
+            return;
+        }
         let jitter = rand::rng().random_range(0.5..1.0);
         sleep(self.backoff.mul_f64(jitter)).await;
         let max = match self.gateway.queried_watchers(clock::now()) {
