--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -422,9 +422,10 @@
         }
     }
 
-    /// Removes targets that did not register again within the registration time.
+    /// Removes targets that did not register again within the registration time, as a view shows that was complete at its end
+    /// or later.
     pub fn remove_missing(&mut self, now: Timestamp) -> Vec<TargetChange> {
-        if self.is_uncertain(now) {
+        if self.is_uncertain(now) || self.is_before_registrations() {
             return Vec::new();
         }
         let missing: Vec<TargetId> = self
@@ -464,10 +465,27 @@
     /// Returns whether entries of running targets may be missing.
     #[must_use]
     pub fn is_uncertain(&self, now: Timestamp) -> bool {
-        self.store_unavailable
-            || self
-                .recovered_at
-                .is_some_and(|at| now < at + REGISTRATION_TIME)
+        self.store_unavailable || now < self.registration_end()
+    }
+
+    /// Returns the end of the time in which targets register again after the last outage.
+    fn registration_end(&self) -> Timestamp {
+        let recovered_at = self.recovered_at;
+        recovered_at.map_or(Timestamp::ZERO, |at| at + REGISTRATION_TIME)
+    }
+
+    /// Returns whether the latest view is from before the end of the registration time.
+    fn is_before_registrations(&self) -> bool {
+        let end = self.registration_end();
+        self.checkpoint
+            .is_some_and(|checkpoint| checkpoint.at < end)
+    }
+
+    /// Returns when a view is needed that shows which targets have not registered again, if any is missing.
+    #[must_use]
+    pub fn needs_view_at(&self) -> Option<Timestamp> {
+        let is_missing = self.known.values().any(|known| known.missing);
+        (is_missing && self.is_before_registrations()).then(|| self.registration_end())
     }
 
     fn apply_present(&mut self, mut entry: TargetEntry) -> Vec<TargetChange> {
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -307,9 +307,28 @@
         []
     );
     assert_eq!(directory.remove_missing(SECOND * 2), []);
+    assert_eq!(directory.needs_view_at(), Some(SECOND * 3));
+    directory.apply_changes(vec![], (restored(9), SECOND * 3), SECOND * 3);
     assert_eq!(directory.remove_missing(SECOND * 3), [gone("b")]);
 }
 
+/// Guards against a target that is given up although it has registered again, which no view has shown yet.
+#[test]
+fn remove_missing_without_a_view_of_the_end_of_the_registration_time() {
+    let mut directory = Directory::default();
+    let list = vec![entry("a"), entry("b")];
+    directory.apply_list(list, (revision(10), SECOND), SECOND);
+    directory.mark_store_unavailable();
+    directory.mark_store_available(SECOND * 10);
+    directory.apply_list(vec![], (revision(12), SECOND * 10), SECOND * 10);
+    assert_eq!(directory.needs_view_at(), Some(SECOND * 12));
+    assert_eq!(directory.remove_missing(SECOND * 13), []);
+    let again = vec![EntryEvent::Present(entry("a"))];
+    directory.apply_changes(again, (revision(13), SECOND * 13), SECOND * 13);
+    assert_eq!(directory.remove_missing(SECOND * 13), [gone("b")]);
+    assert_eq!(directory.needs_view_at(), None);
+}
+
 #[test]
 fn restored_entry_of_gone_target_is_used_only_if_it_stays() {
     let mut directory = Directory::default();
--- a/crates/almondcroft-gateway/src/state/store_view.rs
+++ b/crates/almondcroft-gateway/src/state/store_view.rs
@@ -258,7 +258,12 @@
             }
             ObjectKind::Config | ObjectKind::Targets | ObjectKind::Vms => self.validity(),
         };
-        let remaining = (at? + validity).saturating_sub(now);
+        let mut remaining = (at? + validity).saturating_sub(now);
+        if kind == ObjectKind::Targets
+            && let Some(at) = self.needs_targets_at()
+        {
+            remaining = remaining.min(at.saturating_sub(now));
+        }
         (!remaining.is_zero()).then_some(remaining)
     }
 
@@ -281,6 +286,16 @@
         lock(&self.directory).position().unwrap_or_default()
     }
 
+    /// Returns when a view of the targets is needed that shows which have not registered again after an outage.
+    pub(crate) fn needs_targets_at(&self) -> Option<Timestamp> {
+        lock(&self.directory).needs_view_at()
+    }
+
+    /// Returns whether entries of running targets may be missing.
+    pub(crate) fn may_miss_entries(&self, now: Timestamp) -> bool {
+        lock(&self.directory).is_uncertain(now)
+    }
+
     /// Returns the latest time at which the targets are known to have been complete.
     pub(crate) fn targets_complete_at(&self) -> Option<Timestamp> {
         lock(&self.directory).complete_at()
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -34,6 +34,9 @@
 /// the call itself.
 const BATCH_FRACTION: f64 = 0.65;
 
+/// Resolution of the wait of a watch.
+const ROUNDING: Duration = Duration::from_millis(1);
+
 /// Timeout of a watch that does not wait.
 const PROMPT_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -205,17 +208,21 @@
         if self.contact.is_in_doubt() {
             return Duration::ZERO;
         }
+        let now = clock::now();
         let bounds = self.gateway.bounds();
-        let wait = bounds.store_timing().max_wait();
-        match self.kind {
-            ObjectKind::Evacuations => {
-                let bound = bounds.evacuation().unwrap_or_default();
-                wait.min(bound.mul_f64(EVACUATION_WAIT_FRACTION))
-            }
-            _ if self.gateway.is_queried(clock::now()) => {
-                wait.min(bounds.drain().mul_f64(WATCHER_WAIT_FRACTION))
+        let mut wait = bounds.store_timing().max_wait();
+        if self.kind == ObjectKind::Evacuations {
+            let bound = bounds.evacuation().unwrap_or_default();
+            return wait.min(bound.mul_f64(EVACUATION_WAIT_FRACTION));
+        }
+        if self.gateway.is_queried(now) {
+            wait = wait.min(bounds.drain().mul_f64(WATCHER_WAIT_FRACTION));
+        }
+        match self.gateway.needs_targets_at() {
+            Some(at) if self.kind == ObjectKind::Targets => {
+                wait.min(at.saturating_sub(now) + ROUNDING)
             }
-            ObjectKind::Config | ObjectKind::Targets | ObjectKind::Vms => wait,
+            _ => wait,
         }
     }
 
@@ -337,6 +344,11 @@
     /// Waits after a change, so that the next watch returns several changes at once.
     async fn batch_changes(&mut self) {
         let now = clock::now();
+        if self.gateway.may_miss_entries(now) {
+            // A target that registers again must be known before it counts as gone.
+            sleep(BURST_DELAY).await;
+            return;
+        }
         if !self.gateway.is_selected_watcher(now) {
             sleep(self.gateway.bounds().drain().mul_f64(BATCH_FRACTION)).await;
             return;
