--- a/crates/almondcroftd/src/config_sync.rs
+++ b/crates/almondcroftd/src/config_sync.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 /// Longest time that a watch request waits for a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+///
+/// A connection may go silent for good, and only the end of this time shows it.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time between two watch requests while the store fails.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
