--- a/crates/almondcroft-gateway/src/store.rs
+++ b/crates/almondcroft-gateway/src/store.rs
@@ -5,7 +5,7 @@
 use crate::connection::{Connection, ConnectionError};
 use crate::exchange::round_trip;
 use crate::runtime::within;
-use crate::state::{Gateway, lock};
+use crate::state::Gateway;
 use almondcroft_core::gateway::StoreFailure;
 use almondcroft_core::{Era, Timestamp};
 use almondcroft_proto::http1::FrameError;
@@ -21,12 +21,6 @@
 /// Idle time up to which a connection is used again; one that has gone silent unnoticed would cost the next call.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 
-/// Statuses from this one on, and [`RATE_LIMITED_STATUS`], do not show that the store serves calls.
-const SERVER_ERROR_STATUS: u16 = 500;
-
-/// Status of a call beyond the permitted rate.
-const RATE_LIMITED_STATUS: u16 = 429;
-
 /// Maximum size of a response body, in bytes: a page of values of up to a megabyte, with room for
 /// their framing.
 const MAX_RESPONSE_BODY: usize = 4 * 1024 * 1024;
@@ -81,6 +75,8 @@
     pub(crate) body: Vec<u8>,
     /// Era of the store in which it responded.
     pub(crate) era: Era,
+    /// Time at which the response was made, or earlier.
+    pub(crate) made_at: Timestamp,
 }
 
 /// How long a call may take.
@@ -172,11 +168,8 @@
         if head.keeps_alive() {
             self.idle = Some((connection, now));
         }
-        if head.status < SERVER_ERROR_STATUS && head.status != RATE_LIMITED_STATUS {
-            // A response that comes before the end of the wait was made when there was a change.
-            let waited = now.saturating_sub(sent_at).min(patience.wait);
-            lock(&gateway.store_evidence).record_response(sent_at + waited, now);
-        }
+        // A response that comes before the end of the wait was made when there was a change.
+        let made_at = sent_at + now.saturating_sub(sent_at).min(patience.wait);
         let stated = gateway.registry.read_era(&head).unwrap_or_else(|text| {
             log::warn!(event = "store-era-unreadable", text = text.as_str(); "");
             None
@@ -185,7 +178,7 @@
             .observe_store_era(stated)
             .ok_or(StoreError::Outdated)?;
         match head.status {
-            200..300 => Ok(StoreResponse { body, era }),
+            200..300 => Ok(StoreResponse { body, era, made_at }),
             status => Err(StoreError::Status(status)),
         }
     }
--- a/crates/almondcroft-gateway/src/sync.rs
+++ b/crates/almondcroft-gateway/src/sync.rs
@@ -235,7 +235,8 @@
         loop {
             let call = self.gateway.registry.list(self.kind, after.as_deref());
             let call = self.client.call(&self.gateway, &call, CALL_TIMEOUT);
-            let StoreResponse { body, era } = call.await?;
+            let StoreResponse { body, era, made_at } = call.await?;
+            self.record_evidence(made_at);
             let batch = self
                 .gateway
                 .registry
@@ -282,7 +283,8 @@
         } else {
             self.client.watch(&self.gateway, &call, wait).await
         };
-        let StoreResponse { body, era } = response?;
+        let StoreResponse { body, era, made_at } = response?;
+        self.record_evidence(made_at);
         if era > since.era {
             return Err(StoreError::Restored);
         }
@@ -461,6 +463,11 @@
         }
     }
 
+    /// Records that the store was available; reads that may be stale do not show that.
+    fn record_evidence(&self, made_at: Timestamp) {
+        lock(&self.gateway.store_evidence).record_response(made_at, clock::now());
+    }
+
     fn record_response(&mut self) {
         self.backoff = INITIAL_BACKOFF;
         let now = clock::now();
