--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -13,8 +13,9 @@
 /// Number of VMs whose reports show that the store is unavailable.
 const MIN_UNCERTAIN_VIEWS: usize = 2;
 
-/// Time within which live targets register again after an outage of the store.
-const REGISTRATION_TIME: Duration = Duration::from_secs(2);
+/// Time within which live targets register again after an outage of the store: about two seconds, and a margin for the write
+/// and for its arrival here.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2_300);
 
 /// Time for which a restored entry of a target that is known to be gone is not used.
 ///
@@ -143,6 +144,19 @@
         }
     }
 
+    /// Records that a VM which follows the store for others is certain of its view.
+    ///
+    /// One that reported an outage before has waited for the registrations itself; another one may have started since, so the
+    /// registration time starts here.
+    pub fn record_certain_view(&mut self, vm: SocketAddr, now: Timestamp) {
+        if self.uncertain_views.contains(&vm) {
+            self.uncertain_views.clear();
+            self.store_unavailable = false;
+        } else {
+            self.mark_store_available(now);
+        }
+    }
+
     /// Records that the store was restored from an older copy and began an era.
     ///
     /// Views of earlier eras are ignored from now on, and targets may be missing until they have had
--- a/crates/almondcroft-gateway/src/gossip/watchers.rs
+++ b/crates/almondcroft-gateway/src/gossip/watchers.rs
@@ -216,7 +216,7 @@
             return;
         }
         gateway.change_targets(|directory| {
-            directory.mark_store_available(now);
+            directory.record_certain_view(from, now);
             directory.apply_part(events, since, now)
         });
         if gateway.targets_position() == since {
@@ -234,7 +234,7 @@
         lock(&gateway.store_evidence).record_response(at, at);
         let events = update.into_events(now);
         gateway.change_targets(|directory| {
-            directory.mark_store_available(now);
+            directory.record_certain_view(from, now);
             directory.apply_changes(events, (position, at), now)
         });
     } else if response.targets_uncertain {
