--- a/crates/almondcroft-core/src/gateway.rs
+++ b/crates/almondcroft-core/src/gateway.rs
@@ -55,7 +55,9 @@
 pub use budget_share::{BudgetShare, LOAN_TIME};
 pub use config::{CallerLimits, ColdStart, CustomerSpec, EngineSpec, GatewayConfig, PoolSpec};
 pub use config_freshness::ConfigFreshness;
-pub use directory::{ChangeCursor, Directory, EntryEvent, RestoredTargets, TargetChange};
+pub use directory::{
+    ChangeCursor, Directory, EntryEvent, EntryRemoval, RestoredTargets, TargetChange,
+};
 pub use evacuations::{EvacuationChange, Evacuations};
 pub use fleet::{
     Choice, ColdBounds, Demand, Fleet, FleetOptions, LimitStatement, Need, PeerLoad, PeerSnapshot,
--- a/crates/almondcroft-core/src/gateway/directory.rs
+++ b/crates/almondcroft-core/src/gateway/directory.rs
@@ -53,6 +53,17 @@
     Gone(TargetId),
 }
 
+/// An entry that disappeared, as a VM saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryRemoval {
+    /// The target.
+    pub target: TargetId,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Position of the store up to which the VM knew all changes.
+    pub position: StorePosition,
+}
+
 /// Place of a change in the order of [`Directory::changes_after`].
 pub type ChangeCursor = (StorePosition, TargetId);
 
@@ -297,6 +308,22 @@
         vec![TargetChange::Leaving(target.clone())]
     }
 
+    /// Applies that another VM saw an entry disappear, before this VM's own view shows it.
+    ///
+    /// The entry may be back since, so the removal counts only if this VM knows no later changes; those that it learns next then
+    /// include the entry if it is back.
+    pub fn record_removal(&mut self, removal: &EntryRemoval, now: Timestamp) -> Vec<TargetChange> {
+        let is_newer = self.position().is_some_and(|position| {
+            position.era == removal.position.era && position < removal.position
+        });
+        let known = self.known.get(&removal.target);
+        let is_same = known.is_some_and(|known| known.entry.incarnation == removal.incarnation);
+        if !is_newer || !is_same {
+            return Vec::new();
+        }
+        self.apply(EntryEvent::Absent(removal.target.clone()), now)
+    }
+
     /// Applies a list of all entries that was complete at a time.
     ///
     /// A list older than the last checkpoint is ignored.
--- a/crates/almondcroft-core/src/gateway/directory/tests.rs
+++ b/crates/almondcroft-core/src/gateway/directory/tests.rs
@@ -125,6 +125,52 @@
     assert_eq!(changes, []);
 }
 
+/// Guards against a sound target that is lost for good because another VM saw its entry disappear, which is back since.
+#[test]
+fn record_removal_of_an_entry_that_is_back() {
+    let removal = |incarnation, at| EntryRemoval {
+        target: "a".into(),
+        incarnation,
+        position: revision(at),
+    };
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a"), entry("b")], (revision(10), SECOND), SECOND);
+    // This VM knows more, or the target has started again.
+    assert_eq!(directory.record_removal(&removal(1, 10), SECOND), []);
+    assert_eq!(directory.record_removal(&removal(2, 11), SECOND), []);
+    assert_eq!(
+        directory.record_removal(&removal(1, 11), SECOND),
+        [gone("a")]
+    );
+    assert_eq!(directory.record_removal(&removal(1, 11), SECOND), []);
+    // The removal at 11 and the entry at 12.
+    let back = vec![EntryEvent::Present(entry("a"))];
+    let changes = directory.apply_changes(back, (revision(12), SECOND), SECOND);
+    assert_eq!(changes, [TargetChange::Joined(entry("a"))]);
+    // The message is repeated for a time.
+    assert_eq!(directory.record_removal(&removal(1, 11), SECOND), []);
+    // Positions of another era are not comparable.
+    let mut restored_removal = removal(1, 40);
+    restored_removal.position.era = 2;
+    assert_eq!(directory.record_removal(&restored_removal, SECOND), []);
+}
+
+/// Guards against a removal that is believed at once although entries may have expired in an outage.
+#[test]
+fn record_removal_after_an_outage() {
+    let mut directory = Directory::default();
+    directory.apply_list(vec![entry("a")], (revision(10), SECOND), SECOND);
+    directory.mark_store_unavailable();
+    directory.mark_store_available(SECOND * 10);
+    let removal = EntryRemoval {
+        target: "a".into(),
+        incarnation: 1,
+        position: revision(11),
+    };
+    assert_eq!(directory.record_removal(&removal, SECOND * 10), []);
+    assert_eq!(directory.take_kept(), [TargetId::from("a")]);
+}
+
 #[test]
 fn apply_present_restarted_under_same_id() {
     let mut directory = Directory::default();
--- a/crates/almondcroft-gateway/src/gossip.rs
+++ b/crates/almondcroft-gateway/src/gossip.rs
@@ -22,7 +22,7 @@
 use crate::state::{Departure, Gateway, lock};
 use crate::store::{CALL_TIMEOUT, StoreClient, StoreError, StoreResponse};
 use crate::unreadable_objects::UnreadableObjects;
-use almondcroft_core::gateway::GossipFanout;
+use almondcroft_core::gateway::{EntryRemoval, GossipFanout};
 use almondcroft_core::quarantine::Fingerprint;
 use almondcroft_core::{Revision, Timestamp, VmId};
 use futures_lite::future::or;
@@ -157,6 +157,9 @@
     for departure in &message.departures {
         gateway.apply_departure(departure, &message.vm);
     }
+    for removal in message.entry_removals() {
+        gateway.apply_removal(&removal, now);
+    }
     gateway.record_config_revision(message.config);
     let vm = message.vm.clone();
     lock(&gateway.fleet).apply_snapshot(vm, message.into_snapshot(now));
@@ -179,6 +182,7 @@
         part_changes: 0,
         part_trials: 0,
         departures: Vec::new(),
+        removals: Vec::new(),
         config_revision: 0,
     };
     loop {
@@ -207,6 +211,7 @@
     part_changes: u64,
     part_trials: u64,
     departures: Vec<Departure>,
+    removals: Vec<EntryRemoval>,
     config_revision: Revision,
 }
 
@@ -220,7 +225,7 @@
         let parts = quarantine.evidence(now);
         let (part_changes, part_trials) = (quarantine.change_count(), quarantine.trial_count());
         drop(quarantine);
-        let departures = gateway.departures(now);
+        let (departures, removals) = (gateway.departures(now), gateway.removals(now));
         let config_revision = gateway
             .config_confirmation()
             .map_or(0, |(revision, _)| revision);
@@ -228,9 +233,13 @@
             config_revision != self.config_revision && gateway.queried_watchers(now).is_none();
         let departed = departures
             .iter()
-            .any(|departure| !self.departures.contains(departure));
+            .any(|departure| !self.departures.contains(departure))
+            || removals
+                .iter()
+                .any(|removal| !self.removals.contains(removal));
         let vm = gateway.settings.vm.clone();
         let message = SnapshotMessage::new(vm, &snapshot, crashes.clone(), departures.clone())
+            .with_removals(&removals)
             .with_config(config_revision)
             .with_quarantine(&lock(&gateway.quarantine), now)
             .with_parts(parts)
@@ -247,7 +256,7 @@
         };
         self.crashes = crashes;
         (self.part_changes, self.part_trials) = (part_changes, part_trials);
-        self.departures = departures;
+        (self.departures, self.removals) = (departures, removals);
         self.config_revision = config_revision;
         let recipients = indices.into_iter().map(|index| peers[index]).collect();
         (message.encode(MAX_DATAGRAM_BYTES), recipients)
--- a/crates/almondcroft-gateway/src/gossip/message.rs
+++ b/crates/almondcroft-gateway/src/gossip/message.rs
@@ -7,9 +7,11 @@
 pub(super) use query::{CursorMessage, EvacuationList, Query, Response, TargetPage};
 
 use crate::state::Departure;
-use almondcroft_core::gateway::{LimitStatement, PeerLoad, PeerSnapshot, SendCounts, ZoneDigest};
+use almondcroft_core::gateway::{
+    EntryRemoval, LimitStatement, PeerLoad, PeerSnapshot, SendCounts, StorePosition, ZoneDigest,
+};
 use almondcroft_core::quarantine::{CrashId, Fingerprint, PartEvidence, PartId, Quarantine};
-use almondcroft_core::{Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
+use almondcroft_core::{Era, Revision, ServiceId, TargetId, Timestamp, VmId, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -125,6 +127,9 @@
     /// Targets that the VM recently saw leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) departures: Vec<Departure>,
+    /// Entries that the VM recently saw disappear; VMs of earlier versions list them with the departures.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    removals: Vec<RemovalMessage>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) crashes: Vec<(Fingerprint, u32)>,
     /// Requests that targets survived after crashes, with the time since.
@@ -145,6 +150,27 @@
     spare: Option<Vec<(ServiceId, u32)>>,
 }
 
+/// Reports an entry that disappeared: the target, its incarnation, and the position up to which the VM knows all changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct RemovalMessage(TargetId, u64, Era, Revision);
+
+impl From<&EntryRemoval> for RemovalMessage {
+    fn from(removal: &EntryRemoval) -> Self {
+        let StorePosition { era, revision } = removal.position;
+        Self(removal.target.clone(), removal.incarnation, era, revision)
+    }
+}
+
+impl From<RemovalMessage> for EntryRemoval {
+    fn from(RemovalMessage(target, incarnation, era, revision): RemovalMessage) -> Self {
+        Self {
+            target,
+            incarnation,
+            position: StorePosition { era, revision },
+        }
+    }
+}
+
 /// Reports the limit that a target states: the target, its incarnation, thousandths of a request a second,
 /// and the age of the statement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -256,6 +282,7 @@
             sends,
             config: 0,
             departures,
+            removals: Vec::new(),
             crashes,
             survivals: Vec::new(),
             trials: Vec::new(),
@@ -266,6 +293,18 @@
         }
     }
 
+    /// Sets the entries that the VM recently saw disappear.
+    pub(super) fn with_removals(mut self, removals: &[EntryRemoval]) -> Self {
+        self.removals = removals.iter().map(RemovalMessage::from).collect();
+        self
+    }
+
+    /// Returns the entries that the VM recently saw disappear.
+    pub(super) fn entry_removals(&self) -> Vec<EntryRemoval> {
+        let removals = self.removals.iter().cloned();
+        removals.map(EntryRemoval::from).collect()
+    }
+
     /// Sets what the VM knows of requests that crashed targets, beside the counts.
     pub(super) fn with_quarantine(mut self, quarantine: &Quarantine, now: Timestamp) -> Self {
         let survivals = quarantine.survivals(now).into_iter();
@@ -333,13 +372,14 @@
         Datagram::Snapshot(self).encode_within(max_bytes)
     }
 
-    /// Leaves out half of the targets, or of the departures if there are none; returns whether there were any.
+    /// Leaves out half of the targets, or of the departures and removals if there are none; returns whether there were any.
     fn leave_out_targets(&mut self) -> bool {
         if self.loads.is_empty() {
-            let count = self.departures.len();
+            let counts = (self.departures.len(), self.removals.len());
             // The last ones are the newest.
-            self.departures.drain(..count.div_ceil(2));
-            return count > 0;
+            self.departures.drain(..counts.0.div_ceil(2));
+            self.removals.drain(..counts.1.div_ceil(2));
+            return counts != (0, 0);
         }
         self.loads.truncate(self.loads.len() / 2);
         true
--- a/crates/almondcroft-gateway/src/gossip/message/tests.rs
+++ b/crates/almondcroft-gateway/src/gossip/message/tests.rs
@@ -170,3 +170,26 @@
         None => assert_eq!(written, earlier),
     }
 }
+
+/// Guards against removals of entries that VMs of this and of later versions do not understand, and against those that are
+/// taken for leave notices by the version before.
+#[test]
+fn decode_removals() {
+    let text = r#"{"news":{"vm":"vm-1","zone":"q-a","loads":[],"sends":[],"config":0,"removals":[["i-2",5,1,40]]}}"#;
+    let message = decode(text.as_bytes()).unwrap();
+    let removal = EntryRemoval {
+        target: "i-2".into(),
+        incarnation: 5,
+        position: StorePosition {
+            era: 1,
+            revision: 40,
+        },
+    };
+    assert_eq!(message.entry_removals(), [removal]);
+    assert_eq!(message.departures, []);
+    let written: serde_json::Value = serde_json::from_slice(&message.encode(1_000)).unwrap();
+    assert_eq!(
+        written,
+        serde_json::from_str::<serde_json::Value>(text).unwrap()
+    );
+}
--- a/crates/almondcroft-gateway/src/state.rs
+++ b/crates/almondcroft-gateway/src/state.rs
@@ -19,9 +19,9 @@
 use crate::settings::{BackupRequests, Bounds, GatewaySettings};
 use crate::write_queue::{SlowCallerRegistry, WriteQueue};
 use almondcroft_core::gateway::{
-    AllowedRegions, BudgetShare, ConfigFreshness, Demand, Directory, Evacuations, Fleet,
-    FleetOptions, FleetRetryBudget, GatewayConfig, HedgePolicy, PeerSnapshot, PendingQueries,
-    PlacedRequest, Placement, StoreEra, StoreEvidence, TargetPaths, TunnelPeer,
+    AllowedRegions, BudgetShare, ConfigFreshness, Demand, Directory, EntryRemoval, Evacuations,
+    Fleet, FleetOptions, FleetRetryBudget, GatewayConfig, HedgePolicy, PeerSnapshot,
+    PendingQueries, PlacedRequest, Placement, StoreEra, StoreEvidence, TargetPaths, TunnelPeer,
 };
 use almondcroft_core::quarantine::{PromptQuarantine, Quarantine};
 use almondcroft_core::{RequestId, ServiceId, TargetId, Timestamp, VmId};
@@ -78,6 +78,7 @@
     slow_callers: Arc<SlowCallerRegistry>,
     gossip_signal: (Sender<()>, Receiver<()>),
     departures: Mutex<VecDeque<(Timestamp, Departure)>>,
+    removals: Mutex<VecDeque<(Timestamp, EntryRemoval)>>,
     /// Latest revision of the configuration that a peer announced.
     newest_revision: AtomicU64,
     config_signal: (Sender<()>, Receiver<()>),
@@ -135,6 +136,7 @@
             slow_callers: Arc::new(SlowCallerRegistry::new(settings.slow_caller_budget())),
             gossip_signal: bounded(1),
             departures: Mutex::default(),
+            removals: Mutex::default(),
             newest_revision: AtomicU64::new(0),
             config_signal: bounded(1),
             announced_changes: AtomicU64::new(0),
--- a/crates/almondcroft-gateway/src/state/targets.rs
+++ b/crates/almondcroft-gateway/src/state/targets.rs
@@ -3,17 +3,18 @@
 use super::{Departure, Gateway, lock};
 use crate::adapter::{ResponseMeta, StatedLimit};
 use crate::clock;
-use almondcroft_core::gateway::{Directory, TargetChange};
+use almondcroft_core::gateway::{Directory, EntryRemoval, TargetChange};
 use almondcroft_core::{RequestId, TargetId, Timestamp};
 use almondcroft_proto::http1::ResponseHead;
 use async_channel::{Receiver, bounded};
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time for which gossip messages include a leaving target; long enough for many gossip rounds.
+/// Time for which gossip messages include a leaving target or a removed entry; long enough for many gossip rounds.
 const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 
-/// Maximum number of leaving targets in a gossip message, of which a datagram holds about 200; peers learn of others
-/// by their queries.
+/// Maximum number of leaving targets, and of removed entries, in a gossip message, of which a datagram holds about 200;
+/// peers learn of others by their queries.
 const MAX_DEPARTURES: usize = 64;
 
 /// Status of the response of another target than the expected one.
@@ -52,7 +53,7 @@
                 self.mark_target_leaving(&id, "store");
             }
             TargetChange::Gone(id) => {
-                self.record_departure(&id, now);
+                self.announce_removal(&id, now);
                 let mut fleet = lock(&self.fleet);
                 if let Some(choice) = fleet.choice_for(&id) {
                     self.pool.close_idle(choice.address);
@@ -172,17 +173,36 @@
         self.request_gossip();
     }
 
+    /// Announces that the entry of a target disappeared, unless a watcher said so.
+    fn announce_removal(&self, target: &TargetId, now: Timestamp) {
+        if self.queried_watchers(now).is_some() {
+            return;
+        }
+        let incarnation = lock(&self.fleet).incarnation(target);
+        if let Some(incarnation) = incarnation {
+            let removal = EntryRemoval {
+                target: target.clone(),
+                incarnation,
+                position: self.targets_position(),
+            };
+            lock(&self.removals).push_back((now, removal));
+            self.request_gossip();
+        }
+    }
+
+    /// Applies that a peer saw the entry of a target disappear.
+    pub(crate) fn apply_removal(&self, removal: &EntryRemoval, now: Timestamp) {
+        self.change_targets(|directory| directory.record_removal(removal, now));
+    }
+
     /// Lists the targets that this VM recently saw leaving.
     pub(crate) fn departures(&self, now: Timestamp) -> Vec<Departure> {
-        let mut departures = lock(&self.departures);
-        while departures
-            .front()
-            .is_some_and(|(at, _)| *at + DEPARTURE_TIME < now)
-        {
-            departures.pop_front();
-        }
-        let newest = departures.iter().rev().take(MAX_DEPARTURES).rev();
-        newest.map(|(_, departure)| departure.clone()).collect()
+        recent(&mut lock(&self.departures), now)
+    }
+
+    /// Lists the entries that this VM recently saw disappear.
+    pub(crate) fn removals(&self, now: Timestamp) -> Vec<EntryRemoval> {
+        recent(&mut lock(&self.removals), now)
     }
 
     /// Notifies requests that their target is leaving.
@@ -203,3 +223,15 @@
         receiver
     }
 }
+
+/// Drops what was announced for long enough, and returns the newest of the rest.
+fn recent<T: Clone>(announced: &mut VecDeque<(Timestamp, T)>, now: Timestamp) -> Vec<T> {
+    while announced
+        .front()
+        .is_some_and(|(at, _)| *at + DEPARTURE_TIME < now)
+    {
+        announced.pop_front();
+    }
+    let newest = announced.iter().rev().take(MAX_DEPARTURES).rev();
+    newest.map(|(_, item)| item.clone()).collect()
+}
