--- a/crates/almondcroft-core/src/gateway/fleet.rs
+++ b/crates/almondcroft-core/src/gateway/fleet.rs
@@ -372,6 +372,14 @@
         })
     }
 
+    /// Returns the choices of all other targets that are not leaving.
+    #[must_use]
+    pub fn other_choices(&self, target: &str) -> Vec<Choice> {
+        let others = self.targets.iter();
+        let others = others.filter(|(id, state)| *id != target && !state.leaving);
+        others.filter_map(|(id, _)| self.choice_for(id)).collect()
+    }
+
     /// Records that a target refused a request because it was full.
     pub fn record_refusal(&mut self, target: &str, now: Timestamp) {
         let vm_count = self.vm_count(now);
--- a/crates/almondcroft-gateway/src/dispatch.rs
+++ b/crates/almondcroft-gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::logging::millis;
 use crate::reply::Reply;
 use crate::run_stop::RunStops;
-use crate::runtime::{spawn, within};
+use crate::runtime::{sleep, spawn, within};
 use crate::state::{ExtraPermit, Gateway, PlacementGuard, lock};
 use crate::target_connect;
 use crate::target_run::{TargetRun, crash_id};
@@ -22,6 +22,7 @@
 use almondcroft_core::{TargetId, Timestamp, Verdict};
 use futures_lite::future::or;
 use hedge::TargetSend;
+use rand::seq::IndexedRandom;
 use response::CollectedResponse;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +51,12 @@
 /// Connect timeout for checking whether a target that broke a connection is still running.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time between the two checks whether a target that sent nothing accepts connections; exceeds a short loss of packets.
+const DARK_CHECK_PAUSE: Duration = Duration::from_millis(300);
+
+/// Number of other targets that are tried to tell one that is dark from a VM that is cut off.
+const COMPARED_TARGETS: usize = 2;
+
 /// Minimum size of a long output, in tokens.
 ///
 /// Long outputs get a lower priority than short ones, and a backup of their KV cache.
@@ -488,6 +495,50 @@
     Some((call.priority().saturating_mul(2) + long).min(9))
 }
 
+/// Checks in the background whether a target that sent no response in time has crashed without closing its connections.
+///
+/// A target that accepts connections may be slow, and one that no VM reaches may be cut off, as this VM may be from all. So it
+/// counts as crashed only if it accepts none twice while another target does.
+pub(crate) fn check_dark(gateway: &Arc<Gateway>, call: &Arc<Call>, choice: &Choice) {
+    let (gateway, call, choice) = (Arc::clone(gateway), Arc::clone(call), choice.clone());
+    let crash = crash_id(&gateway, &choice.target);
+    spawn(async move {
+        let request = call.external_id();
+        for pause in [Duration::ZERO, DARK_CHECK_PAUSE] {
+            sleep(pause).await;
+            if target_connect::is_running(&gateway, &choice, request, CRASH_CHECK_TIMEOUT).await {
+                return;
+            }
+        }
+        let target = choice.target.as_str();
+        if !reaches_another(&gateway, target, request).await {
+            log::info!(event = "crash-unproven", request = request, target_id = target; "");
+            return;
+        }
+        let now = clock::now();
+        let count = lock(&gateway.quarantine).record_crash_once(call.fingerprint, crash, now);
+        lock(&gateway.fleet).record_failure(target, true, now);
+        gateway.request_gossip();
+        log::info!(event = "crash", request = request, target_id = target, count = count,
+            events = 0, parts = call.part_names().as_str(); "");
+    });
+}
+
+/// Returns whether this VM, or a peer for it, reaches one of some other targets.
+async fn reaches_another(gateway: &Gateway, target: &str, request: &str) -> bool {
+    let others = lock(&gateway.fleet).other_choices(target);
+    let others: Vec<Choice> = others
+        .choose_multiple(&mut rand::rng(), COMPARED_TARGETS)
+        .cloned()
+        .collect();
+    for other in &others {
+        if target_connect::is_reached(gateway, other, request, CRASH_CHECK_TIMEOUT).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Checks in the background whether a target broke a connection because it crashed.
 ///
 /// `events` is the number of events that the caller received.
--- a/crates/almondcroft-gateway/src/dispatch/response.rs
+++ b/crates/almondcroft-gateway/src/dispatch/response.rs
@@ -1,7 +1,7 @@
 //! Handles the response to a send, or its absence.
 
 use super::hedge::TargetSend;
-use super::{Attempt, Dispatch, check_crash};
+use super::{Attempt, Dispatch, check_crash, check_dark};
 use crate::clock;
 use crate::exchange::{Exchange, SendError};
 use crate::lifecycle::Guard;
@@ -118,6 +118,7 @@
                     let waited = clock::now().saturating_sub(sent_at);
                     let is_hard = !exchange.is_tunneled() && waited > MAX_SOUND_SILENCE;
                     self.record_failure(&choice.target, is_hard);
+                    check_dark(self.gateway, &self.call, choice);
                     return Attempt::MayHaveRun("timeout");
                 }
             }
@@ -219,6 +220,7 @@
                     check_crash(self.gateway, &self.call, choice, run, 0);
                     return Attempt::MayHaveRun(error.kind);
                 }
+                check_dark(self.gateway, &self.call, choice);
                 Attempt::MayHaveRun("timeout")
             }
         }
--- a/crates/almondcroft-gateway/src/relay/resume.rs
+++ b/crates/almondcroft-gateway/src/relay/resume.rs
@@ -4,7 +4,7 @@
 use crate::adapter::{Continuation, SendMeta};
 use crate::clock;
 use crate::connection::Connection;
-use crate::dispatch::{RequestLog, check_crash, send_meta};
+use crate::dispatch::{RequestLog, check_crash, check_dark, send_meta};
 use crate::exchange::Exchange;
 use crate::logging::millis;
 use crate::migration::copy_calls;
@@ -106,7 +106,12 @@
         request_log.log_silence(&self.choice.target, reached);
         if reached {
             self.start_migration(MigrationReason::Silence);
-        } else if let Some(option) = self.backup_copy()
+            return;
+        }
+        if !self.run.has_survived(clock::now()) {
+            check_dark(self.gateway, self.call, &self.choice);
+        }
+        if let Some(option) = self.backup_copy()
             && self.replace_unreached(option, request_log).await
         {
             self.gateway.metrics.count_migration("switched");
